--- /dev/null
+++ b/cli/src/main/java/org/streamring/cli/OperatorMain.java
@@ -0,0 +1,62 @@
+package org.streamring.cli;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.util.concurrent.Callable;
+
+/** The operator's program. */
+public final class OperatorMain {
+    private OperatorMain() {}
+
+    /** Runs a command. */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    /** Runs a command and returns its exit code. */
+    public static int run(String... arguments) {
+        try {
+            Object command = commandLine().parse(arguments);
+            if (command instanceof Callable<?> callable) {
+                Object code = callable.call();
+                return code instanceof Integer number ? number : ExitCode.OK;
+            }
+            ((Runnable) command).run();
+            return ExitCode.OK;
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            return ExitCode.BAD_INPUT;
+        } catch (Exception e) {
+            System.err.println("failed: " + e);
+            return 1;
+        }
+    }
+
+    private static Cli<Object> commandLine() {
+        CliBuilder<Object> builder = Cli.builder("streamring")
+                .withDescription("Operates a streamring fleet")
+                .withDefaultCommand(Help.class)
+                .withCommand(Help.class)
+                .withCommand(DeclarationCommands.Check.class)
+                .withCommand(DeclarationCommands.Diff.class)
+                .withCommand(DeclarationCommands.Apply.class)
+                .withCommand(ViewCommands.Status.class)
+                .withCommand(ViewCommands.Audit.class)
+                .withCommand(ViewCommands.Bills.class);
+        builder.withGroup("budget")
+                .withDescription("Budgets")
+                .withCommand(BudgetCommands.Show.class)
+                .withCommand(BudgetCommands.TopUp.class)
+                .withCommand(BudgetCommands.Held.class)
+                .withCommand(BudgetCommands.DecideHeld.class);
+        builder.withGroup("account").withDescription("Client accounts").withCommand(ViewCommands.Accounts.class);
+        builder.withGroup("backend")
+                .withDescription("Backend servers")
+                .withCommand(BackendCommands.Start.class)
+                .withCommand(BackendCommands.Drain.class)
+                .withCommand(BackendCommands.Stop.class);
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/streamring/cli/ViewCommands.java
@@ -0,0 +1,165 @@
+package org.streamring.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.streamring.kernel.config.ConfigChange;
+import org.streamring.kernel.ledger.BillBatch;
+import org.streamring.kernel.ledger.BillItem;
+import org.streamring.kernel.ledger.EntryRecord;
+import org.streamring.kernel.table.ObjectStore;
+import org.streamring.kernel.table.PlatformException;
+import org.streamring.kernel.table.Row;
+import org.streamring.kernel.table.RowKeys;
+import org.streamring.kernel.table.RowText;
+import org.streamring.model.box.BackendServer;
+import org.streamring.model.declaration.BackendOrder;
+import org.streamring.net.settings.SettingsException;
+
+/** Commands that show what is. */
+final class ViewCommands {
+    private ViewCommands() {}
+
+    /** Shows entries and backend servers. */
+    @Command(name = "status", description = "Show the configuration version, entries and backend servers")
+    public static final class Status extends OperatorCommand {
+        @Override
+        void execute() throws CommandException, SettingsException, PlatformException {
+            withPlatform((client, services) -> {
+                OperatorClient.State state = client.state();
+                Report report = new Report("kind", "name", "state", "version", "where");
+                report.row("configuration", "current", "in force", state.version(), "");
+                for (Row row : client.scan(RowKeys.ENTRIES, "")) {
+                    EntryRecord record = RowText.read(row.text(), EntryRecord.class);
+                    String name = row.key().substring(RowKeys.ENTRIES.length());
+                    report.row("entry", name, record.state(), record.configVersion(), record.address());
+                }
+                for (BackendServer server : services.boxes().backendServers()) {
+                    BackendOrder order = state.declarations().backends().get(server.name());
+                    String wanted = order == null ? "START" : order.state().name();
+                    report.row(
+                            "backend",
+                            server.name(),
+                            (server.leaving() ? "leaving" : "live") + "/" + wanted,
+                            server.service(),
+                            server.failureDomain() + " " + server.host() + ":" + server.port());
+                }
+                print(report);
+            });
+        }
+    }
+
+    /** Shows the audit trail. */
+    @Command(name = "audit", description = "Show accepted changes: who, when, what")
+    public static final class Audit extends OperatorCommand {
+        @Option(name = "--after", description = "Only changes after this version")
+        private long after;
+
+        @Override
+        void execute() throws CommandException, SettingsException, PlatformException {
+            withPlatform((client, services) -> {
+                Report report = new Report("version", "when", "author", "action", "items", "grants");
+                for (Row row : client.scan(RowKeys.CHANGES, RowKeys.change(after))) {
+                    ConfigChange change = RowText.read(row.text(), ConfigChange.class);
+                    report.row(
+                            change.version() - 1 + " -> " + change.version(),
+                            Instant.ofEpochMilli(change.epochMillis()),
+                            change.author(),
+                            change.action(),
+                            change.items().stream()
+                                    .map(item -> (item.removal() ? "-" : "+") + item.kind() + "." + item.name())
+                                    .toList(),
+                            change.grants().stream()
+                                    .map(grant -> grant.budget() + ":" + grant.tokens())
+                                    .toList());
+                }
+                print(report);
+            });
+        }
+    }
+
+    /** Shows client accounts. */
+    @Command(name = "list", description = "Show client accounts")
+    public static final class Accounts extends OperatorCommand {
+        @Override
+        void execute() throws CommandException, SettingsException, PlatformException {
+            withPlatform((client, services) -> {
+                Report report = new Report("account", "budget", "class", "services", "max_concurrent", "per_second");
+                client.state()
+                        .declarations()
+                        .accounts()
+                        .forEach((name, account) -> report.row(
+                                name,
+                                account.budget(),
+                                account.priorityClass(),
+                                account.services(),
+                                account.maxConcurrent(),
+                                account.requestsPerSecond()));
+                print(report);
+            });
+        }
+    }
+
+    /** Shows bills. */
+    @Command(name = "bills", description = "Show what was billed, an item per request, each once")
+    public static final class Bills extends OperatorCommand {
+        @Option(name = "--account", description = "Only this client account")
+        private String account = "";
+
+        @Option(name = "--sum", description = "Show sums per client account")
+        private boolean sum;
+
+        @Override
+        void execute() throws CommandException, SettingsException, PlatformException {
+            withPlatform((client, services) -> {
+                List<BillItem> items = items(services.objects()).stream()
+                        .filter(item -> account.isEmpty() || item.account().equals(account))
+                        .toList();
+                print(sum ? sums(items) : list(items));
+            });
+        }
+
+        /** Batches may repeat items; the same attempt is the same item. */
+        private static List<BillItem> items(ObjectStore objects) throws PlatformException {
+            Map<String, BillItem> byAttempt = new LinkedHashMap<>();
+            for (String name : objects.list(BillBatch.PREFIX)) {
+                byte[] content = objects.get(name).orElse(new byte[0]);
+                if (content.length > 0) {
+                    RowText.read(new String(content, StandardCharsets.UTF_8), BillBatch.class)
+                            .items()
+                            .forEach(item -> byAttempt.put(item.attempt(), item));
+                }
+            }
+            return List.copyOf(byAttempt.values());
+        }
+
+        private static Report list(List<BillItem> items) {
+            Report report = new Report("when", "account", "request", "service", "prompt", "answer", "tokens");
+            items.forEach(item -> report.row(
+                    Instant.ofEpochMilli(item.epochMillis()),
+                    item.account(),
+                    item.request(),
+                    item.service(),
+                    item.promptTokens(),
+                    item.answerTokens(),
+                    item.tokens()));
+            return report;
+        }
+
+        private static Report sums(List<BillItem> items) {
+            Map<String, long[]> sums = new LinkedHashMap<>();
+            items.forEach(item -> {
+                long[] totals = sums.computeIfAbsent(item.account(), key -> new long[2]);
+                totals[0]++;
+                totals[1] += item.tokens();
+            });
+            Report report = new Report("account", "requests", "tokens");
+            sums.forEach((name, totals) -> report.row(name, totals[0], totals[1]));
+            return report;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/ledger/BudgetLeases.java
@@ -0,0 +1,194 @@
+package org.streamring.kernel.ledger;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The leases that one entry holds on one budget, and the decisions about them: how much to take, when to settle, what
+ * to give back. Not safe for use by several threads; {@link LeaseLedger} guards it.
+ */
+final class BudgetLeases {
+    private static final long UNKNOWN = Long.MAX_VALUE;
+    private static final int FIRST_LEASE_REQUESTS = 4;
+    private static final int TIGHT_LEASES = 2;
+    private static final long FIRST_BACKOFF_MILLIS = 250;
+    private static final long LONGEST_BACKOFF_MILLIS = 5_000;
+
+    private final LedgerSettings settings;
+    private final List<Lease> leases = new ArrayList<>();
+    private final DemandEstimator demand = new DemandEstimator();
+    private long remainingHint = UNKNOWN;
+    private long shortfall;
+    private long largestWaiting;
+    private long typicalWorst;
+    private long retryAtMillis;
+    private long backoffMillis;
+
+    BudgetLeases(LedgerSettings settings) {
+        this.settings = settings;
+    }
+
+    List<Lease> leases() {
+        return leases;
+    }
+
+    Optional<Lease> find(String leaseId) {
+        return leases.stream().filter(lease -> lease.id().equals(leaseId)).findFirst();
+    }
+
+    /** Oldest first, so that old leases run out and settle. */
+    Optional<Lease> leaseFor(long tokens, long nowMillis) {
+        typicalWorst = typicalWorst == 0 ? tokens : Math.max(tokens, typicalWorst - typicalWorst / 16);
+        return leases.stream()
+                .filter(lease -> lease.takesReservations() && lease.free() >= tokens)
+                .findFirst();
+    }
+
+    /** When the budget is looked at again, if it is known not to cover this many tokens. */
+    OptionalLong usedUpUntil(long tokens, long nowMillis) {
+        boolean known = tokens > remainingHint && nowMillis < retryAtMillis;
+        return known ? OptionalLong.of(retryAtMillis) : OptionalLong.empty();
+    }
+
+    void addShortfall(long tokens) {
+        shortfall += tokens;
+        largestWaiting = Math.max(largestWaiting, tokens);
+    }
+
+    boolean hasShortfall() {
+        return shortfall > 0;
+    }
+
+    void spent(long tokens, long nowMillis) {
+        demand.add(tokens, nowMillis);
+    }
+
+    /** Takes note of what the table last showed as remaining. */
+    void noteRemaining(long remaining) {
+        remainingHint = remaining;
+    }
+
+    /** The table does not cover what was asked; ask again later, ever more seldom. */
+    void noteInsufficient(long remaining, long nowMillis) {
+        remainingHint = remaining;
+        long needed = Math.max(1, Math.max(largestWaiting, typicalWorst));
+        if (remaining >= needed) {
+            return;
+        }
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, Math.max(FIRST_BACKOFF_MILLIS, 2 * backoffMillis));
+        retryAtMillis = nowMillis + backoffMillis;
+        shortfall = 0;
+        largestWaiting = 0;
+    }
+
+    /** A top-up makes whatever was known about the end of the budget void. */
+    void forgetUsedUp() {
+        remainingHint = UNKNOWN;
+        retryAtMillis = 0;
+        backoffMillis = 0;
+    }
+
+    /** A lease arrived. */
+    void noteTaken() {
+        shortfall = 0;
+        largestWaiting = 0;
+        backoffMillis = 0;
+    }
+
+    /** Tokens of the lease to take now; 0 for none. */
+    long tokensToTake(long nowMillis) {
+        long needed = Math.max(shortfall, largestWaiting);
+        if (nowMillis < retryAtMillis && (needed == 0 || largestWaiting > remainingHint)) {
+            return 0;
+        }
+        if (needed == 0 && !runsLow(nowMillis)) {
+            return 0;
+        }
+        if (settings.sizing() == LedgerSettings.Sizing.FIXED) {
+            return fixedSize();
+        }
+        return demandSize(needed, nowMillis);
+    }
+
+    private long fixedSize() {
+        long atLeast = Math.max(settings.fixedTokens(), largestWaiting);
+        return remainingHint == UNKNOWN ? atLeast : Math.max(largestWaiting, Math.min(atLeast, remainingHint));
+    }
+
+    private long demandSize(long needed, long nowMillis) {
+        long single = Math.max(1, Math.max(largestWaiting, needed == 0 ? typicalWorst : 0));
+        long wanted = Math.max(needed, coverTokens(nowMillis));
+        wanted = Math.max(wanted, FIRST_LEASE_REQUESTS * typicalWorst);
+        if (remainingHint == UNKNOWN) {
+            return Math.max(wanted, single);
+        }
+        long share = remainingHint / settings.remainingDivisor();
+        long capped = Math.max(single, Math.min(wanted, share));
+        boolean onlyAhead = needed == 0;
+        return onlyAhead && capped > share ? 0 : capped;
+    }
+
+    private long coverTokens(long nowMillis) {
+        return (long) (demand.tokensPerSecond(nowMillis) * settings.cover().toSeconds());
+    }
+
+    private boolean runsLow(long nowMillis) {
+        if (settings.sizing() == LedgerSettings.Sizing.FIXED) {
+            return false;
+        }
+        double rate = demand.tokensPerSecond(nowMillis);
+        boolean inUse = rate * settings.cover().toSeconds() > typicalWorst;
+        return inUse && freeTokens() < coverTokens(nowMillis) / 2;
+    }
+
+    private long freeTokens() {
+        return leases.stream()
+                .filter(Lease::takesReservations)
+                .mapToLong(Lease::free)
+                .sum();
+    }
+
+    /** Marks leases that should take no more reservations, so that they can settle. */
+    void drainOldLeases(long nowMillis) {
+        long rests = usableLeases();
+        for (Lease lease : leases) {
+            if (!lease.takesReservations()) {
+                continue;
+            }
+            boolean old =
+                    nowMillis - lease.openedMillis() >= settings.settleAfter().toMillis();
+            boolean otherCovers = freeTokens() - lease.free() >= Math.max(typicalWorst, coverTokens(nowMillis) / 2);
+            boolean idle = nowMillis - lease.lastUsedMillis() >= idleReturn().toMillis();
+            boolean uselessRest = settings.returnRests() && lease.free() < typicalWorst && (tight() || rests > 1);
+            if ((old && otherCovers) || idle || uselessRest || usedUp(lease)) {
+                lease.drain();
+            }
+        }
+    }
+
+    /** Marks every lease, for a planned stop. */
+    void drainAll() {
+        leases.forEach(Lease::drain);
+    }
+
+    private boolean usedUp(Lease lease) {
+        return lease.free() == 0 && lease.quiet();
+    }
+
+    private long usableLeases() {
+        return leases.stream().filter(Lease::takesReservations).count();
+    }
+
+    private Duration idleReturn() {
+        return tight() ? settings.tightIdleReturn() : settings.idleReturn();
+    }
+
+    /** Whether what remains is so little that rests must not lie about. */
+    private boolean tight() {
+        return remainingHint != UNKNOWN
+                && remainingHint < TIGHT_LEASES * FIRST_LEASE_REQUESTS * Math.max(1, typicalWorst);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/limit/TokenBucket.java
@@ -0,0 +1,35 @@
+package org.streamring.kernel.limit;
+
+import java.time.Duration;
+
+/** A rate limit with a burst of one second's worth. Not safe for use by several threads. */
+final class TokenBucket {
+    private static final double MILLIS = Duration.ofSeconds(1).toMillis();
+
+    private final double burst;
+    private double level;
+    private long updatedMillis;
+
+    TokenBucket(double burst, long nowMillis) {
+        this.burst = burst;
+        this.level = burst;
+        this.updatedMillis = nowMillis;
+    }
+
+    void add(double amount) {
+        level = Math.min(burst, level + amount);
+    }
+
+    void refill(double perSecond, long nowMillis) {
+        add(perSecond * Math.max(0, nowMillis - updatedMillis) / MILLIS);
+        updatedMillis = nowMillis;
+    }
+
+    boolean take() {
+        if (level < 1) {
+            return false;
+        }
+        level -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/policy/CandidateInput.java
@@ -0,0 +1,11 @@
+package org.streamring.kernel.policy;
+
+/**
+ * What a policy sees of a candidate.
+ *
+ * @param name backend server
+ * @param failureDomain its failure domain
+ * @param sameDomain whether that is the entry's own
+ * @param load attempts in progress or queued, over capacity
+ */
+public record CandidateInput(String name, String failureDomain, boolean sameDomain, double load) {}
--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/recovery/EntryWatch.java
@@ -0,0 +1,60 @@
+package org.streamring.kernel.recovery;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.streamring.kernel.table.Row;
+
+/**
+ * Finds entries whose row no longer changes. Time counts only while the table answers: after an outage every entry gets
+ * the whole time again, since it could not have written during it.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class EntryWatch {
+    private final Duration suspectAfter;
+    private final Duration longestGap;
+    private final Map<String, Seen> seen = new HashMap<>();
+    private long lastScanMillis;
+
+    private record Seen(long version, long sinceMillis) {}
+
+    /**
+     * Creates one.
+     *
+     * @param suspectAfter time without a change after which an entry is taken for dead
+     * @param longestGap time between two good scans above which the table is taken to have been away
+     */
+    public EntryWatch(Duration suspectAfter, Duration longestGap) {
+        this.suspectAfter = suspectAfter;
+        this.longestGap = longestGap;
+    }
+
+    /**
+     * Takes in a scan of all entries' rows.
+     *
+     * @return the rows of entries taken for dead
+     */
+    public List<Row> observe(List<Row> entryRows, long nowMillis) {
+        if (nowMillis - lastScanMillis > longestGap.toMillis()) {
+            seen.clear();
+        }
+        lastScanMillis = nowMillis;
+        Map<String, Seen> next = new HashMap<>();
+        List<Row> suspects = new ArrayList<>();
+        for (Row row : entryRows) {
+            Seen before = seen.get(row.key());
+            boolean unchanged = before != null && before.version() == row.version();
+            Seen now = unchanged ? before : new Seen(row.version(), nowMillis);
+            next.put(row.key(), now);
+            if (nowMillis - now.sinceMillis() >= suspectAfter.toMillis()) {
+                suspects.add(row);
+            }
+        }
+        seen.clear();
+        seen.putAll(next);
+        return suspects;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaTable.java
@@ -0,0 +1,104 @@
+package org.streamring.kernel.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.streamring.model.box.BackendServer;
+
+/**
+ * The replicas in an entry's subset.
+ *
+ * <p>Safe for use by many threads; its lock is a leaf, held while no other lock is taken.
+ */
+public final class ReplicaTable {
+    private final Map<String, Replica> replicas = new HashMap<>();
+    private Set<String> stoppedByOperator = Set.of();
+
+    /** Replaces the subset; what is known of replicas that stay is kept. */
+    public synchronized void relist(Collection<BackendServer> subset) {
+        Map<String, BackendServer> byName =
+                subset.stream().collect(Collectors.toMap(BackendServer::name, server -> server, (a, b) -> b));
+        replicas.keySet().retainAll(byName.keySet());
+        byName.forEach((name, server) -> {
+            Replica replica = replicas.computeIfAbsent(name, key -> new Replica(server));
+            replica.relist(server);
+        });
+    }
+
+    /** Sets the backend servers that an operator has ordered to take no new work. */
+    public synchronized void setStoppedByOperator(Set<String> names) {
+        stoppedByOperator = Set.copyOf(names);
+    }
+
+    /** A sidecar has connected and named its incarnation. */
+    public synchronized void connected(String name, String incarnation) {
+        find(name).ifPresent(replica -> replica.connected(incarnation));
+    }
+
+    /** A sidecar's connection is gone. */
+    public synchronized void disconnected(String name) {
+        find(name).ifPresent(Replica::disconnected);
+    }
+
+    /** A sidecar has reported its load. */
+    public synchronized void reported(String name, LoadReport report) {
+        find(name).ifPresent(replica -> replica.report(report));
+    }
+
+    /** A request was sent. */
+    public synchronized void started(String name) {
+        find(name).ifPresent(Replica::started);
+    }
+
+    /** A request has ended; refusals for lack of room are not failures. */
+    public synchronized void ended(String name, boolean failed, long nowMillis) {
+        find(name).ifPresent(replica -> replica.ended(failed, nowMillis));
+    }
+
+    private Optional<Replica> find(String name) {
+        return Optional.ofNullable(replicas.get(name));
+    }
+
+    /** Incarnation of a connected sidecar. */
+    public synchronized Optional<String> incarnationOf(String name) {
+        return find(name).map(Replica::incarnation).filter(incarnation -> !incarnation.isEmpty());
+    }
+
+    /** Replicas of a service that take work now. */
+    public synchronized List<Candidate> candidates(String service, Predicate<String> mayUse, long nowMillis) {
+        List<Candidate> found = new ArrayList<>();
+        for (Replica replica : replicas.values()) {
+            BackendServer server = replica.server();
+            boolean eligible = server.service().equals(service)
+                    && replica.takesWork(nowMillis)
+                    && !stoppedByOperator.contains(server.name())
+                    && mayUse.test(replica.incarnation());
+            if (eligible) {
+                found.add(new Candidate(server, replica.incarnation(), replica.load()));
+            }
+        }
+        return found;
+    }
+
+    /** Notes that a candidate was chosen, so that a recovering one gets one request at a time. */
+    public synchronized void chosen(String name) {
+        find(name).ifPresent(Replica::chosen);
+    }
+
+    /** Whether any replica of a service is listed, taking work or not. */
+    public synchronized boolean serves(String service) {
+        return replicas.values().stream()
+                .anyMatch(replica -> replica.server().service().equals(service));
+    }
+
+    /** All replicas in the subset. */
+    public synchronized List<BackendServer> listed() {
+        return replicas.values().stream().map(Replica::server).toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/table/RowText.java
@@ -0,0 +1,36 @@
+package org.streamring.kernel.table;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.UncheckedIOException;
+
+/** JSON form of the records that rows and objects hold. Unknown fields are ignored, so that a newer writer is read. */
+public final class RowText {
+    private static final JsonMapper MAPPER = JsonMapper.builder()
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .build();
+
+    private RowText() {}
+
+    /** Writes a record. */
+    public static String write(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads a record; a text that this project did not write is an {@link UncheckedIOException}. */
+    public static <T> T read(String text, Class<T> type) {
+        try {
+            return MAPPER.readValue(text, type);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -0,0 +1,275 @@
+package org.streamring.entry;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamring.entry.caller.CallerServer;
+import org.streamring.entry.config.ConfigurationPoller;
+import org.streamring.entry.config.PolicyBook;
+import org.streamring.entry.ledger.LeaseWaiters;
+import org.streamring.entry.ledger.LedgerHolder;
+import org.streamring.entry.ledger.LedgerRunner;
+import org.streamring.entry.once.ClaimCommitter;
+import org.streamring.entry.peer.SidecarLinks;
+import org.streamring.entry.recovery.RecoveryRunner;
+import org.streamring.entry.recovery.UncertainResolver;
+import org.streamring.entry.request.AccountIndex;
+import org.streamring.entry.request.RequestAdmitter;
+import org.streamring.entry.request.RequestCoordinator;
+import org.streamring.entry.request.RequestServices;
+import org.streamring.kernel.config.ConfigChange;
+import org.streamring.kernel.config.ConfigurationHolder;
+import org.streamring.kernel.config.ConfigurationHolder.Configuration;
+import org.streamring.kernel.limit.AccountLimiter;
+import org.streamring.kernel.limit.RetryBudget;
+import org.streamring.kernel.policy.PolicyCompiler;
+import org.streamring.kernel.routing.ReplicaSelector;
+import org.streamring.kernel.routing.ReplicaTable;
+import org.streamring.kernel.routing.SubsetSelector;
+import org.streamring.model.declaration.BackendOrder;
+import org.streamring.net.peer.FleetKey;
+import org.streamring.net.peer.PeerException;
+import org.streamring.net.peer.PeerIdentity;
+import org.streamring.net.process.AdminServer;
+import org.streamring.net.process.Incarnations;
+import org.streamring.net.process.WorkerPool;
+import org.streamring.net.settings.SettingValues;
+import org.streamring.platform.PlatformProvider;
+
+/** An entry, put together from its parts; also usable inside a test. */
+public final class EntryProcess implements AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EntryProcess.class);
+    private static final int LOOPS = 2;
+    private static final int WORKER_QUEUE = 1024;
+    private static final double RETRY_SHARE = 0.1;
+    private static final long STOP_POLL_MILLIS = 50;
+
+    private final SettingValues settings;
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(LOOPS, new DefaultThreadFactory("loop", true));
+    private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final ReplicaTable replicas = new ReplicaTable();
+    private final LeaseWaiters waiters = new LeaseWaiters();
+    private final List<Repeated> tasks = new ArrayList<>();
+    private final PlatformProvider.Platform platform;
+    private final LedgerHolder ledgers;
+    private final LedgerRunner ledgerRunner;
+    private final SidecarLinks links;
+    private final WorkerPool workers;
+    private final ClaimCommitter claims;
+    private final RequestCoordinator coordinator;
+    private final CallerServer callers;
+    private final AdminServer admin;
+    private volatile boolean stopping;
+
+    /** Starts everything. */
+    public EntryProcess(SettingValues settings) throws PeerException {
+        this.settings = settings;
+        String name = settings.get(EntrySettings.NAME);
+        String address = settings.get(EntrySettings.ADDRESS);
+        platform = PlatformProvider.named(settings.get(EntrySettings.PLATFORM_PROVIDER))
+                .open(
+                        URI.create(settings.get(EntrySettings.PLATFORM_URL)),
+                        settings.get(EntrySettings.PLATFORM_KEY),
+                        settings.get(EntrySettings.PLATFORM_TIMEOUT));
+        ledgers = new LedgerHolder(
+                name, address + ":" + settings.get(EntrySettings.PORT), EntrySettings.ledger(settings));
+        PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, name, Incarnations.next(name));
+        links = new SidecarLinks(loops, new FleetKey(settings.get(EntrySettings.FLEET_KEY)), own, replicas, metrics);
+        ledgerRunner = new LedgerRunner(
+                ledgers,
+                platform.table(),
+                platform.objects(),
+                links,
+                waiters,
+                settings.get(EntrySettings.LEDGER_INTERVAL),
+                metrics);
+        workers = new WorkerPool("worker", settings.get(EntrySettings.WORKERS), WORKER_QUEUE);
+        claims = new ClaimCommitter(platform.table(), own.incarnation());
+        AccountIndex index = new AccountIndex();
+        PolicyBook policies = new PolicyBook(PolicyCompiler.load());
+        coordinator = new RequestCoordinator(new RequestAdmitter(index, policies), policies, services());
+        configuration.listen((config, changes) -> {
+            policies.update(config);
+            index.update(config);
+            configurationChanged(config, changes);
+        });
+        links.listen(new PeerRecorder());
+        startTasks(name);
+        callers = new CallerServer(
+                loops,
+                new InetSocketAddress(address, settings.get(EntrySettings.PORT)),
+                settings.get(EntrySettings.MAX_BODY),
+                coordinator);
+        admin = new AdminServer(
+                loops, new InetSocketAddress(address, settings.get(EntrySettings.ADMIN_PORT)), metrics, this::ready);
+        LOGGER.info(
+                "entry_started incarnation={} port={} admin_port={}",
+                ledgers.current().incarnation(),
+                callers.port(),
+                admin.port());
+    }
+
+    private RequestServices services() {
+        return new RequestServices(
+                loops,
+                workers,
+                ledgers,
+                ledgerRunner,
+                waiters,
+                claims,
+                links,
+                replicas,
+                new ReplicaSelector(new SplittableRandom()),
+                new RetryBudget(RETRY_SHARE),
+                new AccountLimiter(),
+                metrics,
+                settings.get(EntrySettings.LEASE_WAIT),
+                settings.get(EntrySettings.FAILURE_DOMAIN));
+    }
+
+    private void startTasks(String name) {
+        ConfigurationPoller poller = new ConfigurationPoller(platform.table(), configuration);
+        SubsetSelector subsets = new SubsetSelector(name, settings.get(EntrySettings.SUBSET));
+        BoxPoller boxes = new BoxPoller(platform.boxes(), subsets, replicas, links);
+        Duration watchInterval = settings.get(EntrySettings.WATCH_INTERVAL);
+        RecoveryRunner recovery = new RecoveryRunner(
+                platform.table(),
+                platform.objects(),
+                links,
+                ledgers,
+                settings.get(EntrySettings.SUSPECT_AFTER),
+                watchInterval);
+        tasks.add(new Repeated("config", settings.get(EntrySettings.CONFIG_INTERVAL), poller::poll));
+        tasks.add(new Repeated("boxes", settings.get(EntrySettings.BOXES_INTERVAL), boxes::poll));
+        tasks.add(new Repeated("ping", settings.get(EntrySettings.PING_INTERVAL), this::ping));
+        tasks.add(new Repeated("recovery", watchInterval, () -> recovery.look(System.currentTimeMillis())));
+        tasks.forEach(Repeated::start);
+        ledgerRunner.start();
+        Gauge.builder("streamring.config.version", () -> configuration.current().version())
+                .description("Configuration version in force")
+                .register(metrics);
+        Gauge.builder("streamring.config.stale", configuration::staleOffers)
+                .description("Older configuration versions offered and ignored")
+                .register(metrics);
+        Gauge.builder("streamring.attempts.open", links::openAttempts)
+                .description("Attempts in progress at sidecars")
+                .register(metrics);
+    }
+
+    private void ping() {
+        Map<String, String> orders = new HashMap<>();
+        configuration
+                .current()
+                .declarations()
+                .backends()
+                .forEach((name, order) -> orders.put(name, order.state().name().toLowerCase(Locale.ROOT)));
+        links.ping(configuration.current().version(), orders);
+    }
+
+    private void configurationChanged(Configuration config, List<ConfigChange> changes) {
+        Set<String> stopped = new HashSet<>();
+        config.declarations().backends().forEach((name, order) -> {
+            if (order.state() != BackendOrder.State.START) {
+                stopped.add(name);
+            }
+        });
+        replicas.setStoppedByOperator(stopped);
+        ledgers.current().reportConfigVersion(config.version());
+        changes.stream().flatMap(change -> change.grants().stream()).forEach(grant -> ledgers.current()
+                .toppedUp(grant.budget()));
+        ping();
+    }
+
+    private boolean ready() {
+        return !stopping && configuration.current().version() > 0;
+    }
+
+    private final class PeerRecorder implements SidecarLinks.Listener {
+        private final UncertainResolver uncertain = new UncertainResolver(ledgers, links);
+
+        @Override
+        public void sidecarConnected(String incarnation) {
+            ledgers.current().announcePeer(incarnation);
+            ledgerRunner.kick();
+            uncertain.resolve(incarnation);
+        }
+
+        @Override
+        public void sidecarDisconnected(String incarnation) {
+            ledgers.current().retirePeer(incarnation, System.currentTimeMillis());
+        }
+    }
+
+    /** Port for callers. */
+    public int port() {
+        return callers.port();
+    }
+
+    /** Port for health and metrics. */
+    public int adminPort() {
+        return admin.port();
+    }
+
+    /** Incarnation of the ledger in use. */
+    public String incarnation() {
+        return ledgers.current().incarnation();
+    }
+
+    /** Stops in order: no new calls, open ones finish, leases go back, then everything closes. */
+    public void stopInOrder() {
+        stopping = true;
+        LOGGER.info("entry_stopping open_requests={}", coordinator.open());
+        callers.close();
+        coordinator.stopTaking();
+        long until = System.currentTimeMillis()
+                + settings.get(EntrySettings.STOP_WAIT).toMillis();
+        waitUntil(until, () -> coordinator.open() == 0 && links.openAttempts() == 0);
+        ledgers.current().drainAll();
+        ledgerRunner.kick();
+        waitUntil(until, () -> ledgers.current().openLeases() == 0 || ledgerRunner.storeAway());
+        LOGGER.info(
+                "entry_stopped open_requests={} leases={}",
+                coordinator.open(),
+                ledgers.current().openLeases());
+        close();
+    }
+
+    private void waitUntil(long untilMillis, java.util.function.BooleanSupplier condition) {
+        try {
+            while (!condition.getAsBoolean() && System.currentTimeMillis() < untilMillis) {
+                Thread.sleep(STOP_POLL_MILLIS);
+                ledgerRunner.kick();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        tasks.forEach(Repeated::close);
+        ledgerRunner.close();
+        claims.close();
+        links.close();
+        workers.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        platform.close();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
@@ -0,0 +1,152 @@
+package org.streamring.entry.caller;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpUtil;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamring.model.request.Refusal;
+import org.streamring.model.request.RefusalReason;
+import org.streamring.net.generated.Wire.Header;
+
+/** Turns HTTP requests of one connection into calls, one after the other. */
+final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallHandler.class);
+    private static final Pattern KEY = Pattern.compile("[A-Za-z0-9._:~-]{1,128}");
+    private static final Set<String> NOT_FORWARDED = Set.of(
+            "host",
+            "connection",
+            "content-length",
+            "transfer-encoding",
+            "keep-alive",
+            "upgrade",
+            "te",
+            "expect",
+            "accept-encoding",
+            "authorization",
+            "streamring-deadline-ms",
+            "streamring-not-repeatable");
+
+    private final CallReceiver receiver;
+    private Runnable onCallerGone = CallHandler::nothing;
+    private @Nullable HttpAnswer current;
+
+    CallHandler(CallReceiver receiver) {
+        this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (current != null && !current.isDone()) {
+            // Pipelined calls could get each other's answers.
+            context.close();
+            return;
+        }
+        String requestId = UUID.randomUUID().toString();
+        boolean keepAlive =
+                HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+        HttpAnswer answer = new HttpAnswer(context.channel(), keepAlive, requestId);
+        current = answer;
+        if (!request.decoderResult().isSuccess()) {
+            answer.refuse(unreadable(request.decoderResult().cause()));
+            return;
+        }
+        try {
+            Call call = toCall(request);
+            onCallerGone = receiver.receive(requestId, call, answer);
+        } catch (RefusedException e) {
+            answer.refuse(e.refusal());
+        }
+    }
+
+    private static Refusal unreadable(@Nullable Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            return Refusal.of(RefusalReason.HEADERS_TOO_LARGE, "the request line or headers are too large");
+        }
+        return Refusal.of(RefusalReason.BAD_REQUEST, "the request is not valid HTTP");
+    }
+
+    private static Call toCall(FullHttpRequest request) throws RefusedException {
+        HttpHeaders headers = request.headers();
+        Optional<String> key = Optional.ofNullable(headers.get(CallHeaders.IDEMPOTENCY_KEY));
+        if (key.isPresent() && !KEY.matcher(key.get()).matches()) {
+            throw bad(CallHeaders.IDEMPOTENCY_KEY + " must be 1 to 128 of A-Z, a-z, 0-9, '.', '_', ':', '~' and '-'");
+        }
+        return new Call(
+                request.method().name(),
+                request.uri(),
+                forwarded(headers),
+                ByteString.copyFrom(request.content().nioBuffer()),
+                accountKey(headers),
+                key,
+                Boolean.parseBoolean(headers.get(CallHeaders.NOT_REPEATABLE)),
+                deadline(headers));
+    }
+
+    private static String accountKey(HttpHeaders headers) {
+        String authorization = headers.get(CallHeaders.AUTHORIZATION, "");
+        return authorization.startsWith(CallHeaders.BEARER)
+                ? authorization.substring(CallHeaders.BEARER.length()).trim()
+                : "";
+    }
+
+    private static Optional<Duration> deadline(HttpHeaders headers) throws RefusedException {
+        String text = headers.get(CallHeaders.DEADLINE_MILLIS);
+        if (text == null) {
+            return Optional.empty();
+        }
+        try {
+            long millis = Long.parseLong(text);
+            if (millis > 0) {
+                return Optional.of(Duration.ofMillis(millis));
+            }
+        } catch (NumberFormatException e) {
+            LOGGER.trace("deadline header is not a number", e);
+        }
+        throw bad(CallHeaders.DEADLINE_MILLIS + " must be a whole number of milliseconds above 0");
+    }
+
+    private static List<Header> forwarded(HttpHeaders headers) {
+        List<Header> forwarded = new ArrayList<>();
+        for (Map.Entry<String, String> header : headers) {
+            if (!NOT_FORWARDED.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                forwarded.add(Header.newBuilder()
+                        .setName(header.getKey())
+                        .setValue(header.getValue())
+                        .build());
+            }
+        }
+        return forwarded;
+    }
+
+    private static RefusedException bad(String message) {
+        return new RefusedException(Refusal.of(RefusalReason.BAD_REQUEST, message));
+    }
+
+    private static void nothing() {}
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        onCallerGone.run();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOGGER.debug("caller_channel_failed", cause);
+        context.close();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -0,0 +1,379 @@
+package org.streamring.entry.peer;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamring.kernel.receipt.Receipt;
+import org.streamring.kernel.receipt.Usage;
+import org.streamring.kernel.routing.LoadReport;
+import org.streamring.kernel.routing.ReplicaTable;
+import org.streamring.model.box.BackendServer;
+import org.streamring.net.generated.Wire.Cancel;
+import org.streamring.net.generated.Wire.FenceQuery;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.LeasesSettled;
+import org.streamring.net.generated.Wire.Load;
+import org.streamring.net.generated.Wire.Ping;
+import org.streamring.net.generated.Wire.ReceiptQuery;
+import org.streamring.net.generated.Wire.ReceiptRecord;
+import org.streamring.net.generated.Wire.ReceiptReply;
+import org.streamring.net.generated.Wire.Submit;
+import org.streamring.net.peer.FleetKey;
+import org.streamring.net.peer.PeerConnection;
+import org.streamring.net.peer.PeerConnector;
+import org.streamring.net.peer.PeerIdentity;
+import org.streamring.net.peer.PeerListener;
+
+/** The connections of an entry to the sidecars in its subset, and the attempts open on them. */
+public final class SidecarLinks {
+    private static final Logger LOGGER = LoggerFactory.getLogger(SidecarLinks.class);
+
+    private final EventLoopGroup loops;
+    private final FleetKey fleetKey;
+    private final PeerIdentity own;
+    private final ReplicaTable replicas;
+    private final Counter dropped;
+    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private final Map<String, OpenAttempt> attempts = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<List<Receipt>>> queries = new ConcurrentHashMap<>();
+    private final Map<String, List<Long>> queriesOfPeer = new ConcurrentHashMap<>();
+    private final AtomicLong counter = new AtomicLong();
+    private final List<Listener> listeners = new CopyOnWriteArrayList<>();
+
+    /** Told of sidecars that come and go, on an event loop. */
+    public interface Listener {
+        /** A sidecar has proved who it is. */
+        void sidecarConnected(String incarnation);
+
+        /** A sidecar's connection is gone. */
+        void sidecarDisconnected(String incarnation);
+    }
+
+    private record OpenAttempt(PeerConnection connection, String sidecar, AttemptListener listener) {}
+
+    /** Creates one without connections. */
+    public SidecarLinks(
+            EventLoopGroup loops, FleetKey fleetKey, PeerIdentity own, ReplicaTable replicas, MeterRegistry metrics) {
+        this.loops = loops;
+        this.fleetKey = fleetKey;
+        this.own = own;
+        this.replicas = replicas;
+        this.dropped = Counter.builder("streamring.frames.dropped")
+                .description("Frames that matched no open attempt")
+                .register(metrics);
+    }
+
+    /** Adds a listener. */
+    public void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    /** Connects to the servers of the subset, and drops connections to others that have none open. */
+    public void relist(Collection<BackendServer> subset) {
+        Map<String, BackendServer> wanted = new HashMap<>();
+        subset.forEach(server -> wanted.put(server.name(), server));
+        links.forEach((name, link) -> {
+            BackendServer server = wanted.get(name);
+            if (server == null || !link.isAt(server)) {
+                links.remove(name);
+                link.connector.stop();
+            }
+        });
+        wanted.values().forEach(this::connect);
+    }
+
+    /** Connects to a server, if no connection is kept yet. */
+    public void connect(BackendServer server) {
+        links.computeIfAbsent(server.name(), name -> {
+            Link link = new Link(server);
+            link.connector.start();
+            return link;
+        });
+    }
+
+    /** Incarnation of a connected sidecar. */
+    public Optional<String> incarnationOf(String name) {
+        return connection(name).map(connection -> connection.remote().incarnation());
+    }
+
+    private Optional<PeerConnection> connection(String name) {
+        return Optional.ofNullable(links.get(name)).flatMap(link -> link.connection);
+    }
+
+    private Optional<PeerConnection> connectionTo(String incarnation) {
+        return links.values().stream()
+                .flatMap(link -> link.connection.stream())
+                .filter(connection -> connection.remote().incarnation().equals(incarnation))
+                .findFirst();
+    }
+
+    /** Whether a sidecar of this incarnation is connected. */
+    public boolean isConnected(String incarnation) {
+        return connectionTo(incarnation).isPresent();
+    }
+
+    /** Names of servers with a live connection. */
+    public boolean hasConnection(String name) {
+        return connection(name).isPresent();
+    }
+
+    /**
+     * Submits an attempt.
+     *
+     * @return false if it was certainly not sent
+     */
+    public boolean submit(String sidecar, Submit submit, AttemptListener listener) {
+        Optional<PeerConnection> connection = connection(sidecar)
+                .filter(found -> found.remote().incarnation().equals(submit.getSidecarIncarnation()));
+        if (connection.isEmpty()) {
+            return false;
+        }
+        attempts.put(submit.getAttempt(), new OpenAttempt(connection.get(), sidecar, listener));
+        replicas.started(sidecar);
+        if (connection.get().send(Frame.newBuilder().setSubmit(submit).build())) {
+            return true;
+        }
+        attempts.remove(submit.getAttempt());
+        replicas.ended(sidecar, true, now());
+        return false;
+    }
+
+    /** Asks that an attempt be cancelled; its end is still told. */
+    public void cancel(String attempt) {
+        OpenAttempt open = attempts.get(attempt);
+        if (open != null) {
+            open.connection()
+                    .send(Frame.newBuilder()
+                            .setCancel(Cancel.newBuilder().setAttempt(attempt))
+                            .build());
+        }
+    }
+
+    /** Attempts in progress. */
+    public int openAttempts() {
+        return attempts.size();
+    }
+
+    /** Fences an entry at a sidecar and asks for its receipts. */
+    public CompletableFuture<List<Receipt>> fence(String sidecarIncarnation, String entryIncarnation) {
+        return query(sidecarIncarnation, query -> Frame.newBuilder()
+                .setFenceQuery(FenceQuery.newBuilder().setQuery(query).setEntryIncarnation(entryIncarnation))
+                .build());
+    }
+
+    /** Asks for the receipts of single attempts. */
+    public CompletableFuture<List<Receipt>> receipts(String sidecarIncarnation, Collection<String> attemptIds) {
+        return query(sidecarIncarnation, query -> Frame.newBuilder()
+                .setReceiptQuery(ReceiptQuery.newBuilder().setQuery(query).addAllAttempts(attemptIds))
+                .build());
+    }
+
+    @FunctionalInterface
+    private interface QueryFrame {
+        Frame frame(long query);
+    }
+
+    private CompletableFuture<List<Receipt>> query(String sidecarIncarnation, QueryFrame toFrame) {
+        Optional<PeerConnection> connection = connectionTo(sidecarIncarnation);
+        CompletableFuture<List<Receipt>> answer = new CompletableFuture<>();
+        if (connection.isEmpty()) {
+            answer.cancel(false);
+            return answer;
+        }
+        long query = counter.incrementAndGet();
+        queries.put(query, answer);
+        queriesOfPeer
+                .computeIfAbsent(sidecarIncarnation, key -> new CopyOnWriteArrayList<>())
+                .add(query);
+        if (!connection.get().send(toFrame.frame(query))) {
+            queries.remove(query);
+            answer.cancel(false);
+        }
+        return answer;
+    }
+
+    /** Tells all sidecars that leases are settled. */
+    public void leasesSettled(Collection<String> leaseIds) {
+        if (leaseIds.isEmpty()) {
+            return;
+        }
+        Frame frame = Frame.newBuilder()
+                .setLeasesSettled(LeasesSettled.newBuilder().addAllLeaseIds(leaseIds))
+                .build();
+        links.values().forEach(link -> link.connection.ifPresent(connection -> connection.send(frame)));
+    }
+
+    /** Sends a heartbeat to every sidecar, with the configuration version and what operators want of its server. */
+    public void ping(long configVersion, Map<String, String> orders) {
+        long sequence = counter.incrementAndGet();
+        links.forEach((name, link) -> link.connection.ifPresent(connection -> connection.send(Frame.newBuilder()
+                .setPing(Ping.newBuilder()
+                        .setSequence(sequence)
+                        .setConfigVersion(configVersion)
+                        .setOrder(orders.getOrDefault(name, "start")))
+                .build())));
+    }
+
+    /** Closes everything. */
+    public void close() {
+        links.values().forEach(link -> link.connector.stop());
+    }
+
+    private static long now() {
+        return System.currentTimeMillis();
+    }
+
+    private final class Link implements PeerListener {
+        private final BackendServer server;
+        private final PeerConnector connector;
+        private volatile Optional<PeerConnection> connection = Optional.empty();
+
+        private Link(BackendServer server) {
+            this.server = server;
+            this.connector =
+                    new PeerConnector(loops, new InetSocketAddress(server.host(), server.port()), fleetKey, own, this);
+        }
+
+        private boolean isAt(BackendServer listed) {
+            return listed.host().equals(server.host()) && listed.port() == server.port();
+        }
+
+        @Override
+        public void connected(PeerConnection opened) {
+            if (!opened.remote().name().equals(server.name())) {
+                LOGGER.warn(
+                        "sidecar_misnamed expected={} found={}",
+                        server.name(),
+                        opened.remote().name());
+                opened.close();
+                return;
+            }
+            connection = Optional.of(opened);
+            LOGGER.info("sidecar_connected peer={}", opened);
+            String incarnation = opened.remote().incarnation();
+            replicas.connected(server.name(), incarnation);
+            listeners.forEach(listener -> listener.sidecarConnected(incarnation));
+        }
+
+        @Override
+        public void disconnected(PeerConnection closed) {
+            if (connection.isEmpty() || connection.get() != closed) {
+                return;
+            }
+            connection = Optional.empty();
+            LOGGER.info("sidecar_disconnected peer={}", closed);
+            replicas.disconnected(server.name());
+            String incarnation = closed.remote().incarnation();
+            failQueries(incarnation);
+            attempts.forEach((id, open) -> {
+                if (open.connection() == closed && attempts.remove(id, open)) {
+                    replicas.ended(server.name(), true, now());
+                    open.listener().lost();
+                }
+            });
+            listeners.forEach(listener -> listener.sidecarDisconnected(incarnation));
+        }
+
+        @Override
+        public void received(PeerConnection from, Frame frame) {
+            switch (frame.getBodyCase()) {
+                case BEGIN ->
+                    attempt(from, frame.getBegin().getAttempt())
+                            .ifPresentOrElse(open -> open.listener().begun(frame.getBegin()), dropped::increment);
+                case CHUNK ->
+                    attempt(from, frame.getChunk().getAttempt())
+                            .ifPresentOrElse(open -> open.listener().chunk(frame.getChunk()), dropped::increment);
+                case END -> ended(from, frame);
+                case REFUSED -> refused(from, frame);
+                case PONG -> reported(frame.getPong().getLoad());
+                case RECEIPT_REPLY -> answered(frame.getReceiptReply());
+                default -> dropped.increment();
+            }
+        }
+
+        private Optional<OpenAttempt> attempt(PeerConnection from, String id) {
+            return Optional.ofNullable(attempts.get(id)).filter(open -> open.connection() == from);
+        }
+
+        private void ended(PeerConnection from, Frame frame) {
+            reported(frame.getEnd().getLoad());
+            String id = frame.getEnd().getAttempt();
+            Optional<OpenAttempt> open = attempt(from, id);
+            if (open.isEmpty() || !attempts.remove(id, open.get())) {
+                dropped.increment();
+                return;
+            }
+            replicas.ended(server.name(), !frame.getEnd().getComplete(), now());
+            open.get().listener().ended(frame.getEnd());
+        }
+
+        private void refused(PeerConnection from, Frame frame) {
+            reported(frame.getRefused().getLoad());
+            String id = frame.getRefused().getAttempt();
+            Optional<OpenAttempt> open = attempt(from, id);
+            if (open.isEmpty() || !attempts.remove(id, open.get())) {
+                dropped.increment();
+                return;
+            }
+            boolean failed = frame.getRefused().getReason().equals("BACKEND_UNREACHABLE");
+            replicas.ended(server.name(), failed, now());
+            open.get().listener().refused(frame.getRefused());
+        }
+
+        private void reported(Load load) {
+            if (load.getCapacity() > 0) {
+                replicas.reported(
+                        server.name(), new LoadReport(load.getRunning(), load.getCapacity(), load.getLeaving()));
+            }
+        }
+    }
+
+    private void failQueries(String incarnation) {
+        List<Long> open = queriesOfPeer.remove(incarnation);
+        if (open == null) {
+            return;
+        }
+        for (Long query : open) {
+            CompletableFuture<List<Receipt>> answer = queries.remove(query);
+            if (answer != null) {
+                answer.cancel(false);
+            }
+        }
+    }
+
+    private void answered(ReceiptReply reply) {
+        CompletableFuture<List<Receipt>> answer = queries.remove(reply.getQuery());
+        queriesOfPeer.values().forEach(open -> open.remove((Long) reply.getQuery()));
+        if (answer == null) {
+            dropped.increment();
+            return;
+        }
+        answer.complete(
+                reply.getReceiptsList().stream().map(SidecarLinks::toReceipt).toList());
+    }
+
+    private static Receipt toReceipt(ReceiptRecord record) {
+        return new Receipt(
+                record.getAttempt(),
+                record.getRequestKey(),
+                record.getAccount(),
+                record.getBudget(),
+                record.getLeaseId(),
+                record.getService(),
+                record.getReservedTokens(),
+                new Usage(record.getPromptTokens(), record.getAnswerTokens(), record.getTokens()),
+                record.getEnded());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Connections to sidecars: attempts, heartbeats and questions for receipts. */
+@NullMarked
+package org.streamring.entry.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/recovery/RecoveryRunner.java
@@ -0,0 +1,253 @@
+package org.streamring.entry.recovery;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamring.entry.ledger.LedgerHolder;
+import org.streamring.entry.peer.SidecarLinks;
+import org.streamring.kernel.ledger.BillBatch;
+import org.streamring.kernel.ledger.BillItem;
+import org.streamring.kernel.ledger.HeldRecord;
+import org.streamring.kernel.receipt.Receipt;
+import org.streamring.kernel.recovery.EntryWatch;
+import org.streamring.kernel.recovery.HeldResolver;
+import org.streamring.kernel.recovery.LeaseCloser;
+import org.streamring.kernel.recovery.PeerReceipts;
+import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.kernel.table.ObjectStore;
+import org.streamring.kernel.table.PlatformException;
+import org.streamring.kernel.table.PlatformTable;
+import org.streamring.kernel.table.Row;
+import org.streamring.kernel.table.RowKeys;
+import org.streamring.kernel.table.RowText;
+import org.streamring.kernel.table.TransactionResult;
+import org.streamring.kernel.table.TransactionResult.Committed;
+
+/**
+ * Looks, at an interval, for entries that show no sign of life and closes their leases; and for held tokens whose
+ * sidecar is connected again. Which entry acts is decided by hashing over the live ones; if two act at once, the table's
+ * conditions let one of them settle.
+ */
+public final class RecoveryRunner {
+    private static final Logger LOGGER = LoggerFactory.getLogger(RecoveryRunner.class);
+    private static final int PAGE = 500;
+    private static final long ANSWER_MILLIS = 2_000;
+
+    private final PlatformTable table;
+    private final ObjectStore objects;
+    private final SidecarLinks links;
+    private final LedgerHolder ledgers;
+    private final EntryWatch watch;
+    private final Duration silentAfter;
+    private final Map<String, Long> closingSince = new HashMap<>();
+
+    /**
+     * Creates one.
+     *
+     * @param suspectAfter time without a sign of life after which an entry is taken for dead
+     * @param interval time between looks
+     */
+    public RecoveryRunner(
+            PlatformTable table,
+            ObjectStore objects,
+            SidecarLinks links,
+            LedgerHolder ledgers,
+            Duration suspectAfter,
+            Duration interval) {
+        this.table = table;
+        this.objects = objects;
+        this.links = links;
+        this.ledgers = ledgers;
+        this.watch = new EntryWatch(suspectAfter, interval.multipliedBy(4));
+        this.silentAfter = suspectAfter;
+    }
+
+    /** Looks once. */
+    public void look(long nowMillis) throws PlatformException {
+        List<Row> entries = scan(RowKeys.ENTRIES);
+        List<Row> suspects = watch.observe(entries, nowMillis);
+        Set<String> live = new HashSet<>();
+        entries.forEach(row -> live.add(LeaseCloser.incarnationOf(row)));
+        suspects.forEach(row -> live.remove(LeaseCloser.incarnationOf(row)));
+        String own = ledgers.current().incarnation();
+        live.add(own);
+        for (Row suspect : suspects) {
+            String incarnation = LeaseCloser.incarnationOf(suspect);
+            if (!incarnation.equals(own) && actsFor(incarnation, live, own)) {
+                close(suspect, incarnation, own, nowMillis);
+            }
+        }
+        for (Row held : scan(RowKeys.HELD)) {
+            if (actsFor(held.key(), live, own)) {
+                resolveHeld(held, own, nowMillis);
+            }
+        }
+    }
+
+    private static boolean actsFor(String key, Set<String> live, String own) {
+        return RendezvousHash.order(key, live).get(0).equals(own);
+    }
+
+    private List<Row> scan(String prefix) throws PlatformException {
+        List<Row> rows = new ArrayList<>();
+        List<Row> page;
+        String after = "";
+        do {
+            page = table.scan(prefix, after, PAGE);
+            rows.addAll(page);
+            after = page.isEmpty() ? after : page.get(page.size() - 1).key();
+        } while (page.size() == PAGE);
+        return rows;
+    }
+
+    private void close(Row suspect, String incarnation, String own, long nowMillis) throws PlatformException {
+        LeaseCloser closer = new LeaseCloser(own);
+        Row entryRow = suspect;
+        if (!closer.owns(entryRow)) {
+            Optional<Row> marked = committedRow(table.transact(closer.markClosing(entryRow)), entryRow.key());
+            if (marked.isEmpty()) {
+                return;
+            }
+            entryRow = marked.get();
+            LOGGER.info("entry_closing incarnation={}", incarnation);
+        }
+        long since = closingSince.computeIfAbsent(incarnation, key -> nowMillis);
+        Optional<List<PeerReceipts>> answers =
+                fenceAll(entryRow, incarnation, nowMillis - since > silentAfter.toMillis());
+        if (answers.isPresent()) {
+            settleAll(closer, entryRow, incarnation, answers.get(), nowMillis);
+        }
+    }
+
+    /** Empty if an answer is still awaited or an attempt still runs. */
+    private Optional<List<PeerReceipts>> fenceAll(Row entryRow, String incarnation, boolean giveUpOnSilent) {
+        List<PeerReceipts> answers = new ArrayList<>();
+        boolean wait = false;
+        for (String peer : LeaseCloser.peersOf(entryRow)) {
+            Optional<PeerReceipts> answer =
+                    await(links.fence(peer, incarnation)).map(list -> new PeerReceipts(peer, list));
+            if (answer.isEmpty()) {
+                wait |= !giveUpOnSilent;
+            } else if (answer.get().stillRunning()) {
+                wait = true;
+            } else {
+                answers.add(answer.get());
+            }
+        }
+        return wait ? Optional.empty() : Optional.of(answers);
+    }
+
+    private static Optional<List<Receipt>> await(CompletableFuture<List<Receipt>> answer) {
+        try {
+            return Optional.of(answer.get(ANSWER_MILLIS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        } catch (ExecutionException | TimeoutException | CancellationException e) {
+            return Optional.empty();
+        }
+    }
+
+    private void settleAll(
+            LeaseCloser closer, Row markedRow, String incarnation, List<PeerReceipts> answers, long nowMillis)
+            throws PlatformException {
+        List<BillItem> known = readBatch(BillBatch.name(incarnation, markedRow.amount() + 1));
+        Row entryRow = markedRow;
+        List<String> settled = new ArrayList<>();
+        for (Row leaseRow : scan(RowKeys.leasesOf(incarnation))) {
+            LeaseCloser.Settlement settlement = closer.settle(entryRow, leaseRow, answers, known, nowMillis);
+            String leaseId = leaseRow.key().substring(RowKeys.lease("").length());
+            writeBatch(
+                    BillBatch.closingName(incarnation, ledgers.current().incarnation(), leaseId), settlement.items());
+            Optional<Row> written = committedRow(table.transact(settlement.transaction()), entryRow.key());
+            if (written.isEmpty()) {
+                return;
+            }
+            entryRow = written.get();
+            LOGGER.info("lease_closed lease={} held={}", leaseId, settlement.held());
+            if (settlement.held() == 0) {
+                settled.add(leaseId);
+            }
+        }
+        links.leasesSettled(settled);
+        if (table.transact(closer.finish(entryRow)) instanceof Committed) {
+            closingSince.remove(incarnation);
+            LOGGER.info("entry_closed incarnation={}", incarnation);
+        }
+    }
+
+    private static Optional<Row> committedRow(TransactionResult result, String key) {
+        return result instanceof Committed committed ? committed.row(key) : Optional.empty();
+    }
+
+    private void resolveHeld(Row heldRow, String own, long nowMillis) throws PlatformException {
+        HeldRecord record = RowText.read(heldRow.text(), HeldRecord.class);
+        for (String peer : record.waitingFor()) {
+            if (!links.isConnected(peer)) {
+                continue;
+            }
+            Optional<List<Receipt>> receipts = await(ask(peer, record));
+            if (receipts.isEmpty() || !HeldResolver.isFinal(heldRow, receipts.get())) {
+                continue;
+            }
+            Set<String> billed = billedAttempts(record.leaseId());
+            HeldResolver.Resolution resolution =
+                    new HeldResolver(own).onAnswer(heldRow, new PeerReceipts(peer, receipts.get()), billed, nowMillis);
+            String batch =
+                    BillBatch.closingName(entryOf(record.leaseId()), own, record.leaseId() + "-" + heldRow.version());
+            writeBatch(batch, resolution.items());
+            if (table.transact(resolution.transaction()) instanceof Committed) {
+                LOGGER.info("held_resolved lease={} peer={}", record.leaseId(), peer);
+                links.leasesSettled(List.of(record.leaseId()));
+            }
+            return;
+        }
+    }
+
+    /** Of a closed entry all receipts are asked for, which fences it there too; of a live one only those in doubt. */
+    private CompletableFuture<List<Receipt>> ask(String peer, HeldRecord record) {
+        return record.attempts().isEmpty()
+                ? links.fence(peer, entryOf(record.leaseId()))
+                : links.receipts(peer, record.attempts());
+    }
+
+    private static String entryOf(String leaseId) {
+        return leaseId.substring(0, leaseId.indexOf('/'));
+    }
+
+    private Set<String> billedAttempts(String leaseId) throws PlatformException {
+        Set<String> billed = new HashSet<>();
+        for (String name : objects.list(BillBatch.PREFIX + entryOf(leaseId) + "/")) {
+            readBatch(name).stream()
+                    .filter(item -> item.lease().equals(leaseId))
+                    .forEach(item -> billed.add(item.attempt()));
+        }
+        return billed;
+    }
+
+    private List<BillItem> readBatch(String name) throws PlatformException {
+        return objects.get(name)
+                .map(bytes -> RowText.read(new String(bytes, StandardCharsets.UTF_8), BillBatch.class)
+                        .items())
+                .orElse(List.of());
+    }
+
+    private void writeBatch(String name, List<BillItem> items) throws PlatformException {
+        if (!items.isEmpty()) {
+            objects.put(name, RowText.write(new BillBatch(items)).getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/recovery/UncertainResolver.java
@@ -0,0 +1,64 @@
+package org.streamring.entry.recovery;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.streamring.entry.ledger.LedgerHolder;
+import org.streamring.entry.peer.SidecarLinks;
+import org.streamring.kernel.ledger.BillItem;
+import org.streamring.kernel.ledger.LeaseLedger;
+import org.streamring.kernel.ledger.Reservation;
+import org.streamring.kernel.receipt.Receipt;
+
+/** Asks a sidecar that is connected again what became of this entry's attempts in doubt. */
+public final class UncertainResolver {
+    private final LedgerHolder ledgers;
+    private final SidecarLinks links;
+
+    /** Creates one. */
+    public UncertainResolver(LedgerHolder ledgers, SidecarLinks links) {
+        this.ledgers = ledgers;
+        this.links = links;
+    }
+
+    /** Asks one sidecar, if anything is in doubt there. */
+    public void resolve(String sidecarIncarnation) {
+        LeaseLedger ledger = ledgers.current();
+        List<Reservation> uncertain = ledger.uncertainAt(sidecarIncarnation);
+        if (uncertain.isEmpty()) {
+            return;
+        }
+        List<String> attempts = uncertain.stream().map(Reservation::attempt).toList();
+        links.receipts(sidecarIncarnation, attempts)
+                .thenAccept(receipts -> book(ledger, sidecarIncarnation, uncertain, receipts));
+    }
+
+    private static void book(
+            LeaseLedger ledger, String sidecarIncarnation, List<Reservation> uncertain, List<Receipt> receipts) {
+        Map<String, Receipt> byAttempt = new HashMap<>();
+        receipts.forEach(receipt -> byAttempt.put(receipt.attempt(), receipt));
+        for (Reservation reservation : uncertain) {
+            Receipt receipt = byAttempt.get(reservation.attempt());
+            if (receipt == null) {
+                ledger.release(reservation);
+            } else if (receipt.ended()) {
+                ledger.finish(reservation, item(receipt, sidecarIncarnation), System.currentTimeMillis());
+            }
+        }
+    }
+
+    private static BillItem item(Receipt receipt, String sidecarIncarnation) {
+        return new BillItem(
+                receipt.attempt(),
+                receipt.requestKey(),
+                receipt.account(),
+                receipt.budget(),
+                receipt.leaseId(),
+                receipt.service(),
+                sidecarIncarnation,
+                receipt.usage().promptTokens(),
+                receipt.usage().answerTokens(),
+                receipt.tokens(),
+                System.currentTimeMillis());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/request/AdmittedRequest.java
@@ -0,0 +1,62 @@
+package org.streamring.entry.request;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import org.streamring.entry.caller.Call;
+import org.streamring.kernel.policy.CompiledPolicy;
+import org.streamring.kernel.policy.PolicyInput;
+
+/**
+ * A request that may run, with everything decided about it.
+ *
+ * @param requestId identifier told to the caller
+ * @param requestKey identifier scoped to the client account
+ * @param keyed whether the caller gave the identifier
+ * @param call the call
+ * @param account client account
+ * @param input what the policy saw
+ * @param policy policy in force when the request came
+ * @param rank priority rank
+ * @param worstCase most tokens that it may spend
+ * @param callTokens tokens charged if it is a call of a plain service
+ * @param model whether a model engine answers
+ * @param stream whether a streamed answer is wanted
+ * @param showUsage whether the caller wants usage in a streamed answer
+ * @param claimed whether it needs a claim before it is forwarded
+ * @param path path as forwarded
+ * @param body body as forwarded
+ * @param bodyHash hash of method, path and body as the caller sent them
+ * @param deadline time that it may take
+ */
+record AdmittedRequest(
+        String requestId,
+        String requestKey,
+        boolean keyed,
+        Call call,
+        String account,
+        PolicyInput input,
+        CompiledPolicy policy,
+        int rank,
+        long worstCase,
+        long callTokens,
+        boolean model,
+        boolean stream,
+        boolean showUsage,
+        boolean claimed,
+        String path,
+        ByteString body,
+        String bodyHash,
+        Duration deadline) {
+
+    String service() {
+        return input.service();
+    }
+
+    String budget() {
+        return input.budget();
+    }
+
+    boolean repeatable() {
+        return input.repeatable();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/request/RequestCoordinator.java
@@ -0,0 +1,73 @@
+package org.streamring.entry.request;
+
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.streamring.entry.caller.AnswerSink;
+import org.streamring.entry.caller.Call;
+import org.streamring.entry.caller.CallReceiver;
+import org.streamring.entry.caller.RefusedException;
+import org.streamring.entry.config.PolicyBook;
+import org.streamring.model.declaration.AccountDeclaration;
+import org.streamring.model.request.Refusal;
+import org.streamring.model.request.RefusalReason;
+
+/** Takes calls, admits them on worker threads and hands them to {@link RunningRequest}. */
+public final class RequestCoordinator implements CallReceiver {
+    private final RequestAdmitter admitter;
+    private final PolicyBook policies;
+    private final RequestServices services;
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean stopping;
+
+    /** Creates one. */
+    public RequestCoordinator(RequestAdmitter admitter, PolicyBook policies, RequestServices services) {
+        this.admitter = admitter;
+        this.policies = policies;
+        this.services = services;
+    }
+
+    /** Requests without a final answer. */
+    public int open() {
+        return open.get();
+    }
+
+    /** Refuses new calls from now on. */
+    public void stopTaking() {
+        stopping = true;
+    }
+
+    @Override
+    public Runnable receive(String requestId, Call call, AnswerSink sink) {
+        open.incrementAndGet();
+        RunningRequest request =
+                new RunningRequest(services, new CountedSink(sink, services.metrics(), open::decrementAndGet));
+        if (stopping) {
+            request.refuse(Refusal.of(RefusalReason.ENTRY_STOPPING, "this entry is stopping; ask again"));
+            return request::callerGone;
+        }
+        try {
+            services.workers().execute(() -> start(requestId, call, request));
+        } catch (RejectedExecutionException e) {
+            request.refuse(Refusal.of(RefusalReason.OVERLOAD, "this entry is overloaded"));
+        }
+        return request::callerGone;
+    }
+
+    private void start(String requestId, Call call, RunningRequest request) {
+        try {
+            String account = admitter.authenticate(call);
+            AccountDeclaration limits =
+                    policies.current().declarations().accounts().get(account);
+            boolean started =
+                    limits != null && services.limiter().tryStart(account, limits, System.currentTimeMillis());
+            if (!started) {
+                throw new RefusedException(
+                        Refusal.of(RefusalReason.ACCOUNT_LIMIT, "the client account is at its limit"));
+            }
+            request.onDone(() -> services.limiter().ended(account));
+            request.start(admitter.admit(requestId, account, call));
+        } catch (RefusedException e) {
+            request.refuse(e.refusal());
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/streamring/net/peer/FleetKey.java
@@ -0,0 +1,76 @@
+package org.streamring.net.peer;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.streamring.net.generated.Wire.Hello;
+
+/** The secret that the processes of one fleet share; proofs are HMAC-SHA-256 over both sides' identities and nonces. */
+public final class FleetKey {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int NONCE_BYTES = 16;
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private final SecretKeySpec key;
+
+    /** Creates one from its text in the settings. */
+    public FleetKey(String secret) {
+        key = new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+    }
+
+    /** A fresh nonce. */
+    static ByteString nonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        RANDOM.nextBytes(nonce);
+        return ByteString.copyFrom(nonce);
+    }
+
+    /**
+     * Computes the proof of one side.
+     *
+     * @param side which side proves
+     * @param connecting first frame of the connecting side
+     * @param accepting first frame of the accepting side
+     */
+    ByteString proof(Side side, Hello connecting, Hello accepting) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(key);
+            mac.update(side.label);
+            update(mac, connecting);
+            update(mac, accepting);
+            return ByteString.copyFrom(mac.doFinal());
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(ALGORITHM + " is part of every Java runtime", e);
+        }
+    }
+
+    private static void update(Mac mac, Hello hello) {
+        Hello withoutProof = hello.toBuilder().clearProof().build();
+        byte[] bytes = withoutProof.toByteArray();
+        mac.update((byte) bytes.length);
+        mac.update((byte) (bytes.length >>> Byte.SIZE));
+        mac.update(bytes);
+    }
+
+    /** Compares proofs in constant time. */
+    static boolean matches(ByteString expected, ByteString given) {
+        return MessageDigest.isEqual(expected.toByteArray(), given.toByteArray());
+    }
+
+    /** The two sides of a connection. */
+    enum Side {
+        CONNECTING((byte) 1),
+        ACCEPTING((byte) 2);
+
+        private final byte label;
+
+        Side(byte label) {
+            this.label = label;
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
@@ -0,0 +1,130 @@
+package org.streamring.net.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.Hello;
+import org.streamring.net.generated.Wire.Proof;
+import org.streamring.net.peer.FleetKey.Side;
+
+/** Proves the fleet key in both directions, then hands frames to the listener. A frame before that closes the channel. */
+final class HandshakeHandler extends SimpleChannelInboundHandler<Frame> {
+    private static final Logger LOGGER = LoggerFactory.getLogger(HandshakeHandler.class);
+
+    private final Side side;
+    private final FleetKey fleetKey;
+    private final Hello ownHello;
+    private final PeerListener listener;
+    private @Nullable Hello remoteHello;
+    private @Nullable PeerConnection connection;
+
+    HandshakeHandler(Side side, FleetKey fleetKey, PeerIdentity own, PeerListener listener) {
+        this.side = side;
+        this.fleetKey = fleetKey;
+        this.listener = listener;
+        this.ownHello = Hello.newBuilder()
+                .setRole(own.role().name())
+                .setName(own.name())
+                .setIncarnation(own.incarnation())
+                .setNonce(FleetKey.nonce())
+                .build();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        if (side == Side.CONNECTING) {
+            context.writeAndFlush(Frame.newBuilder().setHello(ownHello).build());
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (connection != null) {
+            listener.received(connection, frame);
+        } else if (side == Side.ACCEPTING) {
+            accept(context, frame);
+        } else {
+            connect(context, frame);
+        }
+    }
+
+    private void accept(ChannelHandlerContext context, Frame frame) {
+        if (remoteHello == null && frame.hasHello()) {
+            remoteHello = frame.getHello();
+            Hello answer = ownHello.toBuilder()
+                    .setProof(fleetKey.proof(Side.ACCEPTING, remoteHello, ownHello))
+                    .build();
+            context.writeAndFlush(Frame.newBuilder().setHello(answer).build());
+            return;
+        }
+        boolean proved = remoteHello != null
+                && frame.hasProof()
+                && FleetKey.matches(
+                        fleetKey.proof(Side.CONNECTING, remoteHello, ownHello),
+                        frame.getProof().getProof());
+        if (proved) {
+            authenticated(context, remoteHello);
+        } else {
+            reject(context);
+        }
+    }
+
+    private void connect(ChannelHandlerContext context, Frame frame) {
+        boolean proved = frame.hasHello()
+                && FleetKey.matches(
+                        fleetKey.proof(Side.ACCEPTING, ownHello, frame.getHello()),
+                        frame.getHello().getProof());
+        if (!proved) {
+            reject(context);
+            return;
+        }
+        Proof proof = Proof.newBuilder()
+                .setProof(fleetKey.proof(Side.CONNECTING, ownHello, frame.getHello()))
+                .build();
+        context.writeAndFlush(Frame.newBuilder().setProof(proof).build());
+        authenticated(context, frame.getHello());
+    }
+
+    private void authenticated(ChannelHandlerContext context, Hello hello) {
+        PeerIdentity.Role role;
+        try {
+            role = PeerIdentity.Role.valueOf(hello.getRole());
+        } catch (IllegalArgumentException e) {
+            reject(context);
+            return;
+        }
+        FrameCodec.allowLargeFrames(context.pipeline());
+        connection =
+                new PeerConnection(context.channel(), new PeerIdentity(role, hello.getName(), hello.getIncarnation()));
+        listener.connected(connection);
+    }
+
+    private static void reject(ChannelHandlerContext context) {
+        LOGGER.warn("peer_rejected step=handshake peer={}", context.channel().remoteAddress());
+        context.close();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (connection != null) {
+            listener.disconnected(connection);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOGGER.debug("peer_channel_failed peer={}", context.channel().remoteAddress(), cause);
+        context.close();
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/streamring/platform/http/HttpPlatformProvider.java
@@ -0,0 +1,20 @@
+package org.streamring.platform.http;
+
+import java.net.URI;
+import java.time.Duration;
+import org.streamring.platform.PlatformProvider;
+
+/** Opens a platform that speaks HTTP with JSON. */
+public final class HttpPlatformProvider implements PlatformProvider {
+    @Override
+    public String name() {
+        return "http";
+    }
+
+    @Override
+    public Platform open(URI base, String key, Duration timeout) {
+        PlatformHttpClient client = new PlatformHttpClient(base, key, timeout);
+        return new Platform(
+                new HttpPlatformTable(client), new HttpObjectStore(client), new HttpBoxList(client), client::close);
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/streamring/platform/http/PlatformHttpClient.java
@@ -0,0 +1,98 @@
+package org.streamring.platform.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+import org.streamring.kernel.table.PlatformException;
+import org.streamring.kernel.table.RowText;
+
+/** Calls the platform and waits for the answer. Never repeats a call by itself. */
+final class PlatformHttpClient {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private final URI base;
+    private final String authorization;
+    private final AsyncHttpClient client;
+
+    PlatformHttpClient(URI base, String key, Duration timeout) {
+        this.base = base;
+        this.authorization = "Bearer " + key;
+        this.client = Dsl.asyncHttpClient(Dsl.config()
+                .setConnectTimeout(timeout)
+                .setRequestTimeout(timeout)
+                .setMaxRequestRetry(0)
+                .setIoThreadsCount(1)
+                .setThreadPoolName("platform"));
+    }
+
+    <T> T post(String step, String path, Object body, Class<T> answer) throws PlatformException {
+        RequestBuilder request = new RequestBuilder("POST")
+                .setUrl(base + path)
+                .setHeader("Content-Type", "application/json")
+                .setBody(RowText.write(body));
+        return parse(step, call(step, request), answer);
+    }
+
+    <T> T get(String step, String path, Class<T> answer) throws PlatformException {
+        return parse(step, call(step, new RequestBuilder("GET").setUrl(base + path)), answer);
+    }
+
+    void put(String step, String path, byte[] body) throws PlatformException {
+        call(step, new RequestBuilder("PUT").setUrl(base + path).setBody(body));
+    }
+
+    byte[] getBytes(String step, String path) throws PlatformException {
+        return call(step, new RequestBuilder("GET").setUrl(base + path)).getResponseBodyAsBytes();
+    }
+
+    private Response call(String step, RequestBuilder request) throws PlatformException {
+        try {
+            Response response = client.executeRequest(request.setHeader("Authorization", authorization))
+                    .get();
+            if (response.getStatusCode() == NOT_FOUND) {
+                throw new NotFoundException(step, base.toString());
+            }
+            if (response.getStatusCode() != OK) {
+                throw new PlatformException(step, base.toString(), "status " + response.getStatusCode());
+            }
+            return response;
+        } catch (ExecutionException e) {
+            throw new PlatformException(step, base.toString(), String.valueOf(e.getCause()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new PlatformException(step, base.toString(), "interrupted");
+        }
+    }
+
+    private <T> T parse(String step, Response response, Class<T> type) throws PlatformException {
+        try {
+            return RowText.read(response.getResponseBody(), type);
+        } catch (UncheckedIOException e) {
+            throw new PlatformException(step, base.toString(), "unreadable answer: " + e.getMessage());
+        }
+    }
+
+    void close() {
+        try {
+            client.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The thing asked for does not exist. */
+    static final class NotFoundException extends PlatformException {
+        private static final long serialVersionUID = 1L;
+
+        NotFoundException(String step, String peer) {
+            super(step, peer, "not found");
+        }
+    }
+}
--- /dev/null
+++ b/policy-cel/src/main/java/org/streamring/policy/cel/CelPolicyCompiler.java
@@ -0,0 +1,93 @@
+package org.streamring.policy.cel;
+
+import dev.cel.common.CelAbstractSyntaxTree;
+import dev.cel.common.CelOptions;
+import dev.cel.common.CelValidationException;
+import dev.cel.common.types.CelType;
+import dev.cel.common.types.SimpleType;
+import dev.cel.compiler.CelCompiler;
+import dev.cel.compiler.CelCompilerBuilder;
+import dev.cel.compiler.CelCompilerFactory;
+import dev.cel.parser.CelStandardMacro;
+import dev.cel.runtime.CelEvaluationException;
+import dev.cel.runtime.CelRuntime;
+import dev.cel.runtime.CelRuntimeFactory;
+import java.util.Optional;
+import org.streamring.kernel.policy.CompiledPolicy;
+import org.streamring.kernel.policy.PolicyCompiler;
+import org.streamring.kernel.policy.PolicyException;
+import org.streamring.model.declaration.PolicyDeclaration;
+
+/**
+ * Compiles policies written in CEL. The size of an expression is bounded, and macros that loop are left out except
+ * {@code has}, so that the cost of an evaluation is bounded by the size.
+ */
+public final class CelPolicyCompiler implements PolicyCompiler {
+    private static final int MAX_EXPRESSION_LENGTH = 2_000;
+    private static final int MAX_DEPTH = 50;
+
+    private final CelCompiler requestCompiler;
+    private final CelCompiler candidateCompiler;
+    private final CelRuntime runtime;
+
+    /** Prepares the compilers. */
+    public CelPolicyCompiler() {
+        requestCompiler = requestVariables(builder()).build();
+        candidateCompiler = candidateVariables(requestVariables(builder())).build();
+        runtime = CelRuntimeFactory.plannerRuntimeBuilder().build();
+    }
+
+    private static CelCompilerBuilder builder() {
+        CelOptions options = CelOptions.current()
+                .maxExpressionCodePointSize(MAX_EXPRESSION_LENGTH)
+                .maxParseRecursionDepth(MAX_DEPTH)
+                .build();
+        return CelCompilerFactory.standardCelCompilerBuilder()
+                .setOptions(options)
+                .setStandardMacros(CelStandardMacro.HAS);
+    }
+
+    private static CelCompilerBuilder requestVariables(CelCompilerBuilder builder) {
+        return builder.addVar(Variables.ACCOUNT, SimpleType.STRING)
+                .addVar(Variables.SERVICE, SimpleType.STRING)
+                .addVar(Variables.PRIORITY_CLASS, SimpleType.STRING)
+                .addVar(Variables.RANK, SimpleType.INT)
+                .addVar(Variables.PROMPT_TOKENS, SimpleType.INT)
+                .addVar(Variables.ANSWER_TOKENS, SimpleType.INT)
+                .addVar(Variables.BUDGET, SimpleType.STRING)
+                .addVar(Variables.REPEATABLE, SimpleType.BOOL);
+    }
+
+    private static CelCompilerBuilder candidateVariables(CelCompilerBuilder builder) {
+        return builder.addVar(Variables.CANDIDATE, SimpleType.STRING)
+                .addVar(Variables.FAILURE_DOMAIN, SimpleType.STRING)
+                .addVar(Variables.SAME_DOMAIN, SimpleType.BOOL)
+                .addVar(Variables.LOAD, SimpleType.DOUBLE);
+    }
+
+    @Override
+    public CompiledPolicy compile(String name, PolicyDeclaration policy) throws PolicyException {
+        return new CelPolicy(
+                name,
+                program(requestCompiler, name + ".admit", policy.admit(), SimpleType.BOOL),
+                program(requestCompiler, name + ".priority", policy.priority(), SimpleType.INT),
+                program(candidateCompiler, name + ".score", policy.score(), SimpleType.DOUBLE));
+    }
+
+    private Optional<CelRuntime.Program> program(CelCompiler compiler, String step, String text, CelType type)
+            throws PolicyException {
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            CelAbstractSyntaxTree tree = compiler.compile(text).getAst();
+            if (!tree.getResultType().equals(type)) {
+                throw new PolicyException(
+                        step, "gives " + tree.getResultType().name() + ", but must give " + type.name());
+            }
+            return Optional.of(runtime.createProgram(tree));
+        } catch (CelValidationException | CelEvaluationException e) {
+            throw new PolicyException(step, String.valueOf(e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/streamring/sidecar/AttemptRunner.java
@@ -0,0 +1,248 @@
+package org.streamring.sidecar;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.streamring.kernel.receipt.AdmitDecision;
+import org.streamring.kernel.receipt.AttemptOrder;
+import org.streamring.kernel.receipt.ReceiptBook;
+import org.streamring.kernel.receipt.Usage;
+import org.streamring.model.request.RefusalReason;
+import org.streamring.net.generated.Wire.Begin;
+import org.streamring.net.generated.Wire.End;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.Header;
+import org.streamring.net.generated.Wire.Load;
+import org.streamring.net.generated.Wire.Refused;
+import org.streamring.net.generated.Wire.Submit;
+import org.streamring.net.peer.PeerConnection;
+import org.streamring.sidecar.backend.BackendCall;
+import org.streamring.sidecar.backend.BackendClient;
+import org.streamring.sidecar.backend.BackendListener;
+
+/** Runs the attempts that the receipt book admits, and delivers their answers. */
+final class AttemptRunner {
+    private final String incarnation;
+    private final ReceiptBook book;
+    private final BackendClient backend;
+    private final MeterRegistry metrics;
+    private final Map<String, Running> attempts = new ConcurrentHashMap<>();
+    private final Map<String, AnswerRecord> kept = new ConcurrentHashMap<>();
+
+    private static final class Running {
+        private final AttemptOrder order;
+        private final AnswerRecord answer;
+        private volatile java.util.Optional<BackendCall> call = java.util.Optional.empty();
+        private volatile boolean cancelled;
+
+        private Running(AttemptOrder order) {
+            this.order = order;
+            this.answer = new AnswerRecord(order.keepAnswer());
+        }
+
+        private void cancel() {
+            cancelled = true;
+            call.ifPresent(BackendCall::cancel);
+        }
+    }
+
+    AttemptRunner(String incarnation, ReceiptBook book, BackendClient backend, MeterRegistry metrics) {
+        this.incarnation = incarnation;
+        this.book = book;
+        this.backend = backend;
+        this.metrics = metrics;
+    }
+
+    void submit(PeerConnection from, Submit submit) {
+        if (!submit.getSidecarIncarnation().equals(incarnation)) {
+            refuse(from, submit.getAttempt(), RefusalReason.WRONG_INCARNATION);
+            return;
+        }
+        if (submit.getDeadlineMillis() <= 0) {
+            refuse(from, submit.getAttempt(), RefusalReason.DEADLINE);
+            return;
+        }
+        AttemptOrder order = order(submit);
+        AdmitDecision decision = book.admit(order, now());
+        if (decision instanceof AdmitDecision.Refuse refuse) {
+            refuse(from, submit.getAttempt(), refuse.reason());
+        } else if (decision instanceof AdmitDecision.RanBefore) {
+            ranBefore(from, submit.getAttempt());
+        } else if (decision instanceof AdmitDecision.Attach attach) {
+            attach(from, submit, attach.originalAttempt());
+        } else {
+            run(from, submit, order);
+        }
+    }
+
+    private static AttemptOrder order(Submit submit) {
+        return new AttemptOrder(
+                submit.getAttempt(),
+                submit.getEntryIncarnation(),
+                submit.getRequestKey(),
+                submit.getBodyHash(),
+                submit.getAccount(),
+                submit.getBudget(),
+                submit.getLeaseId(),
+                submit.getService(),
+                submit.getReservedTokens(),
+                submit.getRepeatable(),
+                submit.getKeepAnswer(),
+                submit.getRank());
+    }
+
+    private void attach(PeerConnection from, Submit submit, String original) {
+        count("attached");
+        Running running = attempts.get(original);
+        AnswerRecord answer = running == null ? kept.get(original) : running.answer;
+        if (answer == null) {
+            ranBefore(from, submit.getAttempt());
+            return;
+        }
+        answer.subscribe(new AnswerRecord.Subscriber(from, submit.getAttempt(), false));
+    }
+
+    private void run(PeerConnection from, Submit submit, AttemptOrder order) {
+        count("run");
+        Running running = new Running(order);
+        running.answer.subscribe(new AnswerRecord.Subscriber(from, order.attempt(), true));
+        attempts.put(order.attempt(), running);
+        running.call = java.util.Optional.of(backend.start(submit, new Delivery(running, from)));
+        if (running.cancelled) {
+            running.cancel();
+        }
+    }
+
+    private final class Delivery implements BackendListener {
+        private final Running running;
+        private final PeerConnection from;
+
+        private Delivery(Running running, PeerConnection from) {
+            this.running = running;
+            this.from = from;
+        }
+
+        @Override
+        public void begun(int status, List<Header> headers) {
+            running.answer.deliver(
+                    AnswerRecord.begin(Begin.newBuilder().setStatus(status).addAllHeaders(headers)));
+        }
+
+        @Override
+        public void chunk(byte[] data) {
+            running.answer.deliver(AnswerRecord.chunk(data));
+        }
+
+        @Override
+        public void completed(Usage usage) {
+            end(usage, End.newBuilder().setComplete(true));
+        }
+
+        @Override
+        public void failed(Usage usage, String problem) {
+            count("failed");
+            End.Builder end = End.newBuilder().setComplete(false).setProblem(problem);
+            if (running.order.repeatable() && !running.cancelled) {
+                attempts.remove(running.order.attempt());
+                book.brokeOff(running.order, now());
+                deliverEnd(Usage.NONE, end);
+            } else {
+                end(usage, end);
+            }
+        }
+
+        private void end(Usage usage, End.Builder end) {
+            AttemptOrder order = running.order;
+            if (order.keepAnswer()) {
+                kept.put(order.attempt(), running.answer);
+            }
+            attempts.remove(order.attempt());
+            book.end(order, usage, order.keepAnswer() ? Math.max(1, running.answer.bytes()) : 0, now());
+            deliverEnd(usage, end);
+        }
+
+        private void deliverEnd(Usage usage, End.Builder end) {
+            running.answer.deliver(AnswerRecord.end(end.setPromptTokens(usage.promptTokens())
+                    .setAnswerTokens(usage.answerTokens())
+                    .setTokens(usage.tokens())
+                    .setBilled(true)
+                    .setLoad(load())));
+        }
+
+        @Override
+        public void notForwarded(String problem) {
+            AttemptOrder order = running.order;
+            attempts.remove(order.attempt());
+            book.notForwarded(order, now());
+            refuse(from, order.attempt(), RefusalReason.BACKEND_UNREACHABLE);
+        }
+    }
+
+    private void refuse(PeerConnection to, String attempt, RefusalReason reason) {
+        count("refused");
+        to.send(Frame.newBuilder()
+                .setRefused(Refused.newBuilder()
+                        .setAttempt(attempt)
+                        .setReason(reason.name())
+                        .setLoad(load()))
+                .build());
+    }
+
+    private void ranBefore(PeerConnection to, String attempt) {
+        to.send(Frame.newBuilder()
+                .setRefused(Refused.newBuilder()
+                        .setAttempt(attempt)
+                        .setRanBefore(true)
+                        .setLoad(load()))
+                .build());
+    }
+
+    Load load() {
+        return Load.newBuilder()
+                .setRunning(book.running())
+                .setCapacity(book.capacity())
+                .setLeaving(book.isLeaving())
+                .build();
+    }
+
+    /** A caller is gone; work that nobody else waits for and nobody can ask for again is cancelled. */
+    void cancel(String attempt) {
+        Running running = attempts.get(attempt);
+        if (running != null && !running.order.keepAnswer()) {
+            running.cancel();
+        }
+    }
+
+    /** An entry's connection is gone. */
+    void disconnected(PeerConnection connection) {
+        attempts.values().forEach(running -> {
+            boolean alone = running.answer.unsubscribe(connection);
+            if (alone && !running.order.keepAnswer()) {
+                running.cancel();
+            }
+        });
+        kept.values().forEach(answer -> answer.unsubscribe(connection));
+    }
+
+    /** Drops old answers and breaks off cancelled calls whose end does not come. */
+    void tidy() {
+        book.expire(now()).forEach(kept::remove);
+        attempts.values()
+                .forEach(running ->
+                        running.call.filter(call -> call.overdue(now())).ifPresent(BackendCall::breakOff));
+    }
+
+    private void count(String result) {
+        Counter.builder("streamring.attempts")
+                .description("Attempts by what became of them")
+                .tag("result", result)
+                .register(metrics)
+                .increment();
+    }
+
+    private static long now() {
+        return System.currentTimeMillis();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/streamring/standin/engine/EngineStandin.java
@@ -0,0 +1,140 @@
+package org.streamring.standin.engine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.streamring.kernel.table.RowText;
+import org.streamring.standin.http.Exchange;
+import org.streamring.standin.http.StandinServer;
+
+/** A model engine on a loopback port. All its state belongs to the server's event loop. */
+public final class EngineStandin implements AutoCloseable {
+    private static final int NOT_FOUND = 404;
+
+    private final EngineSettings settings;
+    private final PrefixCache cache;
+    private final List<Sequence> waiting = new ArrayList<>();
+    private final List<Sequence> batch = new ArrayList<>();
+    private final List<RunRecord> records = new CopyOnWriteArrayList<>();
+    private final StandinServer server;
+    private volatile EngineFaults faults = EngineFaults.NONE;
+    private boolean stepping;
+
+    /** Starts to listen. */
+    public EngineStandin(int port, EngineSettings settings) {
+        this.settings = settings;
+        this.cache = new PrefixCache(settings.cacheBlocks());
+        this.server = new StandinServer(port, this::handle);
+    }
+
+    /** Address for clients. */
+    public String url() {
+        return server.url();
+    }
+
+    /** Switches faults. */
+    public void setFaults(EngineFaults newFaults) {
+        faults = newFaults;
+    }
+
+    /** What it ran. */
+    public List<RunRecord> records() {
+        return List.copyOf(records);
+    }
+
+    private void handle(Exchange exchange) {
+        switch (exchange.path()) {
+            case "/v1/chat/completions", "/v1/completions" -> start(exchange);
+            case "/v1/cancel" -> {
+                cancel(exchange.header("X-Request-Id"));
+                exchange.answerJson("{}");
+            }
+            case "/control/record" -> exchange.answerJson(RowText.write(records));
+            case "/control/faults" -> {
+                faults = RowText.read(exchange.body(), EngineFaults.class);
+                exchange.answerJson("{}");
+            }
+            default -> exchange.answer(NOT_FOUND, "text/plain", "not found");
+        }
+    }
+
+    private void start(Exchange exchange) {
+        EngineRequest request = EngineRequest.read(exchange);
+        int cachedTokens = cache.readAndStore(request.prompt())
+                * request.promptTokens()
+                / Math.max(1, request.prompt().length());
+        waiting.add(new Sequence(exchange, request, Math.max(1, request.promptTokens() - cachedTokens)));
+        waiting.sort(Comparator.comparingInt(sequence -> sequence.request().priority()));
+        if (!stepping) {
+            stepping = true;
+            scheduleStep();
+        }
+    }
+
+    private void cancel(String attempt) {
+        batch.stream().filter(sequence -> isOf(sequence, attempt)).forEach(Sequence::cancel);
+        waiting.stream().filter(sequence -> isOf(sequence, attempt)).forEach(Sequence::cancel);
+    }
+
+    private static boolean isOf(Sequence sequence, String attempt) {
+        return sequence.request().attempt().equals(attempt);
+    }
+
+    private void scheduleStep() {
+        long millis = (long) settings.stepMillis() * Math.max(1, faults.slowFactor());
+        server.timers().schedule(this::step, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void step() {
+        while (batch.size() < settings.maxBatch() && !waiting.isEmpty()) {
+            batch.add(waiting.remove(0));
+        }
+        int prefill = settings.prefillTokens();
+        EngineFaults now = faults;
+        Iterator<Sequence> sequences = batch.iterator();
+        while (sequences.hasNext()) {
+            Sequence sequence = sequences.next();
+            prefill = sequence.prefill(prefill);
+            if (!sequence.reading() && !sequence.cancelled()) {
+                sequence.generateToken();
+            }
+            if (ends(sequence, now)) {
+                sequences.remove();
+            }
+        }
+        stepping = !batch.isEmpty() || !waiting.isEmpty();
+        if (stepping) {
+            scheduleStep();
+        }
+    }
+
+    private boolean ends(Sequence sequence, EngineFaults now) {
+        boolean dies = now.dieAfterTokens() > 0 && sequence.generated() >= now.dieAfterTokens();
+        boolean broken = sequence.callerGone() || dies;
+        boolean complete = sequence.cancelled() || sequence.finished(now.ignoreLimit());
+        if (!broken && !complete) {
+            return false;
+        }
+        EngineRequest request = sequence.request();
+        records.add(new RunRecord(
+                request.attempt(),
+                request.request(),
+                request.promptTokens(),
+                sequence.generated(),
+                complete && !sequence.cancelled() && !dies));
+        if (broken) {
+            sequence.breakOff();
+        } else {
+            sequence.complete();
+        }
+        return true;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/streamring/standin/proxy/FaultProxy.java
@@ -0,0 +1,155 @@
+package org.streamring.standin.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/** Forwards TCP connections to one target, and injects faults. */
+public final class FaultProxy implements AutoCloseable {
+    /** What the proxy does with traffic. */
+    public enum Mode {
+        /** Forwards. */
+        PASS,
+        /** Closes connections and refuses new ones. */
+        CUT,
+        /** Keeps connections open but forwards nothing; what was held back is forwarded afterwards. */
+        FREEZE
+    }
+
+    private final EventLoopGroup loops = new NioEventLoopGroup(1, new DefaultThreadFactory("proxy", true));
+    private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+    private final InetSocketAddress target;
+    private final Channel listening;
+    private volatile Mode mode = Mode.PASS;
+    private volatile long delayMillis;
+
+    /** Starts to listen on a free port, before a target on 127.0.0.1. */
+    public FaultProxy(int targetPort) {
+        this(0, targetPort);
+    }
+
+    /** Starts to listen on a port, before a target on 127.0.0.1. */
+    public FaultProxy(int port, int targetPort) {
+        this.target = new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort);
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel child) {
+                        accept(child);
+                    }
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IllegalStateException("can't listen", bound.cause());
+        }
+        listening = bound.channel();
+    }
+
+    /** Port in use. */
+    public int port() {
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    /** Address for HTTP clients. */
+    public String url() {
+        return "http://127.0.0.1:" + port();
+    }
+
+    /** Changes what is done with traffic, also of open connections. */
+    public void setMode(Mode newMode) {
+        mode = newMode;
+        if (newMode == Mode.CUT) {
+            channels.forEach(Channel::close);
+        } else {
+            channels.forEach(channel -> channel.config().setAutoRead(newMode == Mode.PASS));
+        }
+    }
+
+    /** Delays what is forwarded from now on. */
+    public void setDelay(long millis) {
+        delayMillis = millis;
+    }
+
+    private void accept(SocketChannel accepted) {
+        if (mode == Mode.CUT) {
+            accepted.close();
+            return;
+        }
+        Bootstrap connect = new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel created) {
+                        created.pipeline().addLast(new Forwarder(accepted));
+                    }
+                });
+        ChannelFuture connecting = connect.connect(target);
+        accepted.pipeline().addLast(new Forwarder(connecting.channel()));
+        connecting.addListener(done -> {
+            if (!connecting.isSuccess()) {
+                accepted.close();
+                return;
+            }
+            channels.add(accepted);
+            channels.add(connecting.channel());
+            boolean read = mode == Mode.PASS;
+            accepted.config().setAutoRead(read);
+            connecting.channel().config().setAutoRead(read);
+        });
+    }
+
+    private final class Forwarder extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+
+        private Forwarder(Channel other) {
+            this.other = other;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (delayMillis > 0) {
+                loops.schedule(() -> other.writeAndFlush(message), delayMillis, TimeUnit.MILLISECONDS);
+            } else {
+                other.writeAndFlush(message);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            channels.remove(context.channel());
+            other.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
