Close three holes in closing that random faults found

Ruled out: keeping tombstones of leases (they need rows and their removal); recording every batch in the table (rows per transaction).

Change: the first plan creates the row and nothing else; an incarnation whose first plan got no answer is given up; batches after the last committed transaction of a closed incarnation are void and taken over by the closer; a sidecar's refusal as fenced gives the incarnation up at once.

--- a/cli/src/main/java/org/streamring/cli/ViewCommands.java
+++ b/cli/src/main/java/org/streamring/cli/ViewCommands.java
@@ -2,16 +2,13 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.streamring.kernel.config.ConfigChange;
-import org.streamring.kernel.ledger.BillBatch;
 import org.streamring.kernel.ledger.BillItem;
 import org.streamring.kernel.ledger.EntryRecord;
-import org.streamring.kernel.table.ObjectStore;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.kernel.table.Row;
 import org.streamring.kernel.table.RowKeys;
@@ -19,6 +16,7 @@
 import org.streamring.model.box.BackendServer;
 import org.streamring.model.declaration.BackendOrder;
 import org.streamring.net.settings.SettingsException;
+import org.streamring.platform.BillArchive;
 
 /** Commands that show what is. */
 final class ViewCommands {
@@ -116,27 +114,15 @@
         @Override
         void execute() throws CommandException, SettingsException, PlatformException {
             withPlatform((client, services) -> {
-                List<BillItem> items = items(services.objects()).stream()
-                        .filter(item -> account.isEmpty() || item.account().equals(account))
-                        .toList();
+                List<BillItem> items = new BillArchive(services.objects())
+                        .items().stream()
+                                .filter(item ->
+                                        account.isEmpty() || item.account().equals(account))
+                                .toList();
                 print(sum ? sums(items) : list(items));
             });
         }
 
-        /** Batches may repeat items; the same attempt is the same item. */
-        private static List<BillItem> items(ObjectStore objects) throws PlatformException {
-            Map<String, BillItem> byAttempt = new LinkedHashMap<>();
-            for (String name : objects.list(BillBatch.PREFIX)) {
-                byte[] content = objects.get(name).orElse(new byte[0]);
-                if (content.length > 0) {
-                    RowText.read(new String(content, StandardCharsets.UTF_8), BillBatch.class)
-                            .items()
-                            .forEach(item -> byAttempt.put(item.attempt(), item));
-                }
-            }
-            return List.copyOf(byAttempt.values());
-        }
-
         private static Report list(List<BillItem> items) {
             Report report = new Report("when", "account", "request", "service", "prompt", "answer", "tokens");
             items.forEach(item -> report.row(
--- a/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
@@ -172,7 +172,11 @@
         budgets.values().forEach(BudgetLeases::drainAll);
     }
 
-    /** The next plan, or the open one again; empty if there is nothing to write yet. */
+    /**
+     * The next plan, or the open one again; empty if there is nothing to write yet. The first plan only creates the
+     * entry's row: creating it is not fenced, so if it comes late, after the incarnation was closed, it must not bring
+     * leases with it.
+     */
     public synchronized Optional<LedgerPlan> plan(long nowMillis) {
         if (fenced) {
             return Optional.empty();
@@ -184,7 +188,7 @@
         TransactionDraft draft = new TransactionDraft(incarnation, sequence + 1);
         draft.entryRow(entryRowVersion, entryRecord(draft.id()));
         for (Map.Entry<String, BudgetLeases> budget : budgets.entrySet()) {
-            if (draft.hasRoom()) {
+            if (entryRowVersion != 0 && draft.hasRoom()) {
                 planBudget(budget.getKey(), budget.getValue(), draft, nowMillis);
             }
         }
@@ -230,6 +234,22 @@
         draft.moveRemaining(budget, back - take);
     }
 
+    /**
+     * Notes that the open plan got no answer. It stays open; but if it was to create the entry's row, the incarnation is
+     * given up: it holds nothing yet, and creating the row again after somebody has closed it would bring a closed
+     * incarnation back.
+     */
+    public synchronized void noAnswer() {
+        if (entryRowVersion == 0) {
+            fenced = true;
+        }
+    }
+
+    /** Gives this incarnation up, because a sidecar was told that it is closed. */
+    public synchronized void giveUp() {
+        fenced = true;
+    }
+
     /** Drops the open plan, which must not have been sent to the table. */
     public synchronized void abandonUnsent() {
         requirePending().thaw();
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/recovery/EntryWatchTest.java
@@ -0,0 +1,35 @@
+package org.streamring.kernel.recovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.streamring.kernel.table.Row;
+import org.testng.annotations.Test;
+
+public class EntryWatchTest {
+    private final EntryWatch watch = new EntryWatch(Duration.ofSeconds(30), Duration.ofSeconds(20));
+
+    private static Row row(String incarnation, long version) {
+        return new Row("entry/" + incarnation, version, 1, "");
+    }
+
+    @Test
+    public void anEntryWhoseRowStandsStillIsTakenForDead() {
+        Row still = row("a~1", 5);
+        for (int second = 0; second < 30; second += 5) {
+            assertThat(watch.observe(List.of(still, row("b~1", second)), second * 1000L))
+                    .isEmpty();
+        }
+        assertThat(watch.observe(List.of(still, row("b~1", 99)), 30_000)).containsExactly(still);
+    }
+
+    @Test
+    public void anOutageOfTheTableGivesEveryEntryTheWholeTimeAgain() {
+        EntryWatch afterOutage = new EntryWatch(Duration.ofSeconds(30), Duration.ofSeconds(20));
+        Row still = row("a~1", 5);
+        afterOutage.observe(List.of(still), 1_000);
+        assertThat(afterOutage.observe(List.of(still), 600_000)).isEmpty();
+        assertThat(afterOutage.observe(List.of(still), 610_000)).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
@@ -0,0 +1,150 @@
+package org.streamring.kernel.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.streamring.model.box.BackendServer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class RoutingTest {
+    private ReplicaTable table;
+    private final ReplicaSelector selector = new ReplicaSelector(new SplittableRandom(7));
+
+    @BeforeMethod
+    public void setUp() {
+        table = new ReplicaTable();
+        List<BackendServer> servers = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            servers.add(server("s" + i, "domain-" + i % 3));
+        }
+        table.relist(servers);
+        servers.forEach(server -> table.connected(server.name(), server.name() + "~1"));
+    }
+
+    private static BackendServer server(String name, String domain) {
+        return new BackendServer(name, "llm", domain, "127.0.0.1", 1, false);
+    }
+
+    private List<Candidate> candidates(long now) {
+        return table.candidates("llm", incarnation -> true, now);
+    }
+
+    private static Set<String> names(List<Candidate> candidates) {
+        Set<String> names = new HashSet<>();
+        candidates.forEach(candidate -> names.add(candidate.server().name()));
+        return names;
+    }
+
+    @Test
+    public void aLeavingServerGetsNoNewWorkThoughTheBoxListLags() {
+        table.reported("s1", new LoadReport(0, 8, true));
+        assertThat(names(candidates(0))).doesNotContain("s1").hasSize(5);
+    }
+
+    @Test
+    public void aServerThatAnOperatorStoppedGetsNoNewWork() {
+        table.setStoppedByOperator(Set.of("s2"));
+        assertThat(names(candidates(0))).doesNotContain("s2");
+    }
+
+    @Test
+    public void aDisconnectedServerGetsNoNewWork() {
+        table.disconnected("s3");
+        assertThat(names(candidates(0))).doesNotContain("s3");
+    }
+
+    @Test
+    public void aFailingServerIsEjectedAndComesBackOneRequestAtATime() {
+        for (int i = 0; i < 3; i++) {
+            table.started("s0");
+            table.ended("s0", true, 1_000);
+        }
+        assertThat(names(candidates(1_500))).doesNotContain("s0");
+        assertThat(names(candidates(4_000))).contains("s0");
+        table.chosen("s0");
+        assertThat(names(candidates(4_000))).as("one trial at a time").doesNotContain("s0");
+        table.started("s0");
+        table.ended("s0", false, 4_100);
+        assertThat(names(candidates(4_100))).contains("s0");
+    }
+
+    @Test
+    public void whatWasSentSinceTheLastReportCounts() {
+        table.reported("s0", new LoadReport(0, 10, false));
+        for (int i = 0; i < 5; i++) {
+            table.started("s0");
+        }
+        double load = candidates(0).stream()
+                .filter(candidate -> candidate.server().name().equals("s0"))
+                .findFirst()
+                .orElseThrow()
+                .load();
+        assertThat(load).isEqualTo(0.5);
+    }
+
+    @Test
+    public void aRetryGoesToAnotherFailureDomainIfOneIsLeft() {
+        for (int i = 0; i < 50; i++) {
+            Candidate chosen = selector.choose(candidates(0), Set.of("s0"), Set.of("domain-0"), "", Candidate::load)
+                    .orElseThrow();
+            assertThat(chosen.server().failureDomain()).isNotEqualTo("domain-0");
+        }
+        List<Candidate> onlyOne = candidates(0).stream()
+                .filter(candidate -> candidate.server().name().equals("s3"))
+                .toList();
+        assertThat(selector.choose(onlyOne, Set.of("s0"), Set.of("domain-0"), "", Candidate::load))
+                .as("the same domain is better than none")
+                .isPresent();
+    }
+
+    @Test
+    public void lateReportsDoNotSendEverythingToOneServer() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 600; i++) {
+            Candidate chosen = selector.choose(candidates(0), Set.of(), Set.of(), "", Candidate::load)
+                    .orElseThrow();
+            table.started(chosen.server().name());
+            counts.merge(chosen.server().name(), 1, Integer::sum);
+        }
+        assertThat(counts.values()).allMatch(count -> count > 80 && count < 120);
+    }
+
+    @Test
+    public void anIdentifierGoesToTheSameServerFromEveryEntry() {
+        String first = selector.choose(candidates(0), Set.of(), Set.of(), "acc/key", Candidate::load)
+                .orElseThrow()
+                .server()
+                .name();
+        ReplicaSelector other = new ReplicaSelector(new SplittableRandom(99));
+        assertThat(other.choose(candidates(0), Set.of(), Set.of(), "acc/key", Candidate::load)
+                        .orElseThrow()
+                        .server()
+                        .name())
+                .isEqualTo(first);
+    }
+
+    @Test
+    public void subsetsTakeFailureDomainsInTurnAndReachEveryServer() {
+        List<BackendServer> all = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            all.add(server("r" + i, "domain-" + i % 16));
+        }
+        Set<BackendServer> reached = new HashSet<>();
+        for (int entry = 0; entry < 80; entry++) {
+            Set<BackendServer> subset = new SubsetSelector("entry-" + entry, 32).choose(all);
+            assertThat(subset).hasSize(32);
+            Map<String, Integer> perDomain = new HashMap<>();
+            subset.forEach(server -> perDomain.merge(server.failureDomain(), 1, Integer::sum));
+            assertThat(perDomain.values()).allMatch(count -> count == 2);
+            reached.addAll(subset);
+        }
+        assertThat(reached).as("reached by some entry").hasSizeGreaterThan(395);
+    }
+}
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -50,6 +50,7 @@
 import org.streamring.net.process.Incarnations;
 import org.streamring.net.process.WorkerPool;
 import org.streamring.net.settings.SettingValues;
+import org.streamring.platform.BillArchive;
 import org.streamring.platform.PlatformProvider;
 
 /** An entry, put together from its parts; also usable inside a test. */
@@ -95,7 +96,7 @@
         ledgerRunner = new LedgerRunner(
                 ledgers,
                 platform.table(),
-                platform.objects(),
+                new BillArchive(platform.objects()),
                 links,
                 waiters,
                 settings.get(EntrySettings.LEDGER_INTERVAL),
@@ -111,6 +112,10 @@
             configurationChanged(config, changes);
         });
         links.listen(new PeerRecorder());
+        ledgers.prepareNew(ledger -> {
+            links.connectedIncarnations().forEach(ledger::announcePeer);
+            ledger.reportConfigVersion(configuration.current().version());
+        });
         startTasks(name);
         callers = new CallerServer(
                 loops,
@@ -151,7 +156,7 @@
         Duration watchInterval = settings.get(EntrySettings.WATCH_INTERVAL);
         RecoveryRunner recovery = new RecoveryRunner(
                 platform.table(),
-                platform.objects(),
+                new BillArchive(platform.objects()),
                 links,
                 ledgers,
                 settings.get(EntrySettings.SUSPECT_AFTER),
--- a/entry/src/main/java/org/streamring/entry/ledger/LedgerHolder.java
+++ b/entry/src/main/java/org/streamring/entry/ledger/LedgerHolder.java
@@ -1,6 +1,7 @@
 package org.streamring.entry.ledger;
 
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamring.kernel.ledger.LeaseLedger;
@@ -15,6 +16,7 @@
     private final String address;
     private final LedgerSettings settings;
     private final AtomicReference<LeaseLedger> current;
+    private volatile Consumer<LeaseLedger> onNew = ledger -> {};
 
     /** Starts the first incarnation. */
     public LedgerHolder(String boxName, String address, LedgerSettings settings) {
@@ -28,6 +30,11 @@
         return new LeaseLedger(Incarnations.next(boxName), address, settings);
     }
 
+    /** Sets what is told to every further incarnation's ledger before it is used, such as the connected sidecars. */
+    public void prepareNew(Consumer<LeaseLedger> preparation) {
+        onNew = preparation;
+    }
+
     /** The ledger in use. */
     public LeaseLedger current() {
         return current.get();
@@ -36,6 +43,7 @@
     /** Replaces a fenced ledger. */
     public LeaseLedger replace(LeaseLedger fenced) {
         LeaseLedger next = newLedger();
+        onNew.accept(next);
         if (current.compareAndSet(fenced, next)) {
             LOGGER.warn("ledger_fenced old={} new={}", fenced.incarnation(), next.incarnation());
         }
--- a/entry/src/main/java/org/streamring/entry/ledger/LedgerRunner.java
+++ b/entry/src/main/java/org/streamring/entry/ledger/LedgerRunner.java
@@ -3,7 +3,6 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -13,15 +12,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamring.entry.peer.SidecarLinks;
-import org.streamring.kernel.ledger.BillBatch;
 import org.streamring.kernel.ledger.LeaseLedger;
 import org.streamring.kernel.ledger.LedgerPlan;
 import org.streamring.kernel.ledger.LedgerStep;
-import org.streamring.kernel.table.ObjectStore;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.kernel.table.PlatformTable;
-import org.streamring.kernel.table.RowText;
 import org.streamring.kernel.table.TransactionResult;
+import org.streamring.platform.BillArchive;
 
 /**
  * Applies the ledger's plans, one after the other, on a thread of its own. Plans are made at an interval, or at once when
@@ -34,7 +31,7 @@
 
     private final LedgerHolder holder;
     private final PlatformTable table;
-    private final ObjectStore objects;
+    private final BillArchive bills;
     private final SidecarLinks links;
     private final LeaseWaiters waiters;
     private final Duration interval;
@@ -50,14 +47,14 @@
     public LedgerRunner(
             LedgerHolder holder,
             PlatformTable table,
-            ObjectStore objects,
+            BillArchive bills,
             SidecarLinks links,
             LeaseWaiters waiters,
             Duration interval,
             MeterRegistry metrics) {
         this.holder = holder;
         this.table = table;
-        this.objects = objects;
+        this.bills = bills;
         this.links = links;
         this.waiters = waiters;
         this.interval = interval;
@@ -142,6 +139,7 @@
             noteStore(false);
             handle(ledger, ledger.resolve(result, System.currentTimeMillis()));
         } catch (PlatformException e) {
+            ledger.noAnswer();
             unanswered.increment();
             noteStore(true);
         }
@@ -157,9 +155,8 @@
             ledger.allowSettling(true);
             return true;
         }
-        byte[] content = RowText.write(new BillBatch(plan.billItems())).getBytes(StandardCharsets.UTF_8);
         try {
-            objects.put(BillBatch.name(ledger.incarnation(), plan.sequence()), content);
+            bills.writeSettled(ledger.incarnation(), plan.sequence(), plan.billItems());
             return true;
         } catch (PlatformException e) {
             if (!storeAway) {
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -124,7 +124,15 @@
         return connectionTo(incarnation).isPresent();
     }
 
-    /** Names of servers with a live connection. */
+    /** Incarnations of the connected sidecars. */
+    public List<String> connectedIncarnations() {
+        return links.values().stream()
+                .flatMap(link -> link.connection.stream())
+                .map(connection -> connection.remote().incarnation())
+                .toList();
+    }
+
+    /** Whether a server has a live connection. */
     public boolean hasConnection(String name) {
         return connection(name).isPresent();
     }
--- a/entry/src/main/java/org/streamring/entry/recovery/RecoveryRunner.java
+++ b/entry/src/main/java/org/streamring/entry/recovery/RecoveryRunner.java
@@ -1,6 +1,5 @@
 package org.streamring.entry.recovery;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,7 +17,6 @@
 import org.slf4j.LoggerFactory;
 import org.streamring.entry.ledger.LedgerHolder;
 import org.streamring.entry.peer.SidecarLinks;
-import org.streamring.kernel.ledger.BillBatch;
 import org.streamring.kernel.ledger.BillItem;
 import org.streamring.kernel.ledger.HeldRecord;
 import org.streamring.kernel.receipt.Receipt;
@@ -27,7 +25,6 @@
 import org.streamring.kernel.recovery.LeaseCloser;
 import org.streamring.kernel.recovery.PeerReceipts;
 import org.streamring.kernel.routing.RendezvousHash;
-import org.streamring.kernel.table.ObjectStore;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.kernel.table.PlatformTable;
 import org.streamring.kernel.table.Row;
@@ -35,6 +32,7 @@
 import org.streamring.kernel.table.RowText;
 import org.streamring.kernel.table.TransactionResult;
 import org.streamring.kernel.table.TransactionResult.Committed;
+import org.streamring.platform.BillArchive;
 
 /**
  * Looks, at an interval, for entries that show no sign of life and closes their leases; and for held tokens whose
@@ -47,7 +45,7 @@
     private static final long ANSWER_MILLIS = 2_000;
 
     private final PlatformTable table;
-    private final ObjectStore objects;
+    private final BillArchive bills;
     private final SidecarLinks links;
     private final LedgerHolder ledgers;
     private final EntryWatch watch;
@@ -62,13 +60,13 @@
      */
     public RecoveryRunner(
             PlatformTable table,
-            ObjectStore objects,
+            BillArchive bills,
             SidecarLinks links,
             LedgerHolder ledgers,
             Duration suspectAfter,
             Duration interval) {
         this.table = table;
-        this.objects = objects;
+        this.bills = bills;
         this.links = links;
         this.ledgers = ledgers;
         this.watch = new EntryWatch(suspectAfter, interval.multipliedBy(4));
@@ -128,7 +126,7 @@
         Optional<List<PeerReceipts>> answers =
                 fenceAll(entryRow, incarnation, nowMillis - since > silentAfter.toMillis());
         if (answers.isPresent()) {
-            settleAll(closer, entryRow, incarnation, answers.get(), nowMillis);
+            settleAll(closer, entryRow, own, answers.get(), nowMillis);
         }
     }
 
@@ -161,17 +159,16 @@
         }
     }
 
-    private void settleAll(
-            LeaseCloser closer, Row markedRow, String incarnation, List<PeerReceipts> answers, long nowMillis)
+    private void settleAll(LeaseCloser closer, Row markedRow, String own, List<PeerReceipts> answers, long nowMillis)
             throws PlatformException {
-        List<BillItem> known = readBatch(BillBatch.name(incarnation, markedRow.amount() + 1));
+        String incarnation = LeaseCloser.incarnationOf(markedRow);
+        List<BillItem> known = bills.takeOver(incarnation, markedRow.amount());
         Row entryRow = markedRow;
         List<String> settled = new ArrayList<>();
         for (Row leaseRow : scan(RowKeys.leasesOf(incarnation))) {
             LeaseCloser.Settlement settlement = closer.settle(entryRow, leaseRow, answers, known, nowMillis);
             String leaseId = leaseRow.key().substring(RowKeys.lease("").length());
-            writeBatch(
-                    BillBatch.closingName(incarnation, ledgers.current().incarnation(), leaseId), settlement.items());
+            bills.writeClosing(incarnation, own, leaseId, settlement.items());
             Optional<Row> written = committedRow(table.transact(settlement.transaction()), entryRow.key());
             if (written.isEmpty()) {
                 return;
@@ -203,12 +200,11 @@
             if (receipts.isEmpty() || !HeldResolver.isFinal(heldRow, receipts.get())) {
                 continue;
             }
-            Set<String> billed = billedAttempts(record.leaseId());
+            String holder = entryOf(record.leaseId());
+            Set<String> billed = bills.billedAttempts(holder, record.leaseId());
             HeldResolver.Resolution resolution =
                     new HeldResolver(own).onAnswer(heldRow, new PeerReceipts(peer, receipts.get()), billed, nowMillis);
-            String batch =
-                    BillBatch.closingName(entryOf(record.leaseId()), own, record.leaseId() + "-" + heldRow.version());
-            writeBatch(batch, resolution.items());
+            bills.writeClosing(holder, own, record.leaseId() + "-" + heldRow.version(), resolution.items());
             if (table.transact(resolution.transaction()) instanceof Committed) {
                 LOGGER.info("held_resolved lease={} peer={}", record.leaseId(), peer);
                 links.leasesSettled(List.of(record.leaseId()));
@@ -227,27 +223,4 @@
     private static String entryOf(String leaseId) {
         return leaseId.substring(0, leaseId.indexOf('/'));
     }
-
-    private Set<String> billedAttempts(String leaseId) throws PlatformException {
-        Set<String> billed = new HashSet<>();
-        for (String name : objects.list(BillBatch.PREFIX + entryOf(leaseId) + "/")) {
-            readBatch(name).stream()
-                    .filter(item -> item.lease().equals(leaseId))
-                    .forEach(item -> billed.add(item.attempt()));
-        }
-        return billed;
-    }
-
-    private List<BillItem> readBatch(String name) throws PlatformException {
-        return objects.get(name)
-                .map(bytes -> RowText.read(new String(bytes, StandardCharsets.UTF_8), BillBatch.class)
-                        .items())
-                .orElse(List.of());
-    }
-
-    private void writeBatch(String name, List<BillItem> items) throws PlatformException {
-        if (!items.isEmpty()) {
-            objects.put(name, RowText.write(new BillBatch(items)).getBytes(StandardCharsets.UTF_8));
-        }
-    }
 }
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -316,6 +316,10 @@
     /** Only for a request that is known not to run where it was last sent. */
     private void retryOrRefuse(RefusalReason reason) {
         submitted = false;
+        if (reason == RefusalReason.FENCED) {
+            currentLedger().giveUp();
+            services.ledgerRunner().kick();
+        }
         boolean elsewhere = !FINAL_REASONS.contains(reason);
         boolean retry =
                 !done && elsewhere && tries < MAX_TRIES && services.retries().tryRetry();
