--- /dev/null
+++ b/integration/src/test/java/org/streamring/fleet/ProgramProcess.java
@@ -0,0 +1,121 @@
+package org.streamring.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.awaitility.Awaitility;
+
+/** One program of the system, started by the test as a process of its own. */
+public final class ProgramProcess {
+    private static final Pattern PORTS = Pattern.compile("_started .*?\\bport=(\\d+) admin_port=(\\d+)");
+    private static final Duration LONG = Duration.ofSeconds(60);
+
+    private final Process process;
+    private final Path log;
+    private final int port;
+    private final int adminPort;
+
+    private ProgramProcess(Process process, Path log) {
+        this.process = process;
+        this.log = log;
+        Awaitility.await("program starts: " + log)
+                .atMost(LONG)
+                .until(() -> PORTS.matcher(log()).find() || !process.isAlive());
+        Matcher ports = PORTS.matcher(log());
+        if (!ports.find()) {
+            throw new IllegalStateException("did not start: " + log());
+        }
+        port = Integer.parseInt(ports.group(1));
+        adminPort = Integer.parseInt(ports.group(2));
+    }
+
+    static ProgramProcess start(Path work, String program, String name, String settings) {
+        try {
+            Path file = Files.createTempFile(work, name, ".toml");
+            Files.writeString(file, settings);
+            Path log = Files.createTempFile(work, name, ".log");
+            Process process = new ProcessBuilder(
+                            Fleet.root().resolve("bin/streamring-" + program).toString(), "--settings", file.toString())
+                    .redirectErrorStream(true)
+                    .redirectOutput(log.toFile())
+                    .start();
+            return new ProgramProcess(process, log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public int port() {
+        return port;
+    }
+
+    public int adminPort() {
+        return adminPort;
+    }
+
+    public long pid() {
+        return process.pid();
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    public String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Ends the process without warning. */
+    public void kill() {
+        process.destroyForcibly();
+        awaitExit();
+    }
+
+    /** Asks the process to stop in order. */
+    public void askToStop() {
+        process.destroy();
+    }
+
+    public void awaitExit() {
+        try {
+            if (!process.waitFor(LONG.toSeconds(), TimeUnit.SECONDS)) {
+                throw new IllegalStateException("did not stop: " + log());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Pauses the process, as a long pause of its machine would. */
+    public void pause() {
+        signal("-STOP");
+    }
+
+    public void resume() {
+        signal("-CONT");
+    }
+
+    private void signal(String signal) {
+        try {
+            Process sent = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
+            if (sent.waitFor() != 0) {
+                throw new IllegalStateException("no signal could be sent to " + process.pid());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
@@ -0,0 +1,67 @@
+package org.streamring.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import org.streamring.fleet.Fleet;
+import org.streamring.kernel.table.RowKeys;
+import org.streamring.standin.platform.PlatformFaults;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class StoreOutageTest extends FleetTestBase {
+    @Test
+    public void leasedTokensAreServedWhileTheStoreIsAway() throws Exception {
+        fleet = Fleet.small().start(1);
+        for (int i = 0; i < 40; i++) {
+            fleet.chat("entry-1", Fleet.HOSPITAL, 20, false, "");
+        }
+        fleet.platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
+        int answered = 0;
+        for (int i = 0; i < 20; i++) {
+            HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 20, false, "");
+            answered += Fleet.outcome(response).equals("answered") ? 1 : 0;
+        }
+        assertThat(answered).isEqualTo(20);
+        fleet.platform.setFaults(PlatformFaults.NONE);
+        eventually("settles again")
+                .until(() -> fleet.chat("entry-1", Fleet.HOSPITAL, 2, false, "").statusCode() == 200);
+        fleet.stopEntries();
+        assertBilledIsWhatRan();
+    }
+
+    @Test
+    public void aBudgetWithoutLeaseIsRefusedAtOnceWhileTheStoreIsAway() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
+        eventually("the outage is noticed")
+                .until(() -> fleet.entries.get("entry-1").log().contains("table_away"));
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.CREWS, 20, false, "");
+        assertThat(response.statusCode()).isEqualTo(503);
+        assertThat(Fleet.outcome(response)).isEqualTo("not-run");
+        assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {"lost answers", new PlatformFaults(false, 0, 3, false, 0)},
+            {"lost answers, late writes", new PlatformFaults(false, 0, 3, false, 700)},
+            {"slow", new PlatformFaults(false, 300, 0, false, 0)},
+            {"object store away", new PlatformFaults(false, 0, 0, true, 0)},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void accountsAgreeWhateverTheStoreDoes(String name, PlatformFaults faults) throws Exception {
+        fleet = Fleet.small().withLedgerProfile("prompt").start(2);
+        fleet.platform.setFaults(faults);
+        for (int i = 0; i < 60; i++) {
+            fleet.chat("entry-" + (1 + i % 2), i % 3 == 0 ? Fleet.CREWS : Fleet.HOSPITAL, 15, i % 2 == 0, "");
+        }
+        fleet.platform.setFaults(PlatformFaults.NONE);
+        fleet.stopEntries();
+        assertBilledIsWhatRan();
+        assertThat(fleet.amount(RowKeys.settled(Fleet.BUDGET))).as(name).isPositive();
+    }
+}
--- /dev/null
+++ b/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
@@ -0,0 +1,74 @@
+package org.streamring.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.InputStream;
+import java.net.http.HttpResponse;
+import org.streamring.fleet.Fleet;
+import org.streamring.standin.engine.EngineFaults;
+import org.streamring.standin.engine.EngineSettings;
+import org.streamring.standin.engine.RunRecord;
+import org.testng.annotations.Test;
+
+public class TruthToCallersTest extends FleetTestBase {
+    @Test
+    public void aStreamThatBreaksOffNeverLooksWhole() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.engines.forEach(engine -> engine.setFaults(new EngineFaults(5, false, 1)));
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 50, true, "");
+        assertThat(response.body()).contains("\"error\"").contains("\"outcome\":\"unknown\"");
+        assertThat(response.body()).doesNotContain("[DONE]");
+    }
+
+    @Test
+    public void aWholeAnswerThatBreaksOffIsToldAsUnknown() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.engines.forEach(engine -> engine.setFaults(new EngineFaults(5, false, 1)));
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 50, false, "");
+        assertThat(response.statusCode()).isEqualTo(502);
+        assertThat(Fleet.outcome(response)).isEqualTo("unknown");
+    }
+
+    @Test
+    public void anEngineThatIgnoresItsLimitIsCancelledAndTheChargeStaysWithinTheReservation() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.engines.forEach(engine -> engine.setFaults(new EngineFaults(0, true, 1)));
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 30, true, "");
+        assertThat(response.statusCode()).isEqualTo(200);
+        fleet.stopEntries();
+        int reserved = Fleet.chatBody(30, true).length() + 30;
+        assertThat(fleet.bills()).allMatch(item -> item.tokens() <= reserved);
+    }
+
+    @Test
+    public void aCallerWhoGoesAwayIsBilledForWhatWasGenerated() throws Exception {
+        fleet = new Fleet(1, new EngineSettings(10, 32, 2048, 256), 5).start(1);
+        HttpResponse<InputStream> response = fleet.http()
+                .send(
+                        fleet.request("entry-1", "/v1/chat/completions", Fleet.HOSPITAL)
+                                .POST(java.net.http.HttpRequest.BodyPublishers.ofString(Fleet.chatBody(500, true)))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofInputStream());
+        response.body().readNBytes(2_000);
+        response.body().close();
+        eventually("cancelled").until(() -> fleet.engineRecords().stream()
+                .anyMatch(record -> !record.complete() && record.answerTokens() > 1));
+        fleet.stopEntries();
+        RunRecord cancelled = fleet.engineRecords().stream()
+                .filter(record -> !record.complete())
+                .findFirst()
+                .orElseThrow();
+        assertThat(cancelled.answerTokens()).isLessThan(500);
+        assertBilledIsWhatRan();
+    }
+
+    @Test
+    public void aBackendServerThatCantBeReachedIsToldAsNotRun() throws Exception {
+        fleet = new Fleet(1, EngineSettings.fast(), 5).start(1);
+        fleet.engines.get(0).close();
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 5, false, "");
+        assertThat(response.statusCode()).isEqualTo(503);
+        assertThat(Fleet.outcome(response)).isEqualTo("not-run");
+        assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    }
+}
