Write what is not urgent with the heartbeat, look before taking, stop cleanly

Cause: three findings of one measurement. (1) Leases were topped up at half of their cover by transactions of their own, so an outage found them half full. (2) Near the end of a budget entries took leases on old readings and were rejected, and every second tried to reach a cover that their share could not give. (3) A planned stop took a new lease for the old demand and waited 30 s for it to go idle.

Ruled out: more frequent transactions of their own (writes); a shorter wait at the stop (hides the lease that is left).

Change: an entry writes at its heartbeat, or at once when a request waits, a lease runs low or a rest is wanted elsewhere; then everything due rides along. Remaining tokens are read before a lease is taken on a reading older than 1 s. A stopping ledger takes no lease; the test for it failed first.

--- a/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
@@ -31,6 +31,8 @@
  * <p>Safe for use by many threads; its lock is a leaf, held while no other lock is taken.
  */
 public final class LeaseLedger {
+    private static final long SHORTEST_PAUSE_MILLIS = 1_000;
+
     private final String incarnation;
     private final LedgerSettings settings;
     private final Map<String, BudgetLeases> budgets = new LinkedHashMap<>();
@@ -44,6 +46,7 @@
     private long configVersion;
     private boolean fenced;
     private boolean settling = true;
+    private boolean stopping;
     private @Nullable PlannedTransaction pending;
 
     /**
@@ -160,6 +163,12 @@
                         .sum();
     }
 
+    /** Tokens of leases on a budget that new requests may use. */
+    public synchronized long freeTokens(String budget) {
+        BudgetLeases leases = budgets.get(budget);
+        return leases == null ? 0 : leases.freeTokens();
+    }
+
     /** Number of open leases. */
     public synchronized int openLeases() {
         return budgets.values().stream()
@@ -169,6 +178,7 @@
 
     /** Drains every lease, for a planned stop; plans then settle them as attempts end. */
     public synchronized void drainAll() {
+        stopping = true;
         budgets.values().forEach(BudgetLeases::drainAll);
     }
 
@@ -185,6 +195,9 @@
             return Optional.of(pending.plan());
         }
         peers.dropRetired(oldestLeaseMillis());
+        if (entryRowVersion != 0 && !isDue(nowMillis)) {
+            return Optional.empty();
+        }
         TransactionDraft draft = new TransactionDraft(incarnation, sequence + 1);
         draft.entryRow(entryRowVersion, entryRecord(draft.id()));
         for (Map.Entry<String, BudgetLeases> budget : budgets.entrySet()) {
@@ -192,9 +205,7 @@
                 planBudget(budget.getKey(), budget.getValue(), draft, nowMillis);
             }
         }
-        boolean heartbeatDue =
-                nowMillis - lastCommitMillis >= settings.heartbeat().toMillis();
-        if (draft.onlyEntryRow() && entryRowVersion != 0 && !heartbeatDue && !peers.hasChanges()) {
+        if (draft.onlyEntryRow() && entryRowVersion != 0 && !isHeartbeatDue(nowMillis) && !peers.hasChanges()) {
             return Optional.empty();
         }
         peers.freeze();
@@ -202,6 +213,23 @@
         return Optional.of(pending.plan());
     }
 
+    private boolean isDue(long nowMillis) {
+        return isHeartbeatDue(nowMillis) || isUrgent(nowMillis);
+    }
+
+    private boolean isHeartbeatDue(long nowMillis) {
+        return nowMillis - lastCommitMillis >= settings.heartbeat().toMillis();
+    }
+
+    /** What is not urgent waits for the next heartbeat and is written together with it. */
+    private boolean isUrgent(long nowMillis) {
+        boolean pause = nowMillis - lastCommitMillis < SHORTEST_PAUSE_MILLIS;
+        return peers.hasChanges()
+                || stopping
+                || budgets.values().stream()
+                        .anyMatch(leases -> leases.hasShortfall() || (!pause && leases.isUrgent(nowMillis)));
+    }
+
     private EntryRecord entryRecord(String transactionId) {
         return new EntryRecord(transactionId, EntryRecord.State.OPEN, "", peers.wanted(), configVersion, address);
     }
@@ -262,6 +290,28 @@
         settling = allowed;
     }
 
+    /**
+     * Budgets whose remaining tokens should be read before the next plan. Looking costs a read, trying in vain a
+     * transaction.
+     */
+    public synchronized List<String> budgetsToLookAt(long nowMillis) {
+        if (pending != null || fenced || entryRowVersion == 0 || !isDue(nowMillis)) {
+            return List.of();
+        }
+        return budgets.entrySet().stream()
+                .filter(entry -> entry.getValue().wantsLook(nowMillis))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Takes in what a look showed as remaining of a budget. */
+    public synchronized void lookedAt(String budget, long remaining, long nowMillis) {
+        BudgetLeases leases = budgets.get(budget);
+        if (leases != null) {
+            leases.noteLook(remaining, nowMillis);
+        }
+    }
+
     /** Takes in the table's answer to the open plan. */
     public synchronized LedgerStep resolve(TransactionResult result, long nowMillis) {
         PlannedTransaction open = requirePending();
@@ -331,7 +381,7 @@
         budgets.forEach((name, leases) -> {
             Row remaining = byKey.get(RowKeys.remaining(name));
             if (remaining != null) {
-                leases.noteRemaining(remaining.amount());
+                leases.noteRemaining(remaining.amount(), nowMillis);
             }
         });
         return new LedgerStep.Done(open.plan());
--- a/core/src/main/java/org/streamring/kernel/ledger/LedgerSettings.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/LedgerSettings.java
@@ -54,7 +54,7 @@
         return new LedgerSettings(
                 Sizing.DEMAND,
                 0,
-                Duration.ofSeconds(60),
+                Duration.ofSeconds(120),
                 8,
                 Duration.ofSeconds(20),
                 Duration.ofSeconds(10),
--- a/core/src/test/java/org/streamring/kernel/ledger/LeaseLedgerTest.java
+++ b/core/src/test/java/org/streamring/kernel/ledger/LeaseLedgerTest.java
@@ -205,6 +205,17 @@
         assertThat(bank.settled(BUDGET)).isEqualTo(30);
     }
 
+    @Test
+    public void aStoppingLedgerTakesNoNewLeaseForItsOldDemand() {
+        for (int i = 0; i < 20; i++) {
+            driver.finish(driver.reserve(BUDGET, 100, i * 100L).orElseThrow(), 90, i * 100L);
+        }
+        driver.ledger.drainAll();
+        driver.settleDown(2_500);
+        assertThat(driver.ledger.openLeases()).isZero();
+        assertThat(bank.remaining(BUDGET)).isEqualTo(10_000 - 20 * 90);
+    }
+
     @Test
     public void runningAttemptsKeepTheirLeaseOpen() {
         assertThat(driver.reserve(BUDGET, 100, 0)).isPresent();
--- a/entry/src/main/java/org/streamring/entry/EntryMain.java
+++ b/entry/src/main/java/org/streamring/entry/EntryMain.java
@@ -3,7 +3,6 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.nio.file.Path;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.StopSignal;
@@ -17,9 +16,11 @@
     private static final int EXIT_START = 3;
 
     @Option(name = "--settings", description = "Settings file (TOML)")
-    @Required
     private String settingsFile = "";
 
+    @Option(name = "--describe-settings", description = "Print every setting as a Markdown table and exit")
+    private boolean describe;
+
     @Option(name = "--check-settings", description = "Check the settings and exit")
     private boolean checkOnly;
 
@@ -30,6 +31,14 @@
     }
 
     private int run() {
+        if (describe) {
+            System.out.print(EntrySettings.SCHEMA.describe());
+            return 0;
+        }
+        if (settingsFile.isEmpty()) {
+            System.err.println("--settings FILE must be given; see --describe-settings for what it may hold");
+            return EXIT_SETTINGS;
+        }
         try {
             SettingValues settings = EntrySettings.SCHEMA.read(Path.of(settingsFile));
             if (checkOnly) {
--- a/entry/src/main/java/org/streamring/entry/ledger/LedgerRunner.java
+++ b/entry/src/main/java/org/streamring/entry/ledger/LedgerRunner.java
@@ -4,7 +4,9 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
@@ -17,6 +19,8 @@
 import org.streamring.kernel.ledger.LedgerStep;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.kernel.table.PlatformTable;
+import org.streamring.kernel.table.Row;
+import org.streamring.kernel.table.RowKeys;
 import org.streamring.kernel.table.TransactionResult;
 import org.streamring.platform.BillArchive;
 
@@ -122,6 +126,7 @@
     /** Makes and applies one plan. */
     private void step() {
         LeaseLedger ledger = holder.current();
+        lookAtUsedUpBudgets(ledger);
         Optional<LedgerPlan> plan = ledger.plan(System.currentTimeMillis());
         if (plan.isEmpty()) {
             ledger.allowSettling(true);
@@ -149,6 +154,23 @@
         }
     }
 
+    private void lookAtUsedUpBudgets(LeaseLedger ledger) {
+        List<String> budgets = ledger.budgetsToLookAt(System.currentTimeMillis());
+        if (budgets.isEmpty()) {
+            return;
+        }
+        try {
+            Map<String, Row> rows = new HashMap<>();
+            table.read(budgets.stream().map(RowKeys::remaining).toList()).forEach(row -> rows.put(row.key(), row));
+            for (String budget : budgets) {
+                Row row = rows.get(RowKeys.remaining(budget));
+                ledger.lookedAt(budget, row == null ? 0 : row.amount(), System.currentTimeMillis());
+            }
+        } catch (PlatformException e) {
+            noteStore(true);
+        }
+    }
+
     /** Without its bills a plan is not applied; leases are still taken while the object store is away. */
     private boolean writeBills(LeaseLedger ledger, LedgerPlan plan) {
         if (plan.billItems().isEmpty()) {
--- a/integration/src/test/java/org/streamring/fleet/Fleet.java
+++ b/integration/src/test/java/org/streamring/fleet/Fleet.java
@@ -77,9 +77,13 @@
         for (int i = 1; i <= engineCount; i++) {
             EngineStandin engine = new EngineStandin(0, engineSettings);
             engines.add(engine);
-            startSidecar("assist-" + i, "assist-llm", engine.url());
+            startSidecar("assist-" + i, engine.url());
         }
-        startSidecar("control-1", "control-api", service.url());
+        startSidecar("control-1", service.url());
+        for (int i = 1; i <= engineCount; i++) {
+            list("assist-" + i, "assist-llm");
+        }
+        list("control-1", "control-api");
         operatorAccess =
                 PlatformProvider.named("http").open(URI.create(platform.url()), OPERATOR_KEY, Duration.ofSeconds(5));
     }
@@ -118,18 +122,20 @@
         return Path.of("").toAbsolutePath().getParent();
     }
 
-    public void startSidecar(String name, String serviceName, String backendUrl) {
+    private void startSidecar(String name, String backendUrl) {
         backendUrls.put(name, backendUrl);
-        ProgramProcess process =
-                ProgramProcess.start(work, "sidecar", name, """
+        sidecars.put(name, ProgramProcess.start(work, "sidecar", name, """
                 name = "%s"
                 fleet_key = "%s"
                 listen.port = 0
                 backend.url = "%s"
                 stop.wait = "30s"
-                """.formatted(name, FLEET_KEY, backendUrl));
-        sidecars.put(name, process);
-        FaultProxy proxy = new FaultProxy(process.port());
+                """.formatted(name, FLEET_KEY, backendUrl)));
+    }
+
+    /** Puts a sidecar behind a proxy and into the box list. */
+    private void list(String name, String serviceName) {
+        FaultProxy proxy = new FaultProxy(sidecars.get(name).port());
         FaultProxy old = sidecarProxies.put(name, proxy);
         if (old != null) {
             old.close();
@@ -141,7 +147,8 @@
     }
 
     public void restartSidecar(String name) {
-        startSidecar(name, boxes.get(name).service(), backendUrls.get(name));
+        startSidecar(name, backendUrls.get(name));
+        list(name, boxes.get(name).service());
     }
 
     public void startEntry(String name) {
--- a/integration/src/test/java/org/streamring/fleet/ProgramProcess.java
+++ b/integration/src/test/java/org/streamring/fleet/ProgramProcess.java
@@ -17,21 +17,23 @@
 
     private final Process process;
     private final Path log;
-    private final int port;
-    private final int adminPort;
 
     private ProgramProcess(Process process, Path log) {
         this.process = process;
         this.log = log;
+    }
+
+    /** Waits until the program has said on which ports it listens. */
+    private Matcher awaitPorts() {
         Awaitility.await("program starts: " + log)
                 .atMost(LONG)
+                .pollInterval(Duration.ofMillis(20))
                 .until(() -> PORTS.matcher(log()).find() || !process.isAlive());
         Matcher ports = PORTS.matcher(log());
         if (!ports.find()) {
             throw new IllegalStateException("did not start: " + log());
         }
-        port = Integer.parseInt(ports.group(1));
-        adminPort = Integer.parseInt(ports.group(2));
+        return ports;
     }
 
     static ProgramProcess start(Path work, String program, String name, String settings) {
@@ -51,11 +53,11 @@
     }
 
     public int port() {
-        return port;
+        return Integer.parseInt(awaitPorts().group(1));
     }
 
     public int adminPort() {
-        return adminPort;
+        return Integer.parseInt(awaitPorts().group(2));
     }
 
     public long pid() {
--- a/net/src/main/java/org/streamring/net/settings/SettingsSchema.java
+++ b/net/src/main/java/org/streamring/net/settings/SettingsSchema.java
@@ -80,6 +80,21 @@
         return settings;
     }
 
+    /** A Markdown table of every setting, for the reference. */
+    public String describe() {
+        StringBuilder table = new StringBuilder("| setting | default | allowed | what it does |\n| --- | --- | --- | --- |\n");
+        for (Setting<?> setting : settings()) {
+            String standard = setting.defaultText().isEmpty() ? "must be given" : "`" + setting.defaultText() + "`";
+            table.append("| `%s` | %s | %s | %s |%n"
+                    .formatted(
+                            setting.key(),
+                            standard,
+                            setting.allowed().replace("|", "\\|"),
+                            setting.description()));
+        }
+        return table.toString();
+    }
+
     /** Reads and checks a file. */
     public SettingValues read(Path file) throws SettingsException {
         try {
--- /dev/null
+++ b/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
@@ -0,0 +1,138 @@
+package org.streamring.net.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.Ping;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class HandshakeTest {
+    private static final PeerIdentity ENTRY = new PeerIdentity(PeerIdentity.Role.ENTRY, "entry-1", "entry-1~a");
+    private static final PeerIdentity SIDECAR = new PeerIdentity(PeerIdentity.Role.SIDECAR, "s-1", "s-1~a");
+
+    private NioEventLoopGroup loops;
+    private PeerServer server;
+    private Recorder accepted;
+
+    private static final class Recorder implements PeerListener {
+        private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+        @Override
+        public void connected(PeerConnection connection) {
+            events.add("connected " + connection.remote().incarnation());
+        }
+
+        @Override
+        public void received(PeerConnection connection, Frame frame) {
+            events.add("received " + frame.getBodyCase());
+        }
+
+        @Override
+        public void disconnected(PeerConnection connection) {
+            events.add("disconnected");
+        }
+
+        private String next() throws InterruptedException {
+            return String.valueOf(events.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @BeforeMethod
+    public void listen() throws PeerException {
+        loops = new NioEventLoopGroup(1);
+        accepted = new Recorder();
+        server = new PeerServer(
+                loops,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new FleetKey("the-right-fleet-key"),
+                SIDECAR,
+                accepted);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private PeerConnector connector(String key, PeerListener listener) {
+        return new PeerConnector(
+                loops,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()),
+                new FleetKey(key),
+                ENTRY,
+                listener);
+    }
+
+    @Test
+    public void bothSidesLearnWhoTheOtherIs() throws Exception {
+        Recorder connecting = new Recorder();
+        connector("the-right-fleet-key", connecting).start();
+        assertThat(connecting.next()).isEqualTo("connected s-1~a");
+        assertThat(accepted.next()).isEqualTo("connected entry-1~a");
+    }
+
+    @Test
+    public void aWrongKeyIsNeverConnected() throws Exception {
+        Recorder connecting = new Recorder();
+        PeerConnector connector = connector("another-fleet-key!", connecting);
+        connector.start();
+        assertThat(connecting.events.poll(1, TimeUnit.SECONDS)).isNull();
+        assertThat(accepted.events).isEmpty();
+        connector.stop();
+    }
+
+    @DataProvider
+    public Object[][] forgeries() {
+        Frame ping = Frame.newBuilder().setPing(Ping.newBuilder()).build();
+        Frame hello = Frame.newBuilder()
+                .setHello(org.streamring.net.generated.Wire.Hello.newBuilder().setRole("ENTRY"))
+                .build();
+        Frame proof = Frame.newBuilder()
+                .setProof(org.streamring.net.generated.Wire.Proof.newBuilder())
+                .build();
+        return new Object[][] {
+            {"no handshake", List.of(ping)},
+            {"empty proof", List.of(hello, proof)},
+            {"frame in place of a proof", List.of(hello, ping)},
+            {"hello twice", List.of(hello, hello, ping)},
+        };
+    }
+
+    @Test(dataProvider = "forgeries")
+    public void aFrameWithoutProofIsNotActedOn(String name, List<Frame> frames) throws Exception {
+        try (java.net.Socket socket = new java.net.Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            java.io.DataOutputStream out = new java.io.DataOutputStream(socket.getOutputStream());
+            for (Frame frame : frames) {
+                out.writeInt(frame.getSerializedSize());
+                frame.writeTo(out);
+            }
+            out.flush();
+            socket.setSoTimeout(20_000);
+            while (socket.getInputStream().read() >= 0) {
+                // The other side answers a hello, and then closes.
+            }
+        } catch (java.net.SocketException e) {
+            assertThat(e).as("closed by the other side").hasMessageContaining("reset");
+        }
+        assertThat(accepted.events).as(name).isEmpty();
+    }
+
+    @Test
+    public void aHugeFrameBeforeAuthenticationClosesTheConnection() throws Exception {
+        try (java.net.Socket socket = new java.net.Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.getOutputStream().write(new byte[] {0x7f, 0, 0, 0, 1, 2, 3});
+            socket.setSoTimeout(20_000);
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/org/streamring/sidecar/backend/EventStreamReaderTest.java
@@ -0,0 +1,63 @@
+package org.streamring.sidecar.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import org.streamring.kernel.receipt.Usage;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class EventStreamReaderTest {
+    private static final String STREAM = """
+            data: {"choices":[{"delta":{"content":"é"}}],"usage":{"prompt_tokens":3,"completion_tokens":1}}
+
+            data: {"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}
+
+            data: [DONE]
+
+            """;
+
+    private static String read(EventStreamReader reader, String text, int pieceBytes) throws Exception {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        StringBuilder out = new StringBuilder();
+        for (int from = 0; from < bytes.length; from += pieceBytes) {
+            byte[] piece = java.util.Arrays.copyOfRange(bytes, from, Math.min(bytes.length, from + pieceBytes));
+            out.append(new String(reader.read(piece), StandardCharsets.UTF_8));
+        }
+        return out.toString();
+    }
+
+    @DataProvider
+    public Object[][] pieces() {
+        return new Object[][] {{1}, {2}, {7}, {64}, {10_000}};
+    }
+
+    @Test(dataProvider = "pieces")
+    public void usageIsFollowedAndHiddenHoweverTheBytesAreCut(int pieceBytes) throws Exception {
+        EventStreamReader reader = new EventStreamReader(false);
+        String out = read(reader, STREAM, pieceBytes);
+        assertThat(out).isEqualTo("data: {\"choices\":[{\"delta\":{\"content\":\"é\"}}]}\n\ndata: [DONE]\n\n");
+        assertThat(reader.usage()).contains(Usage.ofModel(3, 2));
+        assertThat(reader.done()).isTrue();
+    }
+
+    @Test(dataProvider = "pieces")
+    public void aStreamIsPassedOnUnchangedIfUsageIsWanted(int pieceBytes) throws Exception {
+        assertThat(read(new EventStreamReader(true), STREAM, pieceBytes)).isEqualTo(STREAM);
+    }
+
+    @Test
+    public void aStreamWithoutItsLastEventIsNotDone() throws Exception {
+        EventStreamReader reader = new EventStreamReader(false);
+        read(reader, STREAM.substring(0, STREAM.indexOf("data: [DONE]")), 10);
+        assertThat(reader.done()).isFalse();
+    }
+
+    @Test
+    public void anEndlessLineIsAnError() {
+        EventStreamReader reader = new EventStreamReader(false);
+        assertThatThrownBy(() -> reader.read(new byte[(1 << 20) + 2]))
+                .isInstanceOf(EventStreamReader.LineTooLongException.class);
+    }
+}
--- a/standin/src/main/java/org/streamring/standin/StandinMain.java
+++ b/standin/src/main/java/org/streamring/standin/StandinMain.java
@@ -7,6 +7,7 @@
 import org.streamring.net.process.StopSignal;
 import org.streamring.standin.engine.EngineSettings;
 import org.streamring.standin.engine.EngineStandin;
+import org.streamring.standin.experiment.MeasureCommand;
 import org.streamring.standin.platform.PlatformStandin;
 import org.streamring.standin.proxy.FaultProxy;
 import org.streamring.standin.service.ServiceStandin;
@@ -25,6 +26,7 @@
                 .withCommand(EngineCommand.class)
                 .withCommand(ServiceCommand.class)
                 .withCommand(ProxyCommand.class)
+                .withCommand(MeasureCommand.class)
                 .build();
         commandLine.parse(arguments).run();
     }
--- /dev/null
+++ b/standin/src/main/java/org/streamring/standin/experiment/LedgerExperiment.java
@@ -0,0 +1,373 @@
+package org.streamring.standin.experiment;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.streamring.kernel.ledger.BillItem;
+import org.streamring.kernel.ledger.LeaseLedger;
+import org.streamring.kernel.ledger.LedgerPlan;
+import org.streamring.kernel.ledger.LedgerSettings;
+import org.streamring.kernel.ledger.LedgerStep;
+import org.streamring.kernel.ledger.Reservation;
+import org.streamring.kernel.ledger.ReserveResult;
+import org.streamring.kernel.receipt.Receipt;
+import org.streamring.kernel.receipt.Usage;
+import org.streamring.kernel.recovery.LeaseCloser;
+import org.streamring.kernel.recovery.PeerReceipts;
+import org.streamring.kernel.table.InMemoryTable;
+import org.streamring.kernel.table.Row;
+import org.streamring.kernel.table.RowKeys;
+import org.streamring.kernel.table.RowOperation;
+import org.streamring.kernel.table.Transaction;
+import org.streamring.kernel.table.TransactionResult;
+
+/**
+ * Drives the kernel's ledgers of a few entries on one budget through a scenario, in steps of 100 ms of its own clock, and
+ * counts from outside: an engine's record of what ran, against bills, refusals and the table. It has no network and no
+ * routing; those are tested with real processes.
+ */
+public final class LedgerExperiment {
+    private static final String BUDGET = "budget";
+    private static final String SIDECAR = "sidecar~1";
+    private static final long TICK_MILLIS = 100;
+    private static final long TICKS_PER_SECOND = 10;
+    private static final long PLAN_TICKS = 20;
+    private static final long WAIT_MILLIS = 2_000;
+    private static final long SUSPECT_MILLIS = 30_000;
+    private static final long MILLIS = 1_000;
+
+    private final Scenario scenario;
+    private final String variant;
+    private final LedgerSettings settings;
+    private final SplittableRandom random;
+    private final InMemoryTable table = new InMemoryTable();
+    private final List<Entry> entries = new ArrayList<>();
+    private final Map<String, Work> planned = new HashMap<>();
+    private final Map<String, Long> ran = new HashMap<>();
+    private long spent;
+    private final Map<String, Receipt> receipts = new HashMap<>();
+    private final Map<String, BillItem> billed = new HashMap<>();
+    private final Map<String, Long> endedMillis = new HashMap<>();
+    private long nowMillis;
+    private long transactions;
+    private long answers;
+    private long requests;
+    private long refusals;
+    private long falseRefusals;
+    private long outOfReach;
+    private long settleLagMillis;
+    private long doubleBills;
+    private Optional<Entry> dead = Optional.empty();
+
+    private record Running(Reservation reservation, long tokens, long endMillis) {}
+
+    private record Work(long tokens, long durationMillis) {}
+
+    private record Waiting(String attempt, long sinceMillis) {}
+
+    private final class Entry {
+        private final int index;
+        private final LeaseLedger ledger;
+        private final PriorityQueue<Running> running =
+                new PriorityQueue<>(Comparator.comparingLong(Running::endMillis));
+        private final List<Waiting> waiting = new ArrayList<>();
+        private int attempts;
+        private boolean storeAway;
+
+        private Entry(int index, String incarnation) {
+            this.index = index;
+            this.ledger = new LeaseLedger(incarnation, "", settings);
+            this.ledger.announcePeer(SIDECAR);
+        }
+    }
+
+    /** Prepares a run; the same seed gives the same demand whatever the settings. */
+    public LedgerExperiment(Scenario scenario, String variant, LedgerSettings settings, long seed) {
+        this.scenario = scenario;
+        this.variant = variant;
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Runs the scenario. */
+    public ExperimentResult run() {
+        grant();
+        for (int i = 0; i < scenario.entries(); i++) {
+            entries.add(new Entry(i, "entry-" + i + "~1"));
+        }
+        long ticks = scenario.seconds() * TICKS_PER_SECOND;
+        for (long tick = 0; tick < ticks; tick++) {
+            nowMillis = tick * TICK_MILLIS;
+            killIfDue();
+            demand();
+            for (Entry entry : entries) {
+                endWork(entry);
+                boolean due = (tick + entry.index) % PLAN_TICKS == 0 || !entry.waiting.isEmpty();
+                if (due || entry.ledger.wantsPlanSoon()) {
+                    transactAndWake(entry);
+                }
+            }
+        }
+        return result();
+    }
+
+    private void grant() {
+        table.transact(new Transaction(
+                "grant",
+                List.of(
+                        new RowOperation.Insert(RowKeys.remaining(BUDGET), scenario.budgetTokens(), ""),
+                        new RowOperation.Insert(RowKeys.granted(BUDGET), scenario.budgetTokens(), ""),
+                        new RowOperation.Insert(RowKeys.settled(BUDGET), 0, ""),
+                        new RowOperation.Insert(RowKeys.held(BUDGET), 0, ""))));
+    }
+
+    private double seconds() {
+        return nowMillis / (double) MILLIS;
+    }
+
+    private void demand() {
+        double perTick = scenario.requestsPerSecond() / TICKS_PER_SECOND;
+        int count = (int) perTick + (random.nextDouble() < perTick % 1 ? 1 : 0);
+        for (int i = 0; i < count; i++) {
+            int target = skewedEntry();
+            long tokens = Math.min(scenario.worstCase(), 1 + (long) (scenario.average() * 2 * random.nextDouble()));
+            long duration = MILLIS + random.nextLong(4 * MILLIS);
+            request(entries.get(target), tokens, duration);
+        }
+    }
+
+    private int skewedEntry() {
+        double total = 0;
+        for (int i = 0; i < scenario.entries(); i++) {
+            total += Math.pow(scenario.skew(), -i);
+        }
+        double left = random.nextDouble() * total;
+        for (int i = 0; i < scenario.entries(); i++) {
+            left -= Math.pow(scenario.skew(), -i);
+            if (left < 0) {
+                return i;
+            }
+        }
+        return scenario.entries() - 1;
+    }
+
+    private void request(Entry entry, long tokens, long duration) {
+        requests++;
+        String attempt = entry.ledger.incarnation() + "#" + ++entry.attempts;
+        planned.put(attempt, new Work(tokens, duration));
+        tryReserve(entry, new Waiting(attempt, nowMillis), true);
+    }
+
+    /** Returns whether the request need not wait any longer. */
+    private boolean tryReserve(Entry entry, Waiting waiting, boolean mayWait) {
+        ReserveResult result = entry.ledger.reserve(waiting.attempt(), BUDGET, scenario.worstCase(), nowMillis);
+        if (result instanceof ReserveResult.Reserved reserved) {
+            start(entry, reserved.reservation());
+            return true;
+        }
+        boolean late = nowMillis - waiting.sinceMillis() >= WAIT_MILLIS;
+        if (result instanceof ReserveResult.NeedsLease && !entry.storeAway && !late) {
+            if (mayWait) {
+                entry.waiting.add(waiting);
+            }
+            return false;
+        }
+        refuse(entry);
+        return true;
+    }
+
+    private void start(Entry entry, Reservation reservation) {
+        Work work = planned.remove(reservation.attempt());
+        ran.put(reservation.attempt(), work.tokens());
+        spent += work.tokens();
+        receipts.put(reservation.attempt(), receipt(reservation, work.tokens()));
+        entry.running.add(new Running(reservation, work.tokens(), nowMillis + work.durationMillis()));
+    }
+
+    private static Receipt receipt(Reservation reservation, long tokens) {
+        return new Receipt(
+                reservation.attempt(),
+                "account/" + reservation.attempt(),
+                "account",
+                BUDGET,
+                reservation.leaseId(),
+                "service",
+                reservation.tokens(),
+                Usage.flat(tokens),
+                true);
+    }
+
+    /** A refusal is false if what has not run yet would have covered the request. */
+    private void refuse(Entry entry) {
+        refusals++;
+        if (scenario.budgetTokens() - spent >= scenario.worstCase()) {
+            falseRefusals++;
+            if (!inReach(entry)) {
+                outOfReach++;
+            }
+        }
+    }
+
+    /** Whether the table, or an entry in reach, has enough for one request in one place. */
+    private boolean inReach(Entry entry) {
+        if (!reachable(entry)) {
+            return false;
+        }
+        long remaining = table.read(List.of(RowKeys.remaining(BUDGET))).get(0).amount();
+        long largest = entries.stream()
+                .filter(this::reachable)
+                .mapToLong(other -> other.ledger.freeTokens(BUDGET))
+                .max()
+                .orElse(0);
+        return Math.max(remaining, largest) >= scenario.worstCase();
+    }
+
+    private void endWork(Entry entry) {
+        while (!entry.running.isEmpty() && entry.running.peek().endMillis() <= nowMillis) {
+            Running done = entry.running.poll();
+            endedMillis.put(done.reservation().attempt(), nowMillis);
+            entry.ledger.finish(
+                    done.reservation(), item(receipts.get(done.reservation().attempt())), nowMillis);
+        }
+    }
+
+    private static BillItem item(Receipt receipt) {
+        return new BillItem(
+                receipt.attempt(),
+                receipt.requestKey(),
+                receipt.account(),
+                BUDGET,
+                receipt.leaseId(),
+                receipt.service(),
+                SIDECAR,
+                0,
+                receipt.tokens(),
+                receipt.tokens(),
+                0);
+    }
+
+    private void transactAndWake(Entry entry) {
+        look(entry);
+        Optional<LedgerPlan> plan = entry.ledger.plan(nowMillis);
+        if (plan.isPresent()) {
+            entry.storeAway = !apply(entry, plan.get());
+        }
+        entry.waiting.removeIf(waiting -> tryReserve(entry, waiting, false));
+    }
+
+    private void look(Entry entry) {
+        for (String budget : entry.ledger.budgetsToLookAt(nowMillis)) {
+            if (reachable(entry)) {
+                long remaining =
+                        table.read(List.of(RowKeys.remaining(budget))).get(0).amount();
+                entry.ledger.lookedAt(budget, remaining, nowMillis);
+            }
+        }
+    }
+
+    private boolean reachable(Entry entry) {
+        boolean away = scenario.storeAway().stream().anyMatch(span -> span.contains(seconds()));
+        boolean cut = entry.index == 0 && scenario.cutOff().stream().anyMatch(span -> span.contains(seconds()));
+        return !away && !cut;
+    }
+
+    private boolean apply(Entry entry, LedgerPlan plan) {
+        if (!reachable(entry)) {
+            return false;
+        }
+        transactions++;
+        TransactionResult result = table.transact(plan.transaction());
+        answers++;
+        if (scenario.loseEvery() > 0 && answers % scenario.loseEvery() == 0 && plan.sequence() > 1) {
+            return true;
+        }
+        LedgerStep step = entry.ledger.resolve(result, nowMillis);
+        if (step instanceof LedgerStep.ReadBack readBack) {
+            step = entry.ledger.resolveReadBack(table.read(readBack.keys()), nowMillis);
+        }
+        if (step instanceof LedgerStep.Done done) {
+            done.plan().billItems().forEach(this::bill);
+        }
+        return true;
+    }
+
+    private void bill(BillItem item) {
+        if (billed.put(item.attempt(), item) != null) {
+            doubleBills++;
+        }
+        settleLagMillis += Math.max(0, nowMillis - endedMillis.getOrDefault(item.attempt(), nowMillis));
+    }
+
+    private void killIfDue() {
+        if (scenario.killed() >= 0 && nowMillis == scenario.killed() * MILLIS) {
+            Entry killed = entries.get(0);
+            dead = Optional.of(killed);
+            entries.set(0, new Entry(0, "entry-0~2"));
+        }
+        boolean closingDue = dead.isPresent()
+                && nowMillis >= scenario.killed() * MILLIS + SUSPECT_MILLIS
+                && reachable(entries.get(entries.size() - 1));
+        if (closingDue) {
+            close(dead.get());
+            dead = Optional.empty();
+        }
+    }
+
+    private void close(Entry killed) {
+        String incarnation = killed.ledger.incarnation();
+        LeaseCloser closer = new LeaseCloser("closer~1");
+        transact(closer.markClosing(entryRow(incarnation)));
+        Set<String> settled = new HashSet<>(billed.keySet());
+        List<Receipt> left = receipts.values().stream()
+                .filter(receipt -> !settled.contains(receipt.attempt()))
+                .filter(receipt -> receipt.leaseId().startsWith(incarnation + "/"))
+                .toList();
+        for (Row lease : table.scan(RowKeys.leasesOf(incarnation), "", Integer.MAX_VALUE)) {
+            LeaseCloser.Settlement settlement = closer.settle(
+                    entryRow(incarnation), lease, List.of(new PeerReceipts(SIDECAR, left)), List.of(), nowMillis);
+            transact(settlement.transaction());
+            settlement.items().forEach(this::bill);
+        }
+        transact(closer.finish(entryRow(incarnation)));
+    }
+
+    private Row entryRow(String incarnation) {
+        return table.read(List.of(RowKeys.entry(incarnation))).get(0);
+    }
+
+    private void transact(Transaction transaction) {
+        transactions++;
+        TransactionResult result = table.transact(transaction);
+        if (!(result instanceof TransactionResult.Committed)) {
+            throw new IllegalStateException("closing was rejected: " + result);
+        }
+    }
+
+    private ExperimentResult result() {
+        long settled = table.read(List.of(RowKeys.settled(BUDGET))).get(0).amount();
+        long billedTokens = billed.values().stream().mapToLong(BillItem::tokens).sum();
+        long wrong = billed.values().stream()
+                .filter(item -> !ran.get(item.attempt()).equals(item.tokens()))
+                .count();
+        return new ExperimentResult(
+                scenario.name(),
+                variant,
+                requests,
+                falseRefusals,
+                outOfReach,
+                refusals,
+                Math.max(0, spent - scenario.budgetTokens()),
+                Math.abs(settled - billedTokens) + wrong,
+                doubleBills,
+                transactions,
+                settleLagMillis,
+                billed.size());
+    }
+}
