Keep control traffic and closings within the size that decides the design

Ruled out: full meshes of heartbeats; a separate watcher role (no box is set aside for control).

Change: a bounded number of heartbeats a round, those silent longest first, and answers count as signs of life; peers stand in a row of their own that is written only when they change; looks at entries are the more seldom the more entries there are; up to 19 leases settle in one transaction; only budgets in use are looked over between heartbeats. An entry's outage is noted where its transactions fail, not by gaps between looks.

Bytes per heartbeat with its answer: 37, and 80 of headers.

--- a/core/src/main/java/org/streamring/kernel/config/ChangeSplitter.java
+++ b/core/src/main/java/org/streamring/kernel/config/ChangeSplitter.java
@@ -8,7 +8,8 @@
 import org.streamring.kernel.table.Transaction;
 
 /**
- * Splits a difference that is too large for one transaction into several, each of which leaves valid declarations: items
+ * Splits a difference that is too large for one transaction into several, each of which leaves valid declarations:
+ * items
  * are added after what they name and removed before it.
  */
 public final class ChangeSplitter {
--- a/core/src/main/java/org/streamring/kernel/ledger/BudgetLeases.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/BudgetLeases.java
@@ -111,7 +111,8 @@
     }
 
     /**
-     * Whether the remaining tokens should be read before the next plan: when a budget that was used up is due to be tried
+     * Whether the remaining tokens should be read before the next plan: when a budget that was used up is due to be
+     * tried
      * again, or before a lease is taken on an old reading. A read costs the store far less than a rejected transaction.
      */
     boolean wantsLook(long nowMillis) {
@@ -147,6 +148,16 @@
         return lease.free() > 0 && shouldDrain(lease, nowMillis) && (lease.quiet() || !lease.draining());
     }
 
+    /** Whether nothing can become urgent before the next heartbeat. */
+    boolean isQuiet(long nowMillis) {
+        return shortfall == 0 && !tight() && !runsLow(nowMillis, RIDING_LEVEL);
+    }
+
+    /** Whether nothing is held and nothing was spent for long. */
+    boolean isForgettable(long nowMillis) {
+        return leases.isEmpty() && shortfall == 0 && !usedUp && demand.tokensPerSecond(nowMillis) < 1;
+    }
+
     /** Tokens of the lease to take now; 0 for none. */
     long tokensToTake(long nowMillis) {
         long needed = Math.max(shortfall, largestWaiting);
--- a/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
@@ -6,11 +6,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.streamring.kernel.table.Row;
 import org.streamring.kernel.table.RowKeys;
@@ -32,16 +34,21 @@
  */
 public final class LeaseLedger {
     private static final long SHORTEST_PAUSE_MILLIS = 1_000;
+    private static final int MAX_LOOKS = 100;
 
     private final String incarnation;
     private final LedgerSettings settings;
     private final Map<String, BudgetLeases> budgets = new LinkedHashMap<>();
+    /** Budgets that were used since the last heartbeat; only these are looked over between heartbeats. */
+    private final Set<String> active = new LinkedHashSet<>();
+
     private final PeerRegister peers = new PeerRegister();
     private final String address;
 
     private long sequence;
     private long leaseCounter;
     private long entryRowVersion;
+    private long peersRowVersion;
     private long lastCommitMillis;
     private long configVersion;
     private boolean fenced;
@@ -73,6 +80,7 @@
             return new ReserveResult.Fenced();
         }
         BudgetLeases leases = budgets.computeIfAbsent(budget, name -> new BudgetLeases(settings));
+        active.add(budget);
         Optional<Lease> lease = leases.leaseFor(tokens, nowMillis);
         if (lease.isPresent()) {
             lease.get().reserve(attempt, tokens, nowMillis);
@@ -110,6 +118,7 @@
     }
 
     private Optional<Lease> lease(Reservation reservation) {
+        active.add(reservation.budget());
         BudgetLeases leases = budgets.get(reservation.budget());
         return leases == null ? Optional.empty() : leases.find(reservation.leaseId());
     }
@@ -149,7 +158,7 @@
 
     /** Whether a request waits for a lease or a sidecar for its record. */
     public synchronized boolean wantsPlanSoon() {
-        boolean waiting = budgets.values().stream().anyMatch(BudgetLeases::hasShortfall);
+        boolean waiting = activeBudgets().anyMatch(BudgetLeases::hasShortfall);
         return pending != null || waiting || peers.hasChanges();
     }
 
@@ -200,12 +209,13 @@
         }
         TransactionDraft draft = new TransactionDraft(incarnation, sequence + 1);
         draft.entryRow(entryRowVersion, entryRecord(draft.id()));
-        for (Map.Entry<String, BudgetLeases> budget : budgets.entrySet()) {
-            if (entryRowVersion != 0 && draft.hasRoom()) {
-                planBudget(budget.getKey(), budget.getValue(), draft, nowMillis);
-            }
+        if (entryRowVersion == 0 || peers.hasChanges()) {
+            draft.peersRow(peersRowVersion, new PeersRecord(peers.wanted()));
         }
-        if (draft.onlyEntryRow() && entryRowVersion != 0 && !isHeartbeatDue(nowMillis) && !peers.hasChanges()) {
+        if (entryRowVersion != 0) {
+            planBudgets(draft, nowMillis);
+        }
+        if (draft.onlyEntryRow() && entryRowVersion != 0 && !isHeartbeatDue(nowMillis)) {
             return Optional.empty();
         }
         peers.freeze();
@@ -213,6 +223,16 @@
         return Optional.of(pending.plan());
     }
 
+    private Stream<BudgetLeases> activeBudgets() {
+        return active.stream().flatMap(name -> Optional.ofNullable(budgets.get(name)).stream());
+    }
+
+    /** At a heartbeat, and while the process stops, every budget is looked over. */
+    private Set<String> budgetsToPlan(long nowMillis) {
+        boolean all = isHeartbeatDue(nowMillis) || stopping;
+        return all ? budgets.keySet() : active;
+    }
+
     private boolean isDue(long nowMillis) {
         return isHeartbeatDue(nowMillis) || isUrgent(nowMillis);
     }
@@ -226,12 +246,11 @@
         boolean pause = nowMillis - lastCommitMillis < SHORTEST_PAUSE_MILLIS;
         return peers.hasChanges()
                 || stopping
-                || budgets.values().stream()
-                        .anyMatch(leases -> leases.hasShortfall() || (!pause && leases.isUrgent(nowMillis)));
+                || activeBudgets().anyMatch(leases -> leases.hasShortfall() || (!pause && leases.isUrgent(nowMillis)));
     }
 
     private EntryRecord entryRecord(String transactionId) {
-        return new EntryRecord(transactionId, EntryRecord.State.OPEN, "", peers.wanted(), configVersion, address);
+        return new EntryRecord(transactionId, EntryRecord.State.OPEN, "", configVersion, address);
     }
 
     private long oldestLeaseMillis() {
@@ -242,6 +261,23 @@
                 .orElse(Long.MAX_VALUE);
     }
 
+    private void planBudgets(TransactionDraft draft, long nowMillis) {
+        boolean all = isHeartbeatDue(nowMillis);
+        for (String name : List.copyOf(budgetsToPlan(nowMillis))) {
+            BudgetLeases leases = budgets.get(name);
+            if (leases == null || !draft.hasRoom()) {
+                continue;
+            }
+            planBudget(name, leases, draft, nowMillis);
+            if (leases.isQuiet(nowMillis)) {
+                active.remove(name);
+            }
+            if (all && leases.isForgettable(nowMillis)) {
+                budgets.remove(name);
+            }
+        }
+    }
+
     private void planBudget(String budget, BudgetLeases leases, TransactionDraft draft, long nowMillis) {
         leases.drainOldLeases(nowMillis);
         long back = 0;
@@ -263,7 +299,8 @@
     }
 
     /**
-     * Notes that the open plan got no answer. It stays open; but if it was to create the entry's row, the incarnation is
+     * Notes that the open plan got no answer. It stays open; but if it was to create the entry's row, the incarnation
+     * is
      * given up: it holds nothing yet, and creating the row again after somebody has closed it would bring a closed
      * incarnation back.
      */
@@ -298,9 +335,9 @@
         if (pending != null || fenced || entryRowVersion == 0 || !isDue(nowMillis)) {
             return List.of();
         }
-        return budgets.entrySet().stream()
-                .filter(entry -> entry.getValue().wantsLook(nowMillis))
-                .map(Map.Entry::getKey)
+        return budgetsToPlan(nowMillis).stream()
+                .filter(name -> budgets.containsKey(name) && budgets.get(name).wantsLook(nowMillis))
+                .limit(MAX_LOOKS)
                 .toList();
     }
 
@@ -372,6 +409,10 @@
         pending = null;
         sequence++;
         entryRowVersion = entryRow.version();
+        Row peersRow = byKey.get(RowKeys.peers(incarnation));
+        if (peersRow != null) {
+            peersRowVersion = peersRow.version();
+        }
         lastCommitMillis = nowMillis;
         peers.committed();
         open.settledLeases().forEach(this::forget);
--- a/core/src/main/java/org/streamring/kernel/ledger/TransactionDraft.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/TransactionDraft.java
@@ -65,6 +65,12 @@
                         : new Update(key, currentVersion, sequence, text));
     }
 
+    void peersRow(long currentVersion, PeersRecord record) {
+        String key = RowKeys.peers(incarnation);
+        String text = RowText.write(record);
+        operations.add(currentVersion == 0 ? new Insert(key, 0, text) : new Update(key, currentVersion, 0, text));
+    }
+
     /** Settles a lease and returns the tokens that go back. */
     long settle(String budget, Lease lease) {
         lease.freeze(true);
--- a/core/src/main/java/org/streamring/kernel/recovery/EntryWatch.java
+++ b/core/src/main/java/org/streamring/kernel/recovery/EntryWatch.java
@@ -15,9 +15,8 @@
  */
 public final class EntryWatch {
     private final Duration suspectAfter;
-    private final Duration longestGap;
     private final Map<String, Seen> seen = new HashMap<>();
-    private long lastScanMillis;
+    private long lastScanMillis = Long.MIN_VALUE;
 
     private record Seen(long version, long sinceMillis) {}
 
@@ -25,20 +24,19 @@
      * Creates one.
      *
      * @param suspectAfter time without a change after which an entry is taken for dead
-     * @param longestGap time between two good scans above which the table is taken to have been away
      */
-    public EntryWatch(Duration suspectAfter, Duration longestGap) {
+    public EntryWatch(Duration suspectAfter) {
         this.suspectAfter = suspectAfter;
-        this.longestGap = longestGap;
     }
 
     /**
      * Takes in a scan of all entries' rows.
      *
+     * @param lastTroubleMillis when the table last gave this process no answer; negative for never
      * @return the rows of entries taken for dead
      */
-    public List<Row> observe(List<Row> entryRows, long nowMillis) {
-        if (nowMillis - lastScanMillis > longestGap.toMillis()) {
+    public List<Row> observe(List<Row> entryRows, long lastTroubleMillis, long nowMillis) {
+        if (lastTroubleMillis >= lastScanMillis) {
             seen.clear();
         }
         lastScanMillis = nowMillis;
--- a/core/src/main/java/org/streamring/kernel/recovery/LeaseCloser.java
+++ b/core/src/main/java/org/streamring/kernel/recovery/LeaseCloser.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import org.streamring.kernel.ledger.EntryRecord;
 import org.streamring.kernel.ledger.HeldRecord;
 import org.streamring.kernel.ledger.LeaseRecord;
+import org.streamring.kernel.ledger.PeersRecord;
 import org.streamring.kernel.receipt.Receipt;
 import org.streamring.kernel.table.Row;
 import org.streamring.kernel.table.RowKeys;
@@ -26,12 +28,16 @@
  * on them; whoever finds that it was rejected or lost reads again and goes on. So two closers, a lost answer or a late
  * write settle every lease exactly once.
  *
- * <p>Order: {@link #markClosing} stops the holder's writes. Then every sidecar that the entry's row names is fenced and
+ * <p>Order: {@link #markClosing} stops the holder's writes. Then every sidecar that the entry's row of peers names is
+ * fenced and
  * asked for receipts. Then {@link #settle} counts each lease: what receipts show is settled; the rest goes back if all
  * sidecars have answered, and is held otherwise, because a silent sidecar may have spent it. Last, {@link #finish}
  * removes the entry's row.
  */
 public final class LeaseCloser {
+    /** Most leases that one transaction settles: each needs up to five operations. */
+    public static final int MAX_LEASES = 19;
+
     private final String closer;
 
     /**
@@ -60,9 +66,9 @@
         return record.state() == EntryRecord.State.CLOSING && record.closer().equals(closer);
     }
 
-    /** Sidecars that may hold receipts. */
-    public static List<String> peersOf(Row entryRow) {
-        return RowText.read(entryRow.text(), EntryRecord.class).peers();
+    /** Sidecars that may hold receipts, as the row of the entry's peers names them. */
+    public static List<String> peersOf(Row peersRow) {
+        return RowText.read(peersRow.text(), PeersRecord.class).peers();
     }
 
     /**
@@ -80,44 +86,79 @@
     }
 
     /**
-     * Settles one lease.
+     * What a closer has found out about an entry.
+     *
+     * @param peers sidecars that may hold receipts
+     * @param answers final answers of those that answered
+     * @param known items that the holder had written before it died and that are not settled
+     */
+    public record Findings(List<String> peers, List<PeerReceipts> answers, List<BillItem> known) {
+        /** Copies the lists. */
+        public Findings {
+            peers = List.copyOf(peers);
+            answers = List.copyOf(answers);
+            known = List.copyOf(known);
+        }
+
+        private List<String> silent() {
+            Set<String> silent = new TreeSet<>(peers);
+            answers.forEach(answer -> silent.remove(answer.peer()));
+            return List.copyOf(silent);
+        }
+    }
+
+    /**
+     * Settles leases.
      *
      * @param entryRow the entry's row, marked by this closer
-     * @param leaseRow the lease's row
-     * @param answers final answers of the sidecars that answered
-     * @param known items that the holder itself had written for this lease before it died
+     * @param leaseRows rows of at most {@value #MAX_LEASES} leases
      */
-    public Settlement settle(
-            Row entryRow, Row leaseRow, List<PeerReceipts> answers, List<BillItem> known, long nowMillis) {
-        String leaseId = leaseRow.key().substring(RowKeys.lease("").length());
-        String budget = RowText.read(leaseRow.text(), LeaseRecord.class).budget();
+    public Settlement settle(Row entryRow, List<Row> leaseRows, Findings findings, long nowMillis) {
+        Map<String, BillItem> items = new HashMap<>();
+        Map<String, Long> sums = new LinkedHashMap<>();
+        List<RowOperation> operations = new ArrayList<>();
+        operations.add(replaceEntryRow(entryRow, RowText.read(entryRow.text(), EntryRecord.class)));
+        long heldInAll = 0;
+        for (Row leaseRow : leaseRows) {
+            String leaseId = leaseIdOf(leaseRow);
+            String budget = RowText.read(leaseRow.text(), LeaseRecord.class).budget();
+            Map<String, BillItem> own = itemsOf(leaseId, findings, nowMillis);
+            items.putAll(own);
+            long spent = own.values().stream().mapToLong(BillItem::tokens).sum();
+            long rest = Math.max(0, leaseRow.amount() - spent);
+            long held = findings.silent().isEmpty() ? 0 : rest;
+            operations.add(new Delete(leaseRow.key(), leaseRow.version()));
+            if (held > 0) {
+                HeldRecord record = new HeldRecord(budget, leaseId, List.of(), findings.silent());
+                operations.add(new Insert(RowKeys.heldRemainder(leaseId, "rest"), held, RowText.write(record)));
+            }
+            sums.merge(RowKeys.settled(budget), spent, Long::sum);
+            sums.merge(RowKeys.remaining(budget), rest - held, Long::sum);
+            sums.merge(RowKeys.held(budget), held, Long::sum);
+            heldInAll += held;
+        }
+        sums.forEach((key, delta) -> addUnlessZero(operations, key, delta));
+        Transaction transaction = new Transaction(id(entryRow, "settle"), operations);
+        return new Settlement(transaction, List.copyOf(items.values()), heldInAll);
+    }
+
+    /** Identifier of the lease that a row stands for. */
+    public static String leaseIdOf(Row leaseRow) {
+        return leaseRow.key().substring(RowKeys.lease("").length());
+    }
+
+    private static Map<String, BillItem> itemsOf(String leaseId, Findings findings, long nowMillis) {
         Map<String, BillItem> items = new HashMap<>();
-        known.stream().filter(item -> item.lease().equals(leaseId)).forEach(item -> items.put(item.attempt(), item));
-        for (PeerReceipts answer : answers) {
+        findings.known().stream()
+                .filter(item -> item.lease().equals(leaseId))
+                .forEach(item -> items.put(item.attempt(), item));
+        for (PeerReceipts answer : findings.answers()) {
             answer.receipts().stream()
                     .filter(receipt -> receipt.leaseId().equals(leaseId))
                     .map(receipt -> billItem(receipt, answer.peer(), nowMillis))
                     .forEach(item -> items.merge(item.attempt(), item, LeaseCloser::larger));
         }
-        long spent = items.values().stream().mapToLong(BillItem::tokens).sum();
-        long rest = Math.max(0, leaseRow.amount() - spent);
-        Set<String> silent = new TreeSet<>(peersOf(entryRow));
-        answers.forEach(answer -> silent.remove(answer.peer()));
-        long held = silent.isEmpty() ? 0 : rest;
-
-        List<RowOperation> operations = new ArrayList<>();
-        EntryRecord record = RowText.read(entryRow.text(), EntryRecord.class);
-        operations.add(replaceEntryRow(entryRow, record));
-        operations.add(new Delete(leaseRow.key(), leaseRow.version()));
-        addUnlessZero(operations, RowKeys.settled(budget), spent);
-        addUnlessZero(operations, RowKeys.remaining(budget), rest - held);
-        addUnlessZero(operations, RowKeys.held(budget), held);
-        if (held > 0) {
-            HeldRecord heldRecord = new HeldRecord(budget, leaseId, List.of(), List.copyOf(silent));
-            operations.add(new Insert(RowKeys.heldRemainder(leaseId, "rest"), held, RowText.write(heldRecord)));
-        }
-        Transaction transaction = new Transaction(id(entryRow, leaseId), operations);
-        return new Settlement(transaction, List.copyOf(items.values()), held);
+        return items;
     }
 
     /** An attempt that was tried on two sidecars is billed once. */
@@ -125,9 +166,13 @@
         return one.tokens() >= other.tokens() ? one : other;
     }
 
-    /** Removes the entry's row once no lease is left. */
-    public Transaction finish(Row entryRow) {
-        return new Transaction(id(entryRow, "finish"), List.of(new Delete(entryRow.key(), entryRow.version())));
+    /** Removes the entry's rows once no lease is left. */
+    public Transaction finish(Row entryRow, Row peersRow) {
+        return new Transaction(
+                id(entryRow, "finish"),
+                List.of(
+                        new Delete(entryRow.key(), entryRow.version()),
+                        new Delete(peersRow.key(), peersRow.version())));
     }
 
     private RowOperation replaceEntryRow(Row entryRow, EntryRecord record) {
--- a/core/src/main/java/org/streamring/kernel/table/InMemoryTable.java
+++ b/core/src/main/java/org/streamring/kernel/table/InMemoryTable.java
@@ -16,7 +16,8 @@
 import org.streamring.kernel.table.TransactionResult.Rejected;
 
 /**
- * The table's contract in memory: what the stand-in of the platform serves and what tests use. Does not last; never used
+ * The table's contract in memory: what the stand-in of the platform serves and what tests use. Does not last; never
+ * used
  * by the programs themselves.
  */
 public final class InMemoryTable implements PlatformTable {
--- a/core/src/main/java/org/streamring/kernel/table/RowKeys.java
+++ b/core/src/main/java/org/streamring/kernel/table/RowKeys.java
@@ -20,6 +20,11 @@
         return ENTRIES + incarnation;
     }
 
+    /** Row that names the sidecars which one incarnation of an entry may give work to. */
+    public static String peers(String incarnation) {
+        return "peers/" + incarnation;
+    }
+
     /** Prefix of the leases of one incarnation of an entry. */
     public static String leasesOf(String incarnation) {
         return "lease/" + incarnation + "/";
--- a/entry/src/main/java/org/streamring/entry/BoxPoller.java
+++ b/entry/src/main/java/org/streamring/entry/BoxPoller.java
@@ -12,7 +12,8 @@
 import org.streamring.model.box.BackendServer;
 
 /**
- * Follows the platform's box list. The list lags and may be wrong, so a server that vanishes from it stays usable for as
+ * Follows the platform's box list. The list lags and may be wrong, so a server that vanishes from it stays usable for
+ * as
  * long as its sidecar is connected.
  */
 final class BoxPoller {
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -159,6 +159,7 @@
                 new BillArchive(platform.objects()),
                 links,
                 ledgers,
+                ledgerRunner::lastTroubleMillis,
                 settings.get(EntrySettings.SUSPECT_AFTER),
                 watchInterval);
         tasks.add(new Repeated("config", settings.get(EntrySettings.CONFIG_INTERVAL), poller::poll));
--- a/entry/src/main/java/org/streamring/entry/caller/ModelCall.java
+++ b/entry/src/main/java/org/streamring/entry/caller/ModelCall.java
@@ -61,7 +61,8 @@
     }
 
     /**
-     * Upper bound on prompt tokens. A token stands for at least one byte of text, so the body's length bounds a prompt of
+     * Upper bound on prompt tokens. A token stands for at least one byte of text, so the body's length bounds a
+     * prompt of
      * text; other content may stand for anything up to what the engine accepts.
      */
     public long promptBound(ServiceDeclaration service) {
--- a/entry/src/main/java/org/streamring/entry/ledger/LedgerRunner.java
+++ b/entry/src/main/java/org/streamring/entry/ledger/LedgerRunner.java
@@ -25,7 +25,8 @@
 import org.streamring.platform.BillArchive;
 
 /**
- * Applies the ledger's plans, one after the other, on a thread of its own. Plans are made at an interval, or at once when
+ * Applies the ledger's plans, one after the other, on a thread of its own. Plans are made at an interval, or at once
+ * when
  * a request waits. While the table does not answer, the open plan is tried again with jittered pauses.
  */
 public final class LedgerRunner {
@@ -45,6 +46,7 @@
     private final Counter rejected;
     private final Counter unanswered;
     private volatile boolean storeAway;
+    private volatile long lastTroubleMillis = -1;
     private volatile boolean stopped;
 
     /** Creates one; {@link #start} starts it. */
@@ -94,6 +96,11 @@
         }
     }
 
+    /** When the table last gave no answer, by the clock of this process; negative for never. */
+    public long lastTroubleMillis() {
+        return lastTroubleMillis;
+    }
+
     /** Whether the table does not answer. */
     public boolean storeAway() {
         return storeAway;
@@ -210,6 +217,9 @@
     }
 
     private void noteStore(boolean away) {
+        if (away) {
+            lastTroubleMillis = System.currentTimeMillis();
+        }
         if (away != storeAway) {
             LOGGER.warn("table_{}", away ? "away" : "back");
         }
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,11 @@
 public final class SidecarLinks {
     private static final Logger LOGGER = LoggerFactory.getLogger(SidecarLinks.class);
 
+    /** With 117 bytes on the wire for a heartbeat and its answer, about 1 KB/s at the default interval of 2 s. */
+    private static final int MAX_PINGS = 17;
+
+    private static final long LONGEST_ANSWER_MILLIS = 10_000;
+
     private final EventLoopGroup loops;
     private final FleetKey fleetKey;
     private final PeerIdentity own;
@@ -223,15 +229,24 @@
         links.values().forEach(link -> link.connection.ifPresent(connection -> connection.send(frame)));
     }
 
-    /** Sends a heartbeat to every sidecar, with the configuration version and what operators want of its server. */
+    /**
+     * Sends heartbeats, with the configuration version and what operators want of each server, to the sidecars that
+     * were
+     * not heard of for longest. Their number per call is bounded, so that control traffic stays bounded however many
+     * sidecars are connected; answers of requests count as signs of life. A sidecar that leaves a heartbeat
+     * unanswered is
+     * taken for lost.
+     */
     public void ping(long configVersion, Map<String, String> orders) {
-        long sequence = counter.incrementAndGet();
-        links.forEach((name, link) -> link.connection.ifPresent(connection -> connection.send(Frame.newBuilder()
-                .setPing(Ping.newBuilder()
-                        .setSequence(sequence)
-                        .setConfigVersion(configVersion)
-                        .setOrder(orders.getOrDefault(name, "start")))
-                .build())));
+        long now = now();
+        links.values().stream()
+                .filter(link -> link.connection.isPresent())
+                .sorted(Comparator.comparingLong(link -> link.quietSince(configVersion)))
+                .limit(MAX_PINGS)
+                .forEach(link -> link.ping(configVersion, orders.getOrDefault(link.server.name(), "start"), now));
+        links.values().stream()
+                .filter(link -> link.unanswered(now))
+                .forEach(link -> link.connection.ifPresent(PeerConnection::close));
     }
 
     /** Closes everything. */
@@ -247,6 +262,9 @@
         private final BackendServer server;
         private final PeerConnector connector;
         private volatile Optional<PeerConnection> connection = Optional.empty();
+        private volatile long heardMillis;
+        private volatile long pingedMillis;
+        private volatile long toldVersion;
 
         private Link(BackendServer server) {
             this.server = server;
@@ -254,6 +272,29 @@
                     new PeerConnector(loops, new InetSocketAddress(server.host(), server.port()), fleetKey, own, this);
         }
 
+        /** Those that do not know the newest version come first. */
+        private long quietSince(long configVersion) {
+            return toldVersion < configVersion ? 0 : Math.max(heardMillis, pingedMillis);
+        }
+
+        private boolean unanswered(long now) {
+            return heardMillis < pingedMillis && now - pingedMillis > LONGEST_ANSWER_MILLIS;
+        }
+
+        private void ping(long configVersion, String order, long now) {
+            if (heardMillis >= pingedMillis) {
+                pingedMillis = now;
+            }
+            toldVersion = configVersion;
+            Frame frame = Frame.newBuilder()
+                    .setPing(Ping.newBuilder()
+                            .setSequence(counter.incrementAndGet())
+                            .setConfigVersion(configVersion)
+                            .setOrder(order))
+                    .build();
+            connection.ifPresent(open -> open.send(frame));
+        }
+
         private boolean isAt(BackendServer listed) {
             return listed.host().equals(server.host()) && listed.port() == server.port();
         }
@@ -268,6 +309,8 @@
                 opened.close();
                 return;
             }
+            heardMillis = now();
+            toldVersion = 0;
             connection = Optional.of(opened);
             LOGGER.info("sidecar_connected peer={}", opened);
             String incarnation = opened.remote().incarnation();
@@ -296,6 +339,7 @@
 
         @Override
         public void received(PeerConnection from, Frame frame) {
+            heardMillis = now();
             switch (frame.getBodyCase()) {
                 case BEGIN ->
                     attempt(from, frame.getBegin().getAttempt())
--- a/entry/src/main/java/org/streamring/entry/recovery/RecoveryRunner.java
+++ b/entry/src/main/java/org/streamring/entry/recovery/RecoveryRunner.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamring.entry.ledger.LedgerHolder;
@@ -36,13 +37,15 @@
 
 /**
  * Looks, at an interval, for entries that show no sign of life and closes their leases; and for held tokens whose
- * sidecar is connected again. Which entry acts is decided by hashing over the live ones; if two act at once, the table's
+ * sidecar is connected again. Which entry acts is decided by hashing over the live ones; if two act at once, the
+ * table's
  * conditions let one of them settle.
  */
 public final class RecoveryRunner {
     private static final Logger LOGGER = LoggerFactory.getLogger(RecoveryRunner.class);
     private static final int PAGE = 500;
     private static final long ANSWER_MILLIS = 2_000;
+    private static final int ENTRIES_PER_INTERVAL = 16;
 
     private final PlatformTable table;
     private final BillArchive bills;
@@ -50,11 +53,15 @@
     private final LedgerHolder ledgers;
     private final EntryWatch watch;
     private final Duration silentAfter;
+    private final Duration interval;
+    private final LongSupplier lastTroubleMillis;
+    private long nextLookMillis;
     private final Map<String, Long> closingSince = new HashMap<>();
 
     /**
      * Creates one.
      *
+     * @param lastTroubleMillis when the table last gave no answer
      * @param suspectAfter time without a sign of life after which an entry is taken for dead
      * @param interval time between looks
      */
@@ -63,20 +70,31 @@
             BillArchive bills,
             SidecarLinks links,
             LedgerHolder ledgers,
+            LongSupplier lastTroubleMillis,
             Duration suspectAfter,
             Duration interval) {
         this.table = table;
         this.bills = bills;
         this.links = links;
         this.ledgers = ledgers;
-        this.watch = new EntryWatch(suspectAfter, interval.multipliedBy(4));
+        this.watch = new EntryWatch(suspectAfter);
         this.silentAfter = suspectAfter;
+        this.interval = interval;
+        this.lastTroubleMillis = lastTroubleMillis;
     }
 
-    /** Looks once. */
+    /**
+     * Looks, if it is time to: the more entries there are, the more seldom each of them looks, so that together they
+     * read
+     * the table at a bounded rate.
+     */
     public void look(long nowMillis) throws PlatformException {
+        if (nowMillis < nextLookMillis) {
+            return;
+        }
         List<Row> entries = scan(RowKeys.ENTRIES);
-        List<Row> suspects = watch.observe(entries, nowMillis);
+        nextLookMillis = nowMillis + interval.toMillis() * (entries.size() / ENTRIES_PER_INTERVAL);
+        List<Row> suspects = watch.observe(entries, lastTroubleMillis.getAsLong(), nowMillis);
         Set<String> live = new HashSet<>();
         entries.forEach(row -> live.add(LeaseCloser.incarnationOf(row)));
         suspects.forEach(row -> live.remove(LeaseCloser.incarnationOf(row)));
@@ -123,18 +141,25 @@
             LOGGER.info("entry_closing incarnation={}", incarnation);
         }
         long since = closingSince.computeIfAbsent(incarnation, key -> nowMillis);
-        Optional<List<PeerReceipts>> answers =
-                fenceAll(entryRow, incarnation, nowMillis - since > silentAfter.toMillis());
+        List<Row> peersRows = table.read(List.of(RowKeys.peers(incarnation)));
+        if (peersRows.isEmpty()) {
+            return;
+        }
+        boolean giveUpOnSilent = nowMillis - since > silentAfter.toMillis();
+        List<String> peers = LeaseCloser.peersOf(peersRows.get(0));
+        Optional<List<PeerReceipts>> answers = fenceAll(peers, incarnation, giveUpOnSilent);
         if (answers.isPresent()) {
-            settleAll(closer, entryRow, own, answers.get(), nowMillis);
+            List<BillItem> known = bills.takeOver(incarnation, entryRow.amount());
+            LeaseCloser.Findings findings = new LeaseCloser.Findings(peers, answers.get(), known);
+            settleAll(closer, entryRow, peersRows.get(0), findings, nowMillis);
         }
     }
 
     /** Empty if an answer is still awaited or an attempt still runs. */
-    private Optional<List<PeerReceipts>> fenceAll(Row entryRow, String incarnation, boolean giveUpOnSilent) {
+    private Optional<List<PeerReceipts>> fenceAll(List<String> peers, String incarnation, boolean giveUpOnSilent) {
         List<PeerReceipts> answers = new ArrayList<>();
         boolean wait = false;
-        for (String peer : LeaseCloser.peersOf(entryRow)) {
+        for (String peer : peers) {
             Optional<PeerReceipts> answer =
                     await(links.fence(peer, incarnation)).map(list -> new PeerReceipts(peer, list));
             if (answer.isEmpty()) {
@@ -159,28 +184,28 @@
         }
     }
 
-    private void settleAll(LeaseCloser closer, Row markedRow, String own, List<PeerReceipts> answers, long nowMillis)
+    private void settleAll(
+            LeaseCloser closer, Row markedRow, Row peersRow, LeaseCloser.Findings findings, long nowMillis)
             throws PlatformException {
         String incarnation = LeaseCloser.incarnationOf(markedRow);
-        List<BillItem> known = bills.takeOver(incarnation, markedRow.amount());
+        String own = ledgers.current().incarnation();
         Row entryRow = markedRow;
-        List<String> settled = new ArrayList<>();
-        for (Row leaseRow : scan(RowKeys.leasesOf(incarnation))) {
-            LeaseCloser.Settlement settlement = closer.settle(entryRow, leaseRow, answers, known, nowMillis);
-            String leaseId = leaseRow.key().substring(RowKeys.lease("").length());
-            bills.writeClosing(incarnation, own, leaseId, settlement.items());
+        List<Row> leaseRows = scan(RowKeys.leasesOf(incarnation));
+        for (int from = 0; from < leaseRows.size(); from += LeaseCloser.MAX_LEASES) {
+            List<Row> batch = leaseRows.subList(from, Math.min(leaseRows.size(), from + LeaseCloser.MAX_LEASES));
+            LeaseCloser.Settlement settlement = closer.settle(entryRow, batch, findings, nowMillis);
+            bills.writeClosing(incarnation, own, LeaseCloser.leaseIdOf(batch.get(0)), settlement.items());
             Optional<Row> written = committedRow(table.transact(settlement.transaction()), entryRow.key());
             if (written.isEmpty()) {
                 return;
             }
             entryRow = written.get();
-            LOGGER.info("lease_closed lease={} held={}", leaseId, settlement.held());
+            LOGGER.info("leases_closed incarnation={} leases={} held={}", incarnation, batch.size(), settlement.held());
             if (settlement.held() == 0) {
-                settled.add(leaseId);
+                links.leasesSettled(batch.stream().map(LeaseCloser::leaseIdOf).toList());
             }
         }
-        links.leasesSettled(settled);
-        if (table.transact(closer.finish(entryRow)) instanceof Committed) {
+        if (table.transact(closer.finish(entryRow, peersRow)) instanceof Committed) {
             closingSince.remove(incarnation);
             LOGGER.info("entry_closed incarnation={}", incarnation);
         }
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -415,7 +415,8 @@
     }
 
     /**
-     * The connection to the sidecar is gone, and the attempt may have run. What was set aside stays so until the sidecar
+     * The connection to the sidecar is gone, and the attempt may have run. What was set aside stays so until the
+     * sidecar
      * has told. A repeatable request of which nothing was delivered is tried elsewhere; its first attempt is then not
      * billed, because the request is billed once.
      */
@@ -452,7 +453,9 @@
         fail(Outcome.UNKNOWN, "the deadline passed while the request was running");
     }
 
-    /** The caller has gone away. Without an identifier nobody can ask for the answer again, so the work is cancelled. */
+    /**
+     * The caller has gone away. Without an identifier nobody can ask for the answer again, so the work is cancelled.
+     */
     synchronized void callerGone() {
         if (callerGone) {
             return;
--- a/integration/src/test/java/org/streamring/fleet/Fleet.java
+++ b/integration/src/test/java/org/streamring/fleet/Fleet.java
@@ -39,7 +39,8 @@
 import org.streamring.standin.service.ServiceStandin;
 
 /**
- * A small fleet: entries and sidecars as real processes, each behind fault-injecting proxies; stand-ins of the platform,
+ * A small fleet: entries and sidecars as real processes, each behind fault-injecting proxies; stand-ins of the
+ * platform,
  * engines and a plain service inside the test.
  */
 public final class Fleet implements AutoCloseable {
--- a/net/src/main/java/org/streamring/net/peer/FrameCodec.java
+++ b/net/src/main/java/org/streamring/net/peer/FrameCodec.java
@@ -14,7 +14,7 @@
     private static final int LENGTH_BYTES = 4;
     private static final int MAX_HANDSHAKE_BYTES = 1024;
     private static final int MAX_FRAME_BYTES = 8 << 20;
-    private static final int IDLE_SECONDS = 10;
+    private static final int IDLE_SECONDS = 180;
     private static final String LENGTH_DECODER = "length";
 
     private FrameCodec() {}
--- a/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
+++ b/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
@@ -11,7 +11,9 @@
 import org.streamring.net.generated.Wire.Proof;
 import org.streamring.net.peer.FleetKey.Side;
 
-/** Proves the fleet key in both directions, then hands frames to the listener. A frame before that closes the channel. */
+/**
+ * Proves the fleet key in both directions, then hands frames to the listener. A frame before that closes the channel.
+ */
 final class HandshakeHandler extends SimpleChannelInboundHandler<Frame> {
     private static final Logger LOGGER = LoggerFactory.getLogger(HandshakeHandler.class);
 
--- a/net/src/main/java/org/streamring/net/settings/DeclarationReader.java
+++ b/net/src/main/java/org/streamring/net/settings/DeclarationReader.java
@@ -98,7 +98,7 @@
                 Object beanOrClass,
                 String propertyName)
                 throws IOException {
-            mistakes.add("%s: %s: unknown key; allowed are %s"
+            mistakes.add("%s: %s.%s: unknown key; allowed are %s"
                     .formatted(
                             file,
                             context.getParser()
@@ -107,6 +107,7 @@
                                     .toString()
                                     .replace('/', '.')
                                     .substring(1),
+                            propertyName,
                             deserializer == null ? "others" : deserializer.getKnownPropertyNames()));
             parser.skipChildren();
             return true;
--- a/net/src/main/java/org/streamring/net/settings/SettingsSchema.java
+++ b/net/src/main/java/org/streamring/net/settings/SettingsSchema.java
@@ -82,15 +82,12 @@
 
     /** A Markdown table of every setting, for the reference. */
     public String describe() {
-        StringBuilder table = new StringBuilder("| setting | default | allowed | what it does |\n| --- | --- | --- | --- |\n");
+        StringBuilder table =
+                new StringBuilder("| setting | default | allowed | what it does |\n| --- | --- | --- | --- |\n");
         for (Setting<?> setting : settings()) {
             String standard = setting.defaultText().isEmpty() ? "must be given" : "`" + setting.defaultText() + "`";
             table.append("| `%s` | %s | %s | %s |%n"
-                    .formatted(
-                            setting.key(),
-                            standard,
-                            setting.allowed().replace("|", "\\|"),
-                            setting.description()));
+                    .formatted(setting.key(), standard, setting.allowed().replace("|", "\\|"), setting.description()));
         }
         return table.toString();
     }
--- a/net/src/main/java/org/streamring/platform/BillArchive.java
+++ b/net/src/main/java/org/streamring/platform/BillArchive.java
@@ -17,7 +17,8 @@
 /**
  * Itemised bills in the object store.
  *
- * <p>An entry writes a batch before the transaction that settles what it bills, under the transaction's sequence; writing
+ * <p>An entry writes a batch before the transaction that settles what it bills, under the transaction's sequence;
+ * writing
  * it again is harmless. When an incarnation is closed, its batches after its last committed transaction are void, since
  * that transaction never took effect; the closer bills what they held in batches of its own. An item is known by its
  * attempt, so that one which stands in two batches counts once.
--- a/sidecar/src/main/java/org/streamring/sidecar/backend/BackendCall.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/backend/BackendCall.java
@@ -18,7 +18,8 @@
 import org.streamring.net.generated.Wire.Submit;
 
 /**
- * One call to the backend server. Follows what it uses, and cancels it at the reserved limit, so that the reservation is
+ * One call to the backend server. Follows what it uses, and cancels it at the reserved limit, so that the reservation
+ * is
  * a bound whatever the engine does.
  */
 public final class BackendCall implements AsyncHandler<Void> {
--- a/standin/src/main/java/org/streamring/standin/experiment/MeasureCommand.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/MeasureCommand.java
@@ -86,8 +86,8 @@
 
     private void write(List<ExperimentResult> results) {
         List<String> lines = new ArrayList<>();
-        lines.add(
-                "scenario,settings,requests,false_refusals,out_of_reach,refusals,overspent,misbilled,double_bills,transactions,settle_lag_seconds");
+        lines.add("scenario,settings,requests,false_refusals,out_of_reach,refusals,"
+                + "overspent,misbilled,double_bills,transactions,settle_lag_seconds");
         results.forEach(result -> lines.add(String.join(
                 ",",
                 result.scenario().replace(",", ";"),
--- a/standin/src/main/java/org/streamring/standin/experiment/Subjects.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/Subjects.java
@@ -158,6 +158,22 @@
                 table.candidates("llm", incarnation -> true, 0), Set.of(), Set.of(), "", Candidate::load);
     }
 
+    /** Reserving and finishing on one of many budgets, with the look that follows whether something is urgent. */
+    static Runnable reserveAmong(int budgets) {
+        LeaseLedger ledger = (LeaseLedger) leases(budgets);
+        AtomicLong counter = new AtomicLong();
+        return () -> {
+            String attempt = "again-" + counter.incrementAndGet();
+            String budget = "budget-" + counter.get() % budgets;
+            if (ledger.reserve(attempt, budget, 100, 0) instanceof ReserveResult.Reserved reserved) {
+                ledger.release(reserved.reservation());
+            }
+            if (ledger.plan(0).isPresent()) {
+                ledger.abandonUnsent();
+            }
+        };
+    }
+
     static Runnable reserveAndFinish() {
         InMemoryTable table = new InMemoryTable();
         LeaseLedger ledger = new LeaseLedger("entry-1~0", "", LedgerSettings.fixed(1L << 39));
--- a/standin/src/main/java/org/streamring/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/streamring/standin/platform/PlatformStandin.java
@@ -22,7 +22,10 @@
 import org.streamring.standin.http.Exchange;
 import org.streamring.standin.http.StandinServer;
 
-/** The platform's services on one loopback port. Two keys: the fleet's may not write configuration, the operator's may. */
+/**
+ * The platform's services on one loopback port. Two keys: the fleet's may not write configuration, the operator's
+ * may.
+ */
 public final class PlatformStandin implements AutoCloseable {
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
