Say once what stood twice; notice unread orders in broken connections

Cause: reading as a newcomer: the two programs' command lines, three listening sockets and three copies of "a receipt becomes a bill item" stood twice.

Change: SettingsProgram, Listening and BillItem.of serve the copies. Random cuts now leave orders unread in the broken connection, to be read later.

--- a/core/src/main/java/org/streamring/kernel/ledger/BillItem.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/BillItem.java
@@ -1,5 +1,7 @@
 package org.streamring.kernel.ledger;
 
+import org.streamring.kernel.receipt.Receipt;
+
 /**
  * One attempt that ran, as it is billed. Two items with the same attempt are the same item.
  *
@@ -26,4 +28,25 @@
         long promptTokens,
         long answerTokens,
         long tokens,
-        long epochMillis) {}
+        long epochMillis) {
+
+    /**
+     * The item that a sidecar's receipt stands for.
+     *
+     * @param backend incarnation of the sidecar
+     */
+    public static BillItem of(Receipt receipt, String backend, long epochMillis) {
+        return new BillItem(
+                receipt.attempt(),
+                receipt.requestKey(),
+                receipt.account(),
+                receipt.budget(),
+                receipt.leaseId(),
+                receipt.service(),
+                backend,
+                receipt.usage().promptTokens(),
+                receipt.usage().answerTokens(),
+                receipt.tokens(),
+                epochMillis);
+    }
+}
--- a/core/src/main/java/org/streamring/kernel/recovery/HeldResolver.java
+++ b/core/src/main/java/org/streamring/kernel/recovery/HeldResolver.java
@@ -52,7 +52,7 @@
         List<BillItem> items = answer.receipts().stream()
                 .filter(receipt -> receipt.leaseId().equals(record.leaseId()))
                 .filter(receipt -> record.covers(receipt.attempt()) && !billed.contains(receipt.attempt()))
-                .map(receipt -> LeaseCloser.billItem(receipt, answer.peer(), nowMillis))
+                .map(receipt -> BillItem.of(receipt, answer.peer(), nowMillis))
                 .toList();
         long spent = Math.min(
                 heldRow.amount(), items.stream().mapToLong(BillItem::tokens).sum());
--- a/core/src/main/java/org/streamring/kernel/recovery/LeaseCloser.java
+++ b/core/src/main/java/org/streamring/kernel/recovery/LeaseCloser.java
@@ -12,7 +12,6 @@
 import org.streamring.kernel.ledger.HeldRecord;
 import org.streamring.kernel.ledger.LeaseRecord;
 import org.streamring.kernel.ledger.PeersRecord;
-import org.streamring.kernel.receipt.Receipt;
 import org.streamring.kernel.table.Row;
 import org.streamring.kernel.table.RowKeys;
 import org.streamring.kernel.table.RowOperation;
@@ -155,7 +154,7 @@
         for (PeerReceipts answer : findings.answers()) {
             answer.receipts().stream()
                     .filter(receipt -> receipt.leaseId().equals(leaseId))
-                    .map(receipt -> billItem(receipt, answer.peer(), nowMillis))
+                    .map(receipt -> BillItem.of(receipt, answer.peer(), nowMillis))
                     .forEach(item -> items.merge(item.attempt(), item, LeaseCloser::larger));
         }
         return items;
@@ -183,22 +182,6 @@
         return closer + ":close:" + step + "@" + entryRow.version();
     }
 
-    /** The bill item that a receipt stands for. */
-    static BillItem billItem(Receipt receipt, String peer, long nowMillis) {
-        return new BillItem(
-                receipt.attempt(),
-                receipt.requestKey(),
-                receipt.account(),
-                receipt.budget(),
-                receipt.leaseId(),
-                receipt.service(),
-                peer,
-                receipt.usage().promptTokens(),
-                receipt.usage().answerTokens(),
-                receipt.tokens(),
-                nowMillis);
-    }
-
     static void addUnlessZero(List<RowOperation> operations, String key, long delta) {
         if (delta != 0) {
             operations.add(new Add(key, delta, 0));
--- a/core/src/test/java/org/streamring/kernel/recovery/MoneyUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/recovery/MoneyUnderFaultsTest.java
@@ -271,9 +271,15 @@
 
     private void toggleCut() {
         String name = pick(new ArrayList<>(sidecars.keySet()));
-        if (!cutOff.remove(name)) {
-            cutOff.add(name);
+        if (cutOff.remove(name)) {
+            return;
         }
+        cutOff.add(name);
+        // Orders on their way may lie unread in the broken connection; their entries no longer know what becomes of
+        // them.
+        work.stream()
+                .filter(one -> one.sidecar.equals(name) && !one.running && !one.done)
+                .forEach(one -> one.entry.ledger.markUncertain(one.reservation, name));
     }
 
     /** Any entry's row may be closed: its holder may be dead, or only taken for dead. */
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -48,13 +48,14 @@
 import org.streamring.net.peer.PeerIdentity;
 import org.streamring.net.process.AdminServer;
 import org.streamring.net.process.Incarnations;
+import org.streamring.net.process.SettingsProgram;
 import org.streamring.net.process.WorkerPool;
 import org.streamring.net.settings.SettingValues;
 import org.streamring.platform.BillArchive;
 import org.streamring.platform.PlatformProvider;
 
 /** An entry, put together from its parts; also usable inside a test. */
-public final class EntryProcess implements AutoCloseable {
+public final class EntryProcess implements AutoCloseable, SettingsProgram.Running {
     private static final Logger LOGGER = LoggerFactory.getLogger(EntryProcess.class);
     private static final int LOOPS = 2;
     private static final int WORKER_QUEUE = 1024;
@@ -239,6 +240,7 @@
     }
 
     /** Stops in order: no new calls, open ones finish, leases go back, then everything closes. */
+    @Override
     public void stopInOrder() {
         stopping = true;
         LOGGER.info("entry_stopping open_requests={}", coordinator.open());
--- a/entry/src/main/java/org/streamring/entry/recovery/UncertainResolver.java
+++ b/entry/src/main/java/org/streamring/entry/recovery/UncertainResolver.java
@@ -42,23 +42,11 @@
             if (receipt == null) {
                 ledger.release(reservation);
             } else if (receipt.ended()) {
-                ledger.finish(reservation, item(receipt, sidecarIncarnation), System.currentTimeMillis());
+                ledger.finish(
+                        reservation,
+                        BillItem.of(receipt, sidecarIncarnation, System.currentTimeMillis()),
+                        System.currentTimeMillis());
             }
         }
     }
-
-    private static BillItem item(Receipt receipt, String sidecarIncarnation) {
-        return new BillItem(
-                receipt.attempt(),
-                receipt.requestKey(),
-                receipt.account(),
-                receipt.budget(),
-                receipt.leaseId(),
-                receipt.service(),
-                sidecarIncarnation,
-                receipt.usage().promptTokens(),
-                receipt.usage().answerTokens(),
-                receipt.tokens(),
-                System.currentTimeMillis());
-    }
 }
--- a/net/src/main/java/org/streamring/net/peer/PeerServer.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerServer.java
@@ -1,46 +1,32 @@
 package org.streamring.net.peer;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import org.streamring.net.peer.FleetKey.Side;
+import org.streamring.net.process.Listening;
 
 /** Accepts connections from other processes of the fleet. */
 public final class PeerServer {
-    private final Channel channel;
+    private final Listening listening;
 
     /** Starts to listen. */
     public PeerServer(
             EventLoopGroup loops, InetSocketAddress address, FleetKey fleetKey, PeerIdentity own, PeerListener listener)
             throws PeerException {
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(loops)
-                .channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel child) {
-                        FrameCodec.install(child, new HandshakeHandler(Side.ACCEPTING, fleetKey, own, listener));
-                    }
-                });
-        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new PeerException("listen", address.toString(), String.valueOf(bound.cause()));
-        }
-        channel = bound.channel();
+        listening = new Listening(
+                loops,
+                address,
+                accepted ->
+                        FrameCodec.install(accepted, new HandshakeHandler(Side.ACCEPTING, fleetKey, own, listener)));
     }
 
     /** Port in use. */
     public int port() {
-        return ((InetSocketAddress) channel.localAddress()).getPort();
+        return listening.port();
     }
 
     /** Stops to listen; open connections stay. */
     public void close() {
-        channel.close().awaitUninterruptibly();
+        listening.close();
     }
 }
--- a/net/src/main/java/org/streamring/net/process/AdminServer.java
+++ b/net/src/main/java/org/streamring/net/process/AdminServer.java
@@ -1,17 +1,11 @@
 package org.streamring.net.process;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -28,7 +22,7 @@
 public final class AdminServer {
     private static final int MAX_BODY_BYTES = 1024;
 
-    private final Channel channel;
+    private final Listening listening;
     private final PrometheusMeterRegistry metrics;
     private final BooleanSupplier ready;
 
@@ -38,28 +32,13 @@
             throws PeerException {
         this.metrics = metrics;
         this.ready = ready;
-        ChannelFuture bound = new ServerBootstrap()
-                .group(loops)
-                .channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel child) {
-                        child.pipeline()
-                                .addLast(
-                                        new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
-                    }
-                })
-                .bind(address)
-                .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new PeerException("listen", address.toString(), String.valueOf(bound.cause()));
-        }
-        channel = bound.channel();
+        listening = new Listening(loops, address, accepted -> accepted.pipeline()
+                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler()));
     }
 
     /** Port in use. */
     public int port() {
-        return ((InetSocketAddress) channel.localAddress()).getPort();
+        return listening.port();
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/sidecar/src/main/java/org/streamring/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/SidecarProcess.java
@@ -17,12 +17,13 @@
 import org.streamring.net.peer.PeerServer;
 import org.streamring.net.process.AdminServer;
 import org.streamring.net.process.Incarnations;
+import org.streamring.net.process.SettingsProgram;
 import org.streamring.net.settings.SettingValues;
 import org.streamring.sidecar.backend.BackendClient;
 import org.streamring.sidecar.backend.BackendSettings;
 
 /** A sidecar, put together from its parts; also usable inside a test. */
-public final class SidecarProcess implements AutoCloseable {
+public final class SidecarProcess implements AutoCloseable, SettingsProgram.Running {
     private static final Logger LOGGER = LoggerFactory.getLogger(SidecarProcess.class);
     private static final int LOOPS = 2;
     private static final long TIDY_MILLIS = 200;
@@ -95,6 +96,7 @@
     }
 
     /** Stops in order: no new work, open attempts finish, their receipts are settled, then everything closes. */
+    @Override
     public void stopInOrder() {
         frames.leaveForGood();
         LOGGER.info("sidecar_stopping running={}", book.running());
