--- /dev/null
+++ b/entry/src/main/java/org/streamring/entry/peer/ReceiptQueries.java
@@ -0,0 +1,87 @@
+package org.streamring.entry.peer;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.streamring.kernel.receipt.Receipt;
+import org.streamring.kernel.receipt.Usage;
+import org.streamring.net.generated.Wire.FenceQuery;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.ReceiptQuery;
+import org.streamring.net.generated.Wire.ReceiptRecord;
+import org.streamring.net.generated.Wire.ReceiptReply;
+import org.streamring.net.peer.PeerConnection;
+
+/** Questions to sidecars for their receipts. A question whose connection is lost is cancelled. */
+final class ReceiptQueries {
+    private final Map<Long, Open> queries = new ConcurrentHashMap<>();
+    private final AtomicLong counter = new AtomicLong();
+
+    private record Open(PeerConnection connection, CompletableFuture<List<Receipt>> answer) {}
+
+    CompletableFuture<List<Receipt>> fence(Optional<PeerConnection> sidecar, String entryIncarnation) {
+        return ask(sidecar, query -> Frame.newBuilder()
+                .setFenceQuery(FenceQuery.newBuilder().setQuery(query).setEntryIncarnation(entryIncarnation))
+                .build());
+    }
+
+    CompletableFuture<List<Receipt>> receipts(Optional<PeerConnection> sidecar, Collection<String> attempts) {
+        return ask(sidecar, query -> Frame.newBuilder()
+                .setReceiptQuery(ReceiptQuery.newBuilder().setQuery(query).addAllAttempts(attempts))
+                .build());
+    }
+
+    private CompletableFuture<List<Receipt>> ask(Optional<PeerConnection> sidecar, LongFunction<Frame> toFrame) {
+        CompletableFuture<List<Receipt>> answer = new CompletableFuture<>();
+        if (sidecar.isEmpty()) {
+            answer.cancel(false);
+            return answer;
+        }
+        long query = counter.incrementAndGet();
+        queries.put(query, new Open(sidecar.get(), answer));
+        if (!sidecar.get().send(toFrame.apply(query))) {
+            queries.remove(query);
+            answer.cancel(false);
+        }
+        return answer;
+    }
+
+    /** Takes in an answer; false if nobody asked. */
+    boolean answered(ReceiptReply reply) {
+        Open open = queries.remove(reply.getQuery());
+        if (open == null) {
+            return false;
+        }
+        open.answer()
+                .complete(reply.getReceiptsList().stream()
+                        .map(ReceiptQueries::toReceipt)
+                        .toList());
+        return true;
+    }
+
+    void connectionLost(PeerConnection lost) {
+        queries.forEach((query, open) -> {
+            if (open.connection() == lost && queries.remove(query, open)) {
+                open.answer().cancel(false);
+            }
+        });
+    }
+
+    private static Receipt toReceipt(ReceiptRecord record) {
+        return new Receipt(
+                record.getAttempt(),
+                record.getRequestKey(),
+                record.getAccount(),
+                record.getBudget(),
+                record.getLeaseId(),
+                record.getService(),
+                record.getReservedTokens(),
+                new Usage(record.getPromptTokens(), record.getAnswerTokens(), record.getTokens()),
+                record.getEnded());
+    }
+}
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -17,19 +17,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamring.kernel.receipt.Receipt;
-import org.streamring.kernel.receipt.Usage;
 import org.streamring.kernel.routing.LoadReport;
 import org.streamring.kernel.routing.ReplicaTable;
 import org.streamring.model.box.BackendServer;
 import org.streamring.net.generated.Wire.Cancel;
-import org.streamring.net.generated.Wire.FenceQuery;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.LeasesSettled;
 import org.streamring.net.generated.Wire.Load;
 import org.streamring.net.generated.Wire.Ping;
-import org.streamring.net.generated.Wire.ReceiptQuery;
-import org.streamring.net.generated.Wire.ReceiptRecord;
-import org.streamring.net.generated.Wire.ReceiptReply;
 import org.streamring.net.generated.Wire.Submit;
 import org.streamring.net.peer.FleetKey;
 import org.streamring.net.peer.PeerConnection;
@@ -53,9 +48,8 @@
     private final Counter dropped;
     private final Map<String, Link> links = new ConcurrentHashMap<>();
     private final Map<String, OpenAttempt> attempts = new ConcurrentHashMap<>();
-    private final Map<Long, CompletableFuture<List<Receipt>>> queries = new ConcurrentHashMap<>();
-    private final Map<String, List<Long>> queriesOfPeer = new ConcurrentHashMap<>();
-    private final AtomicLong counter = new AtomicLong();
+    private final ReceiptQueries queries = new ReceiptQueries();
+    private final AtomicLong pings = new AtomicLong();
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
 
     /** Told of sidecars that come and go, on an event loop. */
@@ -182,40 +176,12 @@
 
     /** Fences an entry at a sidecar and asks for its receipts. */
     public CompletableFuture<List<Receipt>> fence(String sidecarIncarnation, String entryIncarnation) {
-        return query(sidecarIncarnation, query -> Frame.newBuilder()
-                .setFenceQuery(FenceQuery.newBuilder().setQuery(query).setEntryIncarnation(entryIncarnation))
-                .build());
+        return queries.fence(connectionTo(sidecarIncarnation), entryIncarnation);
     }
 
     /** Asks for the receipts of single attempts. */
     public CompletableFuture<List<Receipt>> receipts(String sidecarIncarnation, Collection<String> attemptIds) {
-        return query(sidecarIncarnation, query -> Frame.newBuilder()
-                .setReceiptQuery(ReceiptQuery.newBuilder().setQuery(query).addAllAttempts(attemptIds))
-                .build());
-    }
-
-    @FunctionalInterface
-    private interface QueryFrame {
-        Frame frame(long query);
-    }
-
-    private CompletableFuture<List<Receipt>> query(String sidecarIncarnation, QueryFrame toFrame) {
-        Optional<PeerConnection> connection = connectionTo(sidecarIncarnation);
-        CompletableFuture<List<Receipt>> answer = new CompletableFuture<>();
-        if (connection.isEmpty()) {
-            answer.cancel(false);
-            return answer;
-        }
-        long query = counter.incrementAndGet();
-        queries.put(query, answer);
-        queriesOfPeer
-                .computeIfAbsent(sidecarIncarnation, key -> new CopyOnWriteArrayList<>())
-                .add(query);
-        if (!connection.get().send(toFrame.frame(query))) {
-            queries.remove(query);
-            answer.cancel(false);
-        }
-        return answer;
+        return queries.receipts(connectionTo(sidecarIncarnation), attemptIds);
     }
 
     /** Tells all sidecars that leases are settled. */
@@ -288,7 +254,7 @@
             toldVersion = configVersion;
             Frame frame = Frame.newBuilder()
                     .setPing(Ping.newBuilder()
-                            .setSequence(counter.incrementAndGet())
+                            .setSequence(pings.incrementAndGet())
                             .setConfigVersion(configVersion)
                             .setOrder(order))
                     .build();
@@ -327,7 +293,7 @@
             LOGGER.info("sidecar_disconnected peer={}", closed);
             replicas.disconnected(server.name());
             String incarnation = closed.remote().incarnation();
-            failQueries(incarnation);
+            queries.connectionLost(closed);
             attempts.forEach((id, open) -> {
                 if (open.connection() == closed && attempts.remove(id, open)) {
                     replicas.ended(server.name(), true, now());
@@ -350,7 +316,11 @@
                 case END -> ended(from, frame);
                 case REFUSED -> refused(from, frame);
                 case PONG -> reported(frame.getPong().getLoad());
-                case RECEIPT_REPLY -> answered(frame.getReceiptReply());
+                case RECEIPT_REPLY -> {
+                    if (!queries.answered(frame.getReceiptReply())) {
+                        dropped.increment();
+                    }
+                }
                 default -> dropped.increment();
             }
         }
@@ -391,41 +361,4 @@
             }
         }
     }
-
-    private void failQueries(String incarnation) {
-        List<Long> open = queriesOfPeer.remove(incarnation);
-        if (open == null) {
-            return;
-        }
-        for (Long query : open) {
-            CompletableFuture<List<Receipt>> answer = queries.remove(query);
-            if (answer != null) {
-                answer.cancel(false);
-            }
-        }
-    }
-
-    private void answered(ReceiptReply reply) {
-        CompletableFuture<List<Receipt>> answer = queries.remove(reply.getQuery());
-        queriesOfPeer.values().forEach(open -> open.remove((Long) reply.getQuery()));
-        if (answer == null) {
-            dropped.increment();
-            return;
-        }
-        answer.complete(
-                reply.getReceiptsList().stream().map(SidecarLinks::toReceipt).toList());
-    }
-
-    private static Receipt toReceipt(ReceiptRecord record) {
-        return new Receipt(
-                record.getAttempt(),
-                record.getRequestKey(),
-                record.getAccount(),
-                record.getBudget(),
-                record.getLeaseId(),
-                record.getService(),
-                record.getReservedTokens(),
-                new Usage(record.getPromptTokens(), record.getAnswerTokens(), record.getTokens()),
-                record.getEnded());
-    }
 }
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -13,7 +13,6 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.entry.caller.AnswerSink;
 import org.streamring.entry.peer.AttemptListener;
-import org.streamring.kernel.ledger.BillItem;
 import org.streamring.kernel.ledger.LeaseLedger;
 import org.streamring.kernel.ledger.Reservation;
 import org.streamring.kernel.ledger.ReserveResult;
@@ -278,41 +277,14 @@
         tries++;
         triedServers.add(candidate.server().name());
         triedDomains.add(candidate.server().failureDomain());
-        submitted = services.links().submit(candidate.server().name(), submitFrame(candidate, reservation), this);
+        long leftMillis = request().deadline().toMillis() - (now() - startedMillis);
+        Submit frame = AttemptMessages.submit(request(), reservation, candidate.incarnation(), leftMillis);
+        submitted = services.links().submit(candidate.server().name(), frame, this);
         if (!submitted) {
             retryOrRefuse(RefusalReason.NO_BACKEND);
         }
     }
 
-    private Submit submitFrame(Candidate candidate, Reservation reserved) {
-        AdmittedRequest admitted = request();
-        long left = admitted.deadline().toMillis() - (now() - startedMillis);
-        return Submit.newBuilder()
-                .setAttempt(reserved.attempt())
-                .setEntryIncarnation(currentLedger().incarnation())
-                .setSidecarIncarnation(candidate.incarnation())
-                .setRequestKey(admitted.requestKey())
-                .setBodyHash(admitted.bodyHash())
-                .setAccount(admitted.account())
-                .setBudget(admitted.budget())
-                .setLeaseId(reserved.leaseId())
-                .setService(admitted.service())
-                .setReservedTokens(reserved.tokens())
-                .setRepeatable(admitted.repeatable())
-                .setKeepAnswer(admitted.keyed())
-                .setRank(admitted.rank())
-                .setDeadlineMillis(left)
-                .setModel(admitted.model())
-                .setCallTokens(admitted.callTokens())
-                .setMethod(admitted.call().method())
-                .setPath(admitted.path())
-                .addAllHeaders(admitted.call().headers())
-                .setBody(admitted.body())
-                .setStream(admitted.stream())
-                .setShowUsage(admitted.showUsage())
-                .build();
-    }
-
     /** Only for a request that is known not to run where it was last sent. */
     private void retryOrRefuse(RefusalReason reason) {
         submitted = false;
@@ -375,29 +347,14 @@
             return;
         }
         if (end.getBilled()) {
-            ledger.finish(reservation, billItem(end, reservation), now());
+            String backend = target == null ? "" : target.incarnation();
+            ledger.finish(reservation, AttemptMessages.billItem(request(), reservation, backend, end, now()), now());
         } else {
             ledger.release(reservation);
         }
         reservation = null;
     }
 
-    private BillItem billItem(End end, Reservation reserved) {
-        AdmittedRequest admitted = request();
-        return new BillItem(
-                reserved.attempt(),
-                admitted.requestKey(),
-                admitted.account(),
-                admitted.budget(),
-                reserved.leaseId(),
-                admitted.service(),
-                target == null ? "" : target.incarnation(),
-                end.getPromptTokens(),
-                end.getAnswerTokens(),
-                end.getTokens(),
-                now());
-    }
-
     @Override
     public synchronized void refused(Refused refused) {
         if (refused.getRanBefore()) {
