--- a/cli/src/main/java/org/streamring/cli/OperatorMain.java
+++ b/cli/src/main/java/org/streamring/cli/OperatorMain.java
@@ -4,10 +4,15 @@
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 
 /** The operator's program. */
 public final class OperatorMain {
+    private static final String HELP_COMMAND = "help";
+    private static final String HELP_OPTION = "--help";
+
     private OperatorMain() {}
 
     /** Runs a command. */
@@ -17,8 +22,16 @@
 
     /** Runs a command and returns its exit code. */
     public static int run(String... arguments) {
+        List<String> words = List.of(arguments);
+        if (words.contains(HELP_OPTION)) {
+            return help(words.subList(0, words.indexOf(HELP_OPTION)));
+        }
         try {
             Object command = commandLine().parse(arguments);
+            if (command instanceof Help && !words.isEmpty() && !words.get(0).equals(HELP_COMMAND)) {
+                System.err.println("unknown command: " + String.join(" ", words) + "; see 'streamring help'");
+                return ExitCode.BAD_INPUT;
+            }
             if (command instanceof Callable<?> callable) {
                 Object code = callable.call();
                 return code instanceof Integer number ? number : ExitCode.OK;
@@ -34,6 +47,12 @@
         }
     }
 
+    private static int help(List<String> command) {
+        List<String> words = new ArrayList<>(List.of(HELP_COMMAND));
+        command.stream().filter(word -> !word.startsWith("-")).forEach(words::add);
+        return run(words.toArray(String[]::new));
+    }
+
     private static Cli<Object> commandLine() {
         CliBuilder<Object> builder = Cli.builder("streamring")
                 .withDescription("Operates a streamring fleet")
--- /dev/null
+++ b/integration/src/test/java/org/streamring/integration/OperatorCommandTest.java
@@ -0,0 +1,134 @@
+package org.streamring.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.streamring.cli.OperatorMain;
+import org.streamring.fleet.Fleet;
+import org.streamring.standin.platform.PlatformFaults;
+import org.streamring.standin.platform.PlatformStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class OperatorCommandTest {
+    private static final String EXAMPLE =
+            Fleet.root().resolve("examples/sebeta.toml").toString();
+
+    private PlatformStandin platform;
+    private String output;
+
+    @BeforeMethod
+    public void startPlatform() {
+        platform = new PlatformStandin(0, Fleet.PLATFORM_KEY, Fleet.OPERATOR_KEY);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopPlatform() {
+        platform.close();
+    }
+
+    private int run(String... words) {
+        return runWithKey(Fleet.OPERATOR_KEY, words);
+    }
+
+    private int runWithKey(String key, String... words) {
+        List<String> arguments = new ArrayList<>(List.of(words));
+        arguments.addAll(List.of("--platform", platform.url(), "--operator-key", key, "--author", "tester"));
+        PrintStream before = System.out;
+        ByteArrayOutputStream captured = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(captured, true, StandardCharsets.UTF_8));
+        try {
+            return OperatorMain.run(arguments.toArray(String[]::new));
+        } finally {
+            System.setOut(before);
+            output = captured.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    @Test
+    public void declarationsAreAppliedOnceAndAudited() {
+        assertThat(run("apply", "--expect-version", "0", EXAMPLE)).isZero();
+        assertThat(output).contains("version 1");
+        assertThat(run("apply", EXAMPLE)).isZero();
+        assertThat(output).contains("nothing to change");
+        assertThat(run("audit", "--output", "json")).isZero();
+        assertThat(output).contains("tester", "0 -> 1");
+    }
+
+    @Test
+    public void anotherVersionThanExpectedIsAConflict() {
+        run("apply", EXAMPLE);
+        assertThat(run("apply", "--expect-version", "7", EXAMPLE)).isEqualTo(3);
+    }
+
+    @Test
+    public void budgetsAreShownAndToppedUp() {
+        run("apply", EXAMPLE);
+        assertThat(run("budget", "top-up", "--budget", "trial", "--tokens", "50"))
+                .isZero();
+        assertThat(run("budget", "show", "trial", "--output", "json")).isZero();
+        assertThat(output).contains("\"granted\" : \"150\"", "\"remaining\" : \"150\"");
+        assertThat(run("budget", "top-up", "--budget", "none", "--tokens", "50"))
+                .isEqualTo(5);
+        assertThat(run("budget", "top-up", "--budget", "trial", "--tokens", "-500"))
+                .as("more than remains")
+                .isEqualTo(5);
+    }
+
+    @DataProvider
+    public Object[][] badInput() throws IOException {
+        Path bad = Files.createTempFile("bad", ".toml");
+        Files.writeString(bad, "[policies.p]\nadmit = \"colour == 1\"\n");
+        return new Object[][] {
+            {new String[] {"check", bad.toString()}},
+            {new String[] {"check", "no-such-file.toml"}},
+            {new String[] {"no-such-command"}},
+            {new String[] {"budget", "top-up", "--tokens", "5"}},
+            {new String[] {"budget", "top-up", "--budget", "trial", "--tokens", "many"}},
+        };
+    }
+
+    @Test(dataProvider = "badInput")
+    public void badInputIsToldByItsExitCode(String... words) {
+        assertThat(run(words)).isEqualTo(2);
+    }
+
+    @DataProvider
+    public Object[][] commands() {
+        return new Object[][] {
+            {List.of("apply"), "--expect-version"},
+            {List.of("budget", "top-up"), "--tokens"},
+            {List.of("audit"), "--after"},
+        };
+    }
+
+    @Test(dataProvider = "commands")
+    public void everyCommandHasHelp(List<String> command, String option) {
+        List<String> words = new ArrayList<>(command);
+        words.add("--help");
+        assertThat(run(words.toArray(String[]::new))).isZero();
+        assertThat(output).contains(option);
+    }
+
+    @Test
+    public void theFleetsKeyMayNotChangeTheConfiguration() {
+        assertThat(runWithKey(Fleet.PLATFORM_KEY, "apply", EXAMPLE)).isEqualTo(4);
+        assertThat(run("status", "--output", "json")).isZero();
+        assertThat(output).contains("\"version\" : \"0\"");
+    }
+
+    @Test
+    public void anUnreachablePlatformIsToldByItsExitCode() {
+        platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
+        assertThat(run("status")).isEqualTo(4);
+    }
+}
