Give back a lease that arrives while the entry stops

Cause: a plan whose answer was lost stays open. If it takes a lease and the process is told to stop meanwhile, the lease arrives after all leases were marked for draining, is not marked itself, and stays open until the stop gives up after stop.wait. If it was the only lease, the stop did not even wait: it looked at open leases, not at open plans.

Ruled out: bills and settled sums agreed in the failing run, so nothing was spent or lost from the ledger; the stop's own retry over lost answers works (the lease that was open before settled).

--- a/core/src/main/java/org/streamring/kernel/ledger/BudgetLeases.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/BudgetLeases.java
@@ -229,6 +229,9 @@
         if (!lease.takesReservations()) {
             return lease.draining();
         }
+        if (stopping) {
+            return true;
+        }
         boolean old = nowMillis - lease.openedMillis() >= settings.settleAfter().toMillis();
         boolean otherCovers = freeTokens() - lease.free() >= Math.max(typicalWorst, coverTokens(nowMillis) / 2);
         boolean idle = nowMillis - lastUsedMillis() >= idleReturn().toMillis();
@@ -241,7 +244,10 @@
         return leases.stream().mapToLong(Lease::lastUsedMillis).max().orElse(0);
     }
 
-    /** Marks every lease, for a planned stop; no further one is taken. */
+    /**
+     * From now on every lease drains, for a planned stop, also one that an open plan still brings; no further one is
+     * taken.
+     */
     void drainAll() {
         stopping = true;
         leases.forEach(Lease::drain);
--- a/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
@@ -185,6 +185,12 @@
                 .sum();
     }
 
+    /** Whether nothing is held in leases and no open plan can still bring one. */
+    public synchronized boolean isSettled() {
+        boolean mayArrive = pending != null && !pending.taken().isEmpty();
+        return openLeases() == 0 && !mayArrive;
+    }
+
     /** Drains every lease, for a planned stop; plans then settle them as attempts end. */
     public synchronized void drainAll() {
         stopping = true;
--- a/core/src/test/java/org/streamring/kernel/ledger/LeaseLedgerTest.java
+++ b/core/src/test/java/org/streamring/kernel/ledger/LeaseLedgerTest.java
@@ -216,6 +216,32 @@
         assertThat(bank.remaining(BUDGET)).isEqualTo(10_000 - 20 * 90);
     }
 
+    @Test(dataProvider = "faults")
+    public void aLeaseThatArrivesWhileStoppingGoesBack(List<Fault> faults) {
+        Reservation reservation = driver.reserve(BUDGET, 100, 0).orElseThrow();
+        driver.finish(reservation, 60, 0);
+        driver.tryReserve(BUDGET, 9_000, 0);
+        driver.table.next(faults.toArray(Fault[]::new));
+        driver.step(0);
+        driver.ledger.drainAll();
+        driver.settleDown(2_500);
+        driver.table.deliverLate();
+        assertThat(bank.rows("lease/")).isEmpty();
+        assertThat(bank.remaining(BUDGET)).isEqualTo(9_940);
+    }
+
+    @Test
+    public void aStoppingLedgerIsNotSettledWhileALeaseMayStillArrive() {
+        driver.tryReserve(BUDGET, 100, 0);
+        driver.table.next(LOST_ANSWER);
+        driver.step(0);
+        driver.ledger.drainAll();
+        assertThat(driver.ledger.isSettled()).isFalse();
+        driver.settleDown(2_500);
+        assertThat(driver.ledger.isSettled()).isTrue();
+        assertThat(bank.remaining(BUDGET)).isEqualTo(10_000);
+    }
+
     @Test
     public void runningAttemptsKeepTheirLeaseOpen() {
         assertThat(driver.reserve(BUDGET, 100, 0)).isPresent();
--- a/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
+++ b/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
@@ -42,6 +42,21 @@
         assertThat(response.headers().firstValue("Retry-After")).isPresent();
     }
 
+    @Test
+    public void aStopGivesBackALeaseWhoseAnswerWasLost() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.platform.setFaults(new PlatformFaults(false, 0, 1, false, 0));
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.CREWS, 20, false, "");
+        assertThat(Fleet.outcome(response)).isEqualTo("not-run");
+        eventually("the lease is taken in the table").until(() -> fleet.leased("installers") > 0);
+        fleet.entries.get("entry-1").askToStop();
+        eventually("the stop has begun")
+                .until(() -> fleet.entries.get("entry-1").log().contains("entry_stopping"));
+        fleet.platform.setFaults(PlatformFaults.NONE);
+        fleet.stopEntries();
+        assertBilledIsWhatRan();
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
