Try policies on sample requests before they come into force

Cause: a policy could be checked for form only; what it decides showed when requests met it. Accounts could be listed, but not looked at one by one, and keys had to be made by hand.

Ruled out: evaluating against the fleet's real candidates (needs the platform and gives another answer each time).

`account show`, `account new-key`.

Before: no such command.

--- a/cli/src/main/java/org/streamring/cli/DeclarationCommands.java
+++ b/cli/src/main/java/org/streamring/cli/DeclarationCommands.java
@@ -8,9 +8,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.streamring.kernel.config.ChangeSplitter;
 import org.streamring.kernel.config.ConfigItem;
 import org.streamring.kernel.config.DeclarationDiff;
+import org.streamring.kernel.policy.CompiledPolicy;
 import org.streamring.kernel.policy.PolicyCompiler;
 import org.streamring.kernel.policy.PolicyException;
 import org.streamring.kernel.table.PlatformException;
@@ -32,12 +34,19 @@
         Declarations declarations() throws SettingsException {
             Declarations declared =
                     DeclarationReader.read(files.stream().map(Path::of).toList());
+            compile(declared);
+            return declared;
+        }
+
+        /** Compiles all policies; every one that can't be compiled is reported. */
+        Map<String, CompiledPolicy> compile(Declarations declared) throws SettingsException {
+            Map<String, CompiledPolicy> compiled = new TreeMap<>();
             List<String> mistakes = new ArrayList<>();
             PolicyCompiler compiler = PolicyCompiler.load();
             for (Map.Entry<String, PolicyDeclaration> policy :
                     declared.policies().entrySet()) {
                 try {
-                    compiler.compile(policy.getKey(), policy.getValue());
+                    compiled.put(policy.getKey(), compiler.compile(policy.getKey(), policy.getValue()));
                 } catch (PolicyException e) {
                     mistakes.add("policies." + e.getMessage());
                 }
@@ -45,7 +54,7 @@
             if (!mistakes.isEmpty()) {
                 throw new SettingsException(files.toString(), mistakes);
             }
-            return declared;
+            return compiled;
         }
     }
 
--- a/cli/src/main/java/org/streamring/cli/OperatorMain.java
+++ b/cli/src/main/java/org/streamring/cli/OperatorMain.java
@@ -70,7 +70,12 @@
                 .withCommand(BudgetCommands.TopUp.class)
                 .withCommand(BudgetCommands.Held.class)
                 .withCommand(BudgetCommands.DecideHeld.class);
-        builder.withGroup("account").withDescription("Client accounts").withCommand(ViewCommands.Accounts.class);
+        builder.withGroup("account")
+                .withDescription("Client accounts")
+                .withCommand(AccountCommands.ListAll.class)
+                .withCommand(AccountCommands.Show.class)
+                .withCommand(AccountCommands.NewKey.class);
+        builder.withGroup("policy").withDescription("Policies").withCommand(PolicyCommands.Test.class);
         builder.withGroup("backend")
                 .withDescription("Backend servers")
                 .withCommand(BackendCommands.Start.class)
--- a/cli/src/main/java/org/streamring/cli/ViewCommands.java
+++ b/cli/src/main/java/org/streamring/cli/ViewCommands.java
@@ -80,28 +80,6 @@
         }
     }
 
-    /** Shows client accounts. */
-    @Command(name = "list", description = "Show client accounts")
-    public static final class Accounts extends OperatorCommand {
-        @Override
-        void execute() throws CommandException, SettingsException, PlatformException {
-            withPlatform((client, services) -> {
-                Report report = new Report("account", "budget", "class", "services", "max_concurrent", "per_second");
-                client.state()
-                        .declarations()
-                        .accounts()
-                        .forEach((name, account) -> report.row(
-                                name,
-                                account.budget(),
-                                account.priorityClass(),
-                                account.services(),
-                                account.maxConcurrent(),
-                                account.requestsPerSecond()));
-                print(report);
-            });
-        }
-    }
-
     /** Shows bills. */
     @Command(name = "bills", description = "Show what was billed, an item per request, each once")
     public static final class Bills extends OperatorCommand {
--- a/entry/src/main/java/org/streamring/entry/request/RequestAdmitter.java
+++ b/entry/src/main/java/org/streamring/entry/request/RequestAdmitter.java
@@ -9,11 +9,11 @@
 import org.streamring.entry.caller.RefusedException;
 import org.streamring.entry.config.PolicyBook;
 import org.streamring.kernel.policy.CompiledPolicy;
+import org.streamring.kernel.policy.PolicyDecision;
 import org.streamring.kernel.policy.PolicyException;
 import org.streamring.kernel.policy.PolicyInput;
 import org.streamring.model.declaration.AccountDeclaration;
 import org.streamring.model.declaration.Declarations;
-import org.streamring.model.declaration.PriorityClass;
 import org.streamring.model.declaration.ServiceDeclaration;
 import org.streamring.model.declaration.ServiceKind;
 import org.streamring.model.request.Refusal;
@@ -70,8 +70,8 @@
         ServiceDeclaration service = allowedService(name, declared, snapshot.declarations());
         long prompt = model.promptBound(service);
         long answer = model.answerBound(service);
-        PolicyInput input =
-                input(account, declared, name, snapshot.declarations(), prompt, answer, !call.notRepeatable());
+        PolicyInput input = PolicyInput.of(
+                account, declared, name, snapshot.declarations().classes(), prompt, answer, !call.notRepeatable());
         CompiledPolicy policy = snapshot.policy(service.policy());
         int rank = decide(policy, input);
         return new AdmittedRequest(
@@ -107,8 +107,8 @@
             throw refused(RefusalReason.UNKNOWN_SERVICE, name + " is a model service; ask it by its model");
         }
         boolean repeatable = !call.notRepeatable() && !service.marksNotRepeatable(call.method(), path);
-        PolicyInput input =
-                input(account, declared, name, snapshot.declarations(), 0, service.callTokens(), repeatable);
+        PolicyInput input = PolicyInput.of(
+                account, declared, name, snapshot.declarations().classes(), 0, service.callTokens(), repeatable);
         CompiledPolicy policy = snapshot.policy(service.policy());
         return new AdmittedRequest(
                 requestId,
@@ -140,33 +140,13 @@
         return service;
     }
 
-    private static PolicyInput input(
-            String account,
-            AccountDeclaration declared,
-            String service,
-            Declarations declarations,
-            long promptTokens,
-            long answerTokens,
-            boolean repeatable) {
-        PriorityClass priorityClass = declarations.classes().get(declared.priorityClass());
-        int rank = priorityClass == null ? PriorityClass.DEFAULT_RANK : priorityClass.rank();
-        return new PolicyInput(
-                account,
-                service,
-                declared.priorityClass(),
-                rank,
-                promptTokens,
-                answerTokens,
-                declared.budget(),
-                repeatable);
-    }
-
     private static int decide(CompiledPolicy policy, PolicyInput input) throws RefusedException {
         try {
-            if (!policy.admits(input)) {
+            PolicyDecision decision = PolicyDecision.of(policy, input);
+            if (!decision.admitted()) {
                 throw refused(RefusalReason.NOT_ALLOWED, "the policy of service " + input.service() + " refuses this");
             }
-            return Math.max(0, Math.min(PriorityClass.LOWEST_RANK, policy.rank(input)));
+            return decision.rank();
         } catch (PolicyException e) {
             throw refused(RefusalReason.NOT_ALLOWED, "the policy could not be evaluated: " + e.getMessage());
         }
--- a/integration/src/test/java/org/streamring/integration/OperatorCommandTest.java
+++ b/integration/src/test/java/org/streamring/integration/OperatorCommandTest.java
@@ -2,13 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.MessageDigest;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import org.streamring.cli.OperatorMain;
 import org.streamring.fleet.Fleet;
@@ -119,6 +123,51 @@
         assertThat(output).contains(option);
     }
 
+    @DataProvider
+    public Object[][] samples() {
+        return new Object[][] {
+            {"as shipped", "", "", 0},
+            {"another rank than expected", "expect_rank = 9", "expect_rank = 3", 5},
+            {"admitted against expectation", "prompt_tokens = 5000", "prompt_tokens = 50", 5},
+            {"another candidate first", "load = 0.30", "load = 0.40", 5},
+            {"unknown account", "account = \"alarm-tagger\"", "account = \"nobody\"", 2},
+            {"unknown service", "service = \"assist-llm\"", "service = \"nothing\"", 2},
+            {"unknown key", "answer_tokens = 20", "answer_token = 20", 2},
+            {"negative size", "answer_tokens = 20", "answer_tokens = -1", 2},
+            {"no sample", "[[requests]]", "[[candidates]]", 2},
+            {"no TOML", "[[requests]]", "[[requests", 2},
+        };
+    }
+
+    @Test(dataProvider = "samples")
+    public void policiesAreTriedOnSamples(String name, String text, String replacement, int exitCode)
+            throws IOException {
+        String shipped = Files.readString(Fleet.root().resolve("examples/sebeta-samples.toml"));
+        Path file = Files.createTempFile("samples", ".toml");
+        Files.writeString(file, shipped.replace(text, replacement));
+        platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
+        assertThat(run("policy", "test", "--samples", file.toString(), EXAMPLE))
+                .as(name)
+                .isEqualTo(exitCode);
+    }
+
+    @Test
+    public void anAccountIsShownWithItsBudget() {
+        run("apply", EXAMPLE);
+        assertThat(run("account", "show", "trial-user", "--output", "json")).isZero();
+        assertThat(output).contains("\"budget\" : \"trial\"", "\"remaining\" : \"100\"", "\"requests\" : \"0\"");
+        assertThat(run("account", "show", "nobody")).isEqualTo(5);
+    }
+
+    @Test
+    public void aNewKeyComesWithItsHash() throws Exception {
+        assertThat(run("account", "new-key", "--output", "json")).isZero();
+        JsonNode made = new JsonMapper().readTree(output).get(0);
+        byte[] hash = MessageDigest.getInstance("SHA-256")
+                .digest(made.get("key").asText().getBytes(StandardCharsets.UTF_8));
+        assertThat(made.get("key_sha256").asText()).isEqualTo(HexFormat.of().formatHex(hash));
+    }
+
     @Test
     public void theFleetsKeyMayNotChangeTheConfiguration() {
         assertThat(runWithKey(Fleet.PLATFORM_KEY, "apply", EXAMPLE)).isEqualTo(4);
