Refuse a call that does not arrive whole, instead of just closing

Cause: a slow or endless sender found its connection closed after 30 s, without a word; headers that never end were not even told apart from an idle connection. Broken chunks and bad lengths were refused, but no test said so.

Ruled out: a timer behind the HTTP codec, which never sees unfinished headers.

Change: the guard stands before the codec and answers 408 with the outcome not-run; nothing sent, nothing answered. limits.call_wait sets the time. CallerServerTest sends 12 kinds of broken calls as raw bytes.

--- a/core/src/main/java/org/streamring/model/request/RefusalReason.java
+++ b/core/src/main/java/org/streamring/model/request/RefusalReason.java
@@ -8,6 +8,7 @@
     NOT_ALLOWED(403, "admit", false),
     UNKNOWN_SERVICE(404, "resolve", false),
     KEY_REUSED(409, "once", false),
+    CALL_TOO_SLOW(408, "parse", true),
     TOO_LARGE(413, "parse", false),
     HEADERS_TOO_LARGE(431, "parse", false),
     ACCOUNT_LIMIT(429, "limit", true),
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -122,6 +122,7 @@
                 loops,
                 new InetSocketAddress(address, settings.get(EntrySettings.PORT)),
                 settings.get(EntrySettings.MAX_BODY),
+                settings.get(EntrySettings.CALL_WAIT),
                 coordinator);
         admin = new AdminServer(
                 loops, new InetSocketAddress(address, settings.get(EntrySettings.ADMIN_PORT)), metrics, this::ready);
--- a/entry/src/main/java/org/streamring/entry/EntrySettings.java
+++ b/entry/src/main/java/org/streamring/entry/EntrySettings.java
@@ -62,6 +62,8 @@
             SCHEMA.integer("workers", "4", 1, 64, "Threads that decide on requests.");
     public static final Setting<Integer> MAX_BODY =
             SCHEMA.integer("limits.body_bytes", "1048576", 1024, 4 << 20, "Largest request body.");
+    public static final Setting<Duration> CALL_WAIT =
+            SCHEMA.duration("limits.call_wait", "30s", "Longest time that a call may take to arrive whole.");
     public static final Setting<Duration> STOP_WAIT =
             SCHEMA.duration("stop.wait", "60s", "Longest wait for open requests when the process is asked to stop.");
 
--- a/entry/src/main/java/org/streamring/entry/caller/CallAggregator.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallAggregator.java
@@ -11,14 +11,17 @@
 /** Gathers a call's body up to a limit; a larger one is refused in the ordinary form. */
 final class CallAggregator extends HttpObjectAggregator {
     private final int maxBodyBytes;
+    private final SlowCallGuard guard;
 
-    CallAggregator(int maxBodyBytes) {
+    CallAggregator(int maxBodyBytes, SlowCallGuard guard) {
         super(maxBodyBytes);
         this.maxBodyBytes = maxBodyBytes;
+        this.guard = guard;
     }
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+        guard.callArrived();
         HttpAnswer answer =
                 new HttpAnswer(context.channel(), false, UUID.randomUUID().toString());
         answer.refuse(Refusal.of(RefusalReason.TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes"));
--- a/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
@@ -42,15 +42,18 @@
             "streamring-not-repeatable");
 
     private final CallReceiver receiver;
+    private final SlowCallGuard guard;
     private Runnable onCallerGone = CallHandler::nothing;
     private @Nullable HttpAnswer current;
 
-    CallHandler(CallReceiver receiver) {
+    CallHandler(CallReceiver receiver, SlowCallGuard guard) {
         this.receiver = receiver;
+        this.guard = guard;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        guard.callArrived();
         if (current != null && !current.isDone()) {
             // Pipelined calls could get each other's answers.
             context.close();
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.Listening;
 
@@ -18,15 +19,24 @@
      * Starts to listen.
      *
      * @param maxBodyBytes largest body accepted
+     * @param wholeCall longest time that a call may take to arrive
      */
-    public CallerServer(EventLoopGroup loops, InetSocketAddress address, int maxBodyBytes, CallReceiver receiver)
+    public CallerServer(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            int maxBodyBytes,
+            Duration wholeCall,
+            CallReceiver receiver)
             throws PeerException {
-        listening = new Listening(loops, address, accepted -> accepted.pipeline()
-                .addLast(
-                        new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                        new SlowCallGuard(),
-                        new CallAggregator(maxBodyBytes),
-                        new CallHandler(receiver)));
+        listening = new Listening(loops, address, accepted -> {
+            SlowCallGuard guard = new SlowCallGuard(wholeCall);
+            accepted.pipeline()
+                    .addLast(
+                            guard,
+                            new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                            new CallAggregator(maxBodyBytes, guard),
+                            new CallHandler(receiver, guard));
+        });
     }
 
     /** Port in use. */
--- /dev/null
+++ b/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
@@ -0,0 +1,124 @@
+package org.streamring.entry.caller;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.streamring.model.request.Refusal;
+import org.streamring.model.request.RefusalReason;
+import org.streamring.net.peer.PeerException;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What hostile or broken senders get; everything is sent as raw bytes. */
+public class CallerServerTest {
+    private static final int MAX_BODY = 1024;
+    private static final Duration WHOLE_CALL = Duration.ofMillis(300);
+    private static final String HEAD = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
+    private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+
+    private final List<Call> received = new CopyOnWriteArrayList<>();
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private CallerServer server;
+
+    @BeforeClass
+    public void listen() throws PeerException {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        server = new CallerServer(loops, address, MAX_BODY, WHOLE_CALL, (requestId, call, sink) -> {
+            received.add(call);
+            sink.refuse(Refusal.of(RefusalReason.NO_BACKEND, "test"));
+            return () -> {};
+        });
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        server.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    @BeforeMethod
+    public void forget() {
+        received.clear();
+    }
+
+    /** Sends bytes and returns everything that comes back until the server closes the connection. */
+    private String answerTo(String sent) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.getOutputStream().write(sent.getBytes(US_ASCII));
+            socket.getOutputStream().flush();
+            return new String(socket.getInputStream().readAllBytes(), US_ASCII);
+        }
+    }
+
+    @DataProvider
+    public Object[][] brokenCalls() {
+        return new Object[][] {
+            {"no HTTP at all", "\u0001\u0002 nonsense\r\n\r\n", 400},
+            {"an unknown version", "GET / HTTP/x\r\n\r\n", 400},
+            {"a chunk size that is no number", CHUNKED + "zz\r\nabc\r\n0\r\n\r\n", 400},
+            {"a negative length", HEAD + "Content-Length: -5\r\n\r\n", 400},
+            {"two lengths", HEAD + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+            {"chunks beyond the limit", CHUNKED + "800\r\n" + "x".repeat(0x800) + "\r\n0\r\n\r\n", 413},
+            {"a length beyond the limit", HEAD + "Content-Length: 999999\r\n\r\n", 413},
+            {"an endless request line", "GET /" + "x".repeat(20_000) + " HTTP/1.1\r\n\r\n", 431},
+            {"endless headers", HEAD + "X: " + "x".repeat(40_000) + "\r\n\r\n", 431},
+            {"a body that does not come", HEAD + "Content-Length: 50\r\n\r\nabc", 408},
+            {"a chunk that does not come", CHUNKED + "5\r\nab", 408},
+            {"headers that do not end", HEAD, 408},
+        };
+    }
+
+    @Test(dataProvider = "brokenCalls")
+    public void aBrokenCallGetsAClearErrorAndIsNotRun(String name, String sent, int status) throws IOException {
+        String answer = answerTo(sent);
+        assertThat(answer).as(name).startsWith("HTTP/1.1 " + status + " ");
+        assertThat(answer).as(name).containsIgnoringCase("streamring-outcome: not-run");
+        assertThat(answer).as(name).contains("\"message\"");
+        assertThat(received).as(name).isEmpty();
+    }
+
+    @Test
+    public void aConnectionWithoutACallIsClosedWithoutAnAnswer() throws IOException {
+        assertThat(answerTo("")).isEmpty();
+    }
+
+    @Test
+    public void aWholeCallIsReceivedOnce() throws IOException {
+        String answer = answerTo(HEAD + "Connection: close\r\nContent-Length: 4\r\n\r\nabcd");
+        assertThat(answer).startsWith("HTTP/1.1 503 ");
+        assertThat(received).hasSize(1);
+        assertThat(received.get(0).body().toStringUtf8()).isEqualTo("abcd");
+    }
+
+    @Test
+    public void aKeptConnectionThatStaysIdleIsNotAnsweredAgain() throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setSoTimeout((int) (3 * WHOLE_CALL.toMillis()));
+            socket.getOutputStream().write((HEAD + "Content-Length: 0\r\n\r\n").getBytes(US_ASCII));
+            StringBuilder answer = new StringBuilder();
+            try {
+                for (int next = socket.getInputStream().read();
+                        next >= 0;
+                        next = socket.getInputStream().read()) {
+                    answer.append((char) next);
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                answer.append("(still open)");
+            }
+            assertThat(answer.toString()).startsWith("HTTP/1.1 503 ").endsWith("(still open)");
+            assertThat(answer.toString()).doesNotContain(" 408 ");
+        }
+    }
+}
