Measure routing strategies against each other over the same engines

Cause: routing was never measured against a baseline. The strategies were one, the best of three by reported load.

Engines can fail at once.

Ruled out: running the strategies at the same time (they would share queues and spoil each other's figures).

--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -15,15 +16,19 @@
  */
 public final class ReplicaSelector {
     private static final int SAMPLE = 3;
+    private static final int SAMPLE_OF_BASELINE = 2;
 
+    private final RoutingStrategy strategy;
     private final RandomGenerator random;
+    private final AtomicInteger turn = new AtomicInteger();
 
     /**
      * Creates one.
      *
      * @param random source of randomness
      */
-    public ReplicaSelector(RandomGenerator random) {
+    public ReplicaSelector(RoutingStrategy strategy, RandomGenerator random) {
+        this.strategy = strategy;
         this.random = random;
     }
 
@@ -31,39 +36,55 @@
      * Chooses.
      *
      * @param candidates replicas that take work
-     * @param tried names of replicas that were tried for this request
-     * @param triedDomains their failure domains, which are avoided if another one is left
-     * @param key identifier from the caller; empty if there is none
-     * @param score cost of a candidate
+     * @param query what is looked for
+     * @param score cost of a candidate by the policy; baselines do without it
      */
-    public Optional<Candidate> choose(
-            List<Candidate> candidates,
-            Set<String> tried,
-            Set<String> triedDomains,
-            String key,
-            ToDoubleFunction<Candidate> score) {
+    public Optional<Candidate> choose(List<Candidate> candidates, RouteQuery query, ToDoubleFunction<Candidate> score) {
+        List<Candidate> pool = pool(candidates, query);
+        if (pool.isEmpty()) {
+            return Optional.empty();
+        }
+        if (!query.key().isEmpty()) {
+            return owner(pool, query.key());
+        }
+        return switch (strategy) {
+            case ADAPTIVE -> best(sample(pool, SAMPLE), score);
+            case LEAST_OF_TWO -> best(sample(pool, SAMPLE_OF_BASELINE), Candidate::load);
+            case ROUND_ROBIN -> Optional.of(next(pool));
+        };
+    }
+
+    private static List<Candidate> pool(List<Candidate> candidates, RouteQuery query) {
         List<Candidate> left = candidates.stream()
-                .filter(candidate -> !tried.contains(candidate.server().name()))
+                .filter(candidate -> !query.tried().contains(candidate.server().name()))
                 .toList();
         List<Candidate> elsewhere = left.stream()
-                .filter(candidate -> !triedDomains.contains(candidate.server().failureDomain()))
+                .filter(candidate ->
+                        !query.triedDomains().contains(candidate.server().failureDomain()))
                 .toList();
-        List<Candidate> pool = elsewhere.isEmpty() ? left : elsewhere;
-        if (pool.isEmpty()) {
-            return Optional.empty();
-        }
-        return key.isEmpty() ? bestOfSample(pool, score) : owner(pool, key);
+        return elsewhere.isEmpty() ? left : elsewhere;
     }
 
-    private Optional<Candidate> bestOfSample(List<Candidate> pool, ToDoubleFunction<Candidate> score) {
+    private List<Candidate> sample(List<Candidate> pool, int size) {
         List<Candidate> rest = new ArrayList<>(pool);
         List<Candidate> sample = new ArrayList<>();
-        while (sample.size() < SAMPLE && !rest.isEmpty()) {
+        while (sample.size() < size && !rest.isEmpty()) {
             sample.add(rest.remove(random.nextInt(rest.size())));
         }
+        return sample;
+    }
+
+    private static Optional<Candidate> best(List<Candidate> sample, ToDoubleFunction<Candidate> score) {
         return sample.stream().min(Comparator.comparingDouble(score));
     }
 
+    private Candidate next(List<Candidate> pool) {
+        List<Candidate> byName = pool.stream()
+                .sorted(Comparator.comparing(candidate -> candidate.server().name()))
+                .toList();
+        return byName.get(Math.floorMod(turn.getAndIncrement(), byName.size()));
+    }
+
     private static Optional<Candidate> owner(List<Candidate> pool, String key) {
         Set<String> names =
                 pool.stream().map(candidate -> candidate.server().name()).collect(Collectors.toSet());
--- a/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
+++ b/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
@@ -15,7 +15,7 @@
 
 public class RoutingTest {
     private ReplicaTable table;
-    private final ReplicaSelector selector = new ReplicaSelector(new SplittableRandom(7));
+    private final ReplicaSelector selector = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(7));
 
     @BeforeMethod
     public void setUp() {
@@ -92,14 +92,15 @@
     @Test
     public void aRetryGoesToAnotherFailureDomainIfOneIsLeft() {
         for (int i = 0; i < 50; i++) {
-            Candidate chosen = selector.choose(candidates(0), Set.of("s0"), Set.of("domain-0"), "", Candidate::load)
+            Candidate chosen = selector.choose(
+                            candidates(0), new RouteQuery(Set.of("s0"), Set.of("domain-0"), ""), Candidate::load)
                     .orElseThrow();
             assertThat(chosen.server().failureDomain()).isNotEqualTo("domain-0");
         }
         List<Candidate> onlyOne = candidates(0).stream()
                 .filter(candidate -> candidate.server().name().equals("s3"))
                 .toList();
-        assertThat(selector.choose(onlyOne, Set.of("s0"), Set.of("domain-0"), "", Candidate::load))
+        assertThat(selector.choose(onlyOne, new RouteQuery(Set.of("s0"), Set.of("domain-0"), ""), Candidate::load))
                 .as("the same domain is better than none")
                 .isPresent();
     }
@@ -108,7 +109,7 @@
     public void lateReportsDoNotSendEverythingToOneServer() {
         Map<String, Integer> counts = new HashMap<>();
         for (int i = 0; i < 600; i++) {
-            Candidate chosen = selector.choose(candidates(0), Set.of(), Set.of(), "", Candidate::load)
+            Candidate chosen = selector.choose(candidates(0), RouteQuery.FIRST_TRY, Candidate::load)
                     .orElseThrow();
             table.started(chosen.server().name());
             counts.merge(chosen.server().name(), 1, Integer::sum);
@@ -118,12 +119,12 @@
 
     @Test
     public void anIdentifierGoesToTheSameServerFromEveryEntry() {
-        String first = selector.choose(candidates(0), Set.of(), Set.of(), "acc/key", Candidate::load)
+        String first = selector.choose(candidates(0), new RouteQuery(Set.of(), Set.of(), "acc/key"), Candidate::load)
                 .orElseThrow()
                 .server()
                 .name();
-        ReplicaSelector other = new ReplicaSelector(new SplittableRandom(99));
-        assertThat(other.choose(candidates(0), Set.of(), Set.of(), "acc/key", Candidate::load)
+        ReplicaSelector other = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(99));
+        assertThat(other.choose(candidates(0), new RouteQuery(Set.of(), Set.of(), "acc/key"), Candidate::load)
                         .orElseThrow()
                         .server()
                         .name())
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -41,6 +41,7 @@
 import org.streamring.kernel.policy.PolicyCompiler;
 import org.streamring.kernel.routing.ReplicaSelector;
 import org.streamring.kernel.routing.ReplicaTable;
+import org.streamring.kernel.routing.RoutingStrategy;
 import org.streamring.kernel.routing.SubsetSelector;
 import org.streamring.model.declaration.BackendOrder;
 import org.streamring.net.peer.FleetKey;
@@ -143,7 +144,8 @@
                 claims,
                 links,
                 replicas,
-                new ReplicaSelector(new SplittableRandom()),
+                new ReplicaSelector(
+                        RoutingStrategy.named(settings.get(EntrySettings.ROUTING_STRATEGY)), new SplittableRandom()),
                 new RetryBudget(RETRY_SHARE),
                 new AccountLimiter(),
                 metrics,
--- a/entry/src/main/java/org/streamring/entry/EntrySettings.java
+++ b/entry/src/main/java/org/streamring/entry/EntrySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Set;
 import org.streamring.kernel.ledger.LedgerSettings;
+import org.streamring.kernel.routing.RoutingStrategy;
 import org.streamring.net.settings.Setting;
 import org.streamring.net.settings.SettingValues;
 import org.streamring.net.settings.SettingsSchema;
@@ -54,6 +55,11 @@
             SCHEMA.duration("peers.ping_interval", "2s", "Time between heartbeats to a sidecar.");
     public static final Setting<Integer> SUBSET =
             SCHEMA.integer("peers.per_service", "32", 1, 1024, "Most sidecars per service to keep connections to.");
+    public static final Setting<String> ROUTING_STRATEGY = SCHEMA.choice(
+            "routing.strategy",
+            RoutingStrategy.ADAPTIVE.text(),
+            Set.of("adaptive", "least-of-two", "round-robin"),
+            "How a backend server is chosen; all but adaptive are baselines that ignore the policy's score.");
     public static final Setting<Duration> WATCH_INTERVAL =
             SCHEMA.duration("recovery.interval", "5s", "Time between looks at other entries and at held tokens.");
     public static final Setting<Duration> SUSPECT_AFTER = SCHEMA.duration(
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -22,6 +22,7 @@
 import org.streamring.kernel.policy.CandidateInput;
 import org.streamring.kernel.policy.PolicyException;
 import org.streamring.kernel.routing.Candidate;
+import org.streamring.kernel.routing.RouteQuery;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.model.request.Outcome;
 import org.streamring.model.request.Refusal;
@@ -183,9 +184,7 @@
         Optional<Candidate> chosen = services.selector()
                 .choose(
                         candidates,
-                        triedServers,
-                        triedDomains,
-                        admitted.keyed() ? admitted.requestKey() : "",
+                        new RouteQuery(triedServers, triedDomains, admitted.keyed() ? admitted.requestKey() : ""),
                         this::score);
         if (chosen.isEmpty() && followStandingClaim()) {
             return;
--- a/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
+++ b/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
@@ -14,7 +14,7 @@
     @Test
     public void aStreamThatBreaksOffNeverLooksWhole() throws Exception {
         fleet = Fleet.small().start(1);
-        fleet.engines.forEach(engine -> engine.setFaults(new EngineFaults(5, false, 1)));
+        fleet.engines.forEach(engine -> engine.setFaults(EngineFaults.dying(5)));
         HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 50, true, "");
         assertThat(response.body()).contains("\"error\"").contains("\"outcome\":\"unknown\"");
         assertThat(response.body()).doesNotContain("[DONE]");
@@ -23,7 +23,7 @@
     @Test
     public void aWholeAnswerThatBreaksOffIsToldAsUnknown() throws Exception {
         fleet = Fleet.small().start(1);
-        fleet.engines.forEach(engine -> engine.setFaults(new EngineFaults(5, false, 1)));
+        fleet.engines.forEach(engine -> engine.setFaults(EngineFaults.dying(5)));
         HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 50, false, "");
         assertThat(response.statusCode()).isEqualTo(502);
         assertThat(Fleet.outcome(response)).isEqualTo("unknown");
@@ -32,7 +32,7 @@
     @Test
     public void anEngineThatIgnoresItsLimitIsCancelledAndTheChargeStaysWithinTheReservation() throws Exception {
         fleet = Fleet.small().start(1);
-        fleet.engines.forEach(engine -> engine.setFaults(new EngineFaults(0, true, 1)));
+        fleet.engines.forEach(engine -> engine.setFaults(EngineFaults.endless()));
         HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 30, true, "");
         assertThat(response.statusCode()).isEqualTo(200);
         fleet.stopEntries();
--- a/standin/src/main/java/org/streamring/standin/StandinMain.java
+++ b/standin/src/main/java/org/streamring/standin/StandinMain.java
@@ -10,6 +10,7 @@
 import org.streamring.standin.experiment.LoadCommand;
 import org.streamring.standin.experiment.MeasureCommand;
 import org.streamring.standin.experiment.SlopesCommand;
+import org.streamring.standin.experiment.routing.RoutingCommand;
 import org.streamring.standin.platform.PlatformStandin;
 import org.streamring.standin.proxy.FaultProxy;
 import org.streamring.standin.service.ServiceStandin;
@@ -31,6 +32,7 @@
                 .withCommand(MeasureCommand.class)
                 .withCommand(SlopesCommand.class)
                 .withCommand(LoadCommand.class)
+                .withCommand(RoutingCommand.class)
                 .build();
         commandLine.parse(arguments).run();
     }
--- a/standin/src/main/java/org/streamring/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/streamring/standin/engine/EngineStandin.java
@@ -13,6 +13,7 @@
 /** A model engine on a loopback port. All its state belongs to the server's event loop. */
 public final class EngineStandin implements AutoCloseable {
     private static final int NOT_FOUND = 404;
+    private static final int SERVER_ERROR = 500;
 
     private final EngineSettings settings;
     private final PrefixCache cache;
@@ -22,6 +23,8 @@
     private final StandinServer server;
     private volatile EngineFaults faults = EngineFaults.NONE;
     private boolean stepping;
+    private long promptTokens;
+    private long cachedTokens;
 
     /** Starts to listen. */
     public EngineStandin(int port, EngineSettings settings) {
@@ -53,6 +56,8 @@
                 exchange.answerJson("{}");
             }
             case "/control/record" -> exchange.answerJson(RowText.write(records));
+            case "/control/prompts" ->
+                exchange.answerJson("{\"read\":%d,\"cached\":%d}".formatted(promptTokens, cachedTokens));
             case "/control/faults" -> {
                 faults = RowText.read(exchange.body(), EngineFaults.class);
                 exchange.answerJson("{}");
@@ -62,11 +67,17 @@
     }
 
     private void start(Exchange exchange) {
+        if (faults.failing()) {
+            exchange.answer(SERVER_ERROR, "text/plain", "this engine fails");
+            return;
+        }
         EngineRequest request = EngineRequest.read(exchange);
-        int cachedTokens = cache.readAndStore(request.prompt())
+        int cached = cache.readAndStore(request.prompt())
                 * request.promptTokens()
                 / Math.max(1, request.prompt().length());
-        waiting.add(new Sequence(exchange, request, Math.max(1, request.promptTokens() - cachedTokens)));
+        promptTokens += request.promptTokens();
+        cachedTokens += cached;
+        waiting.add(new Sequence(exchange, request, Math.max(1, request.promptTokens() - cached)));
         waiting.sort(Comparator.comparingInt(sequence -> sequence.request().priority()));
         if (!stepping) {
             stepping = true;
--- a/standin/src/main/java/org/streamring/standin/experiment/StreamTimes.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/StreamTimes.java
@@ -1,5 +1,7 @@
 package org.streamring.standin.experiment;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.TimeUnit;
 import org.asynchttpclient.AsyncHandler;
@@ -10,13 +12,14 @@
 /** Times of one streamed answer: to its first part, between parts, and in all. */
 final class StreamTimes implements AsyncHandler<Void> {
     private static final int OK = 200;
+    private static final int TAIL_CHARACTERS = 400;
 
     private final long startNanos = System.nanoTime();
     private long firstNanos;
     private long lastNanos;
     private int parts;
     private int status;
-    private boolean sawDone;
+    private String tail = "";
 
     @Override
     public State onStatusReceived(HttpResponseStatus responseStatus) {
@@ -39,7 +42,9 @@
             firstNanos = lastNanos;
         }
         parts++;
-        sawDone |= new String(part.getBodyPartBytes(), java.nio.charset.StandardCharsets.UTF_8).contains("[DONE]");
+        // Events may be cut anywhere, so the end is looked for in what came last.
+        String text = tail + new String(part.getBodyPartBytes(), UTF_8);
+        tail = text.substring(Math.max(0, text.length() - TAIL_CHARACTERS));
         return State.CONTINUE;
     }
 
@@ -54,7 +59,7 @@
     }
 
     boolean whole() {
-        return status == OK && sawDone;
+        return status == OK && tail.contains("[DONE]");
     }
 
     long firstMicros() {
--- a/standin/src/main/java/org/streamring/standin/experiment/Subjects.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/Subjects.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.streamring.kernel.config.ConfigChange;
@@ -28,6 +27,8 @@
 import org.streamring.kernel.routing.Candidate;
 import org.streamring.kernel.routing.ReplicaSelector;
 import org.streamring.kernel.routing.ReplicaTable;
+import org.streamring.kernel.routing.RouteQuery;
+import org.streamring.kernel.routing.RoutingStrategy;
 import org.streamring.kernel.table.InMemoryTable;
 import org.streamring.kernel.table.RowKeys;
 import org.streamring.kernel.table.RowOperation;
@@ -153,9 +154,9 @@
         }
         table.relist(servers);
         servers.forEach(server -> table.connected(server.name(), server.name() + "~1"));
-        ReplicaSelector selector = new ReplicaSelector(new SplittableRandom(1));
-        return () -> selector.choose(
-                table.candidates("llm", incarnation -> true, 0), Set.of(), Set.of(), "", Candidate::load);
+        ReplicaSelector selector = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(1));
+        return () ->
+                selector.choose(table.candidates("llm", incarnation -> true, 0), RouteQuery.FIRST_TRY, Candidate::load);
     }
 
     /** Reserving and finishing on one of many budgets, with the look that follows whether something is urgent. */
--- /dev/null
+++ b/standin/src/main/java/org/streamring/standin/experiment/routing/RequestKind.java
@@ -0,0 +1,58 @@
+package org.streamring.standin.experiment.routing;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * A kind of request in the measured mix. Sizes are the users' own, scaled to what one machine carries.
+ *
+ * @param name name in the table
+ * @param accountKey key of the client account that sends it, and with it its priority class
+ * @param share part of all requests
+ * @param subjects number of different shared prompt beginnings
+ * @param sharedTokens tokens of the shared beginning
+ * @param ownTokens tokens of the rest of the prompt
+ * @param answerTokens tokens of the answer
+ */
+record RequestKind(
+        String name, String accountKey, double share, int subjects, int sharedTokens, int ownTokens, int answerTokens) {
+
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    /** Diagnoses, questions and tags, in three priority classes. */
+    static List<RequestKind> mix() {
+        return List.of(
+                new RequestKind("diagnosis", "routing-urgent", 0.25, 40, 1600, 800, 40),
+                new RequestKind("question", "routing-normal", 0.40, 4, 200, 200, 30),
+                new RequestKind("tag", "routing-background", 0.35, 4, 200, 400, 5));
+    }
+
+    static RequestKind draw(List<RequestKind> mix, RandomGenerator random) {
+        double left = random.nextDouble();
+        for (RequestKind kind : mix) {
+            left -= kind.share();
+            if (left < 0) {
+                return kind;
+            }
+        }
+        return mix.get(mix.size() - 1);
+    }
+
+    int promptTokens() {
+        return sharedTokens + ownTokens;
+    }
+
+    /** The body of one request; bodies of the same subject begin alike. */
+    String body(RandomGenerator random) {
+        String shared = text(name + random.nextInt(subjects), sharedTokens);
+        String own = text(Long.toHexString(random.nextLong()), ownTokens);
+        return """
+                {"model":"assist","messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}],\
+                "max_tokens":%d,"standin_answer_tokens":%d,"stream":true}""".formatted(shared, own, answerTokens, answerTokens);
+    }
+
+    private static String text(String word, int tokens) {
+        int characters = tokens * CHARACTERS_PER_TOKEN;
+        return (word + " ").repeat(characters / (word.length() + 1) + 1).substring(0, characters);
+    }
+}
