Count server errors as failures of the replica, and try elsewhere

Cause, from the measurement of routing: an engine that answers every request with a server error at once counted as served and stayed the least loaded, so it drew requests (10.8 % of all answers at 13 engines, where a thirteenth would be 7.7 %). Looking for the cause showed three more faults: a trial that was chosen but not started kept an ejected replica out for good; cancelled attempts counted as failures where cancelling closes the connection; and a request whose first try was lost after it may have run was told as not-run if its retry found no replica.

Ruled out: ejecting on error rates over a window (needs more requests than an entry sees per replica at 1.8 a second).

Change: attempts end as served, failed or inconclusive; ejection is a class of its own with a slow return; at most half of a service's replicas are left out. A server error is held back and the request tried elsewhere, if it is repeatable, unkeyed and nothing was passed on. A refusal after a try that may have run is told as unknown.

--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaTable.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaTable.java
@@ -1,6 +1,5 @@
 package org.streamring.kernel.routing;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -56,9 +55,9 @@
         find(name).ifPresent(Replica::started);
     }
 
-    /** A request has ended; refusals for lack of room are not failures. */
-    public synchronized void ended(String name, boolean failed, long nowMillis) {
-        find(name).ifPresent(replica -> replica.ended(failed, nowMillis));
+    /** An attempt has ended. */
+    public synchronized void ended(String name, AttemptResult result, long nowMillis) {
+        find(name).ifPresent(replica -> replica.ended(result, nowMillis));
     }
 
     private Optional<Replica> find(String name) {
@@ -70,25 +69,22 @@
         return find(name).map(Replica::incarnation).filter(incarnation -> !incarnation.isEmpty());
     }
 
-    /** Replicas of a service that take work now. */
+    /**
+     * Replicas of a service that take work now. Those that failed are left out, unless that would leave out more than
+     * half: then the failures say more about the requests or the network than about single replicas.
+     */
     public synchronized List<Candidate> candidates(String service, Predicate<String> mayUse, long nowMillis) {
-        List<Candidate> found = new ArrayList<>();
-        for (Replica replica : replicas.values()) {
-            BackendServer server = replica.server();
-            boolean eligible = server.service().equals(service)
-                    && replica.takesWork(nowMillis)
-                    && !stoppedByOperator.contains(server.name())
-                    && mayUse.test(replica.incarnation());
-            if (eligible) {
-                found.add(new Candidate(server, replica.incarnation(), replica.load()));
-            }
-        }
-        return found;
-    }
-
-    /** Notes that a candidate was chosen, so that a recovering one gets one request at a time. */
-    public synchronized void chosen(String name) {
-        find(name).ifPresent(Replica::chosen);
+        List<Replica> available = replicas.values().stream()
+                .filter(replica -> replica.server().service().equals(service))
+                .filter(Replica::available)
+                .filter(replica -> !stoppedByOperator.contains(replica.server().name()))
+                .filter(replica -> mayUse.test(replica.incarnation()))
+                .toList();
+        List<Replica> sound = available.stream()
+                .filter(replica -> !replica.ejected(nowMillis))
+                .toList();
+        List<Replica> taking = 2 * sound.size() < available.size() ? available : sound;
+        return taking.stream().map(replica -> replica.candidate(nowMillis)).toList();
     }
 
     /** Whether any replica of a service is listed, taking work or not. */
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -17,9 +17,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamring.kernel.receipt.Receipt;
+import org.streamring.kernel.routing.AttemptResult;
 import org.streamring.kernel.routing.LoadReport;
 import org.streamring.kernel.routing.ReplicaTable;
 import org.streamring.model.box.BackendServer;
+import org.streamring.model.request.RefusalReason;
 import org.streamring.net.generated.Wire.Cancel;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.LeasesSettled;
@@ -61,8 +63,6 @@
         void sidecarDisconnected(String incarnation);
     }
 
-    private record OpenAttempt(PeerConnection connection, String sidecar, AttemptListener listener) {}
-
     /** Creates one without connections. */
     public SidecarLinks(
             EventLoopGroup loops, FleetKey fleetKey, PeerIdentity own, ReplicaTable replicas, MeterRegistry metrics) {
@@ -148,13 +148,13 @@
         if (connection.isEmpty()) {
             return false;
         }
-        attempts.put(submit.getAttempt(), new OpenAttempt(connection.get(), sidecar, listener));
+        attempts.put(submit.getAttempt(), new OpenAttempt(connection.get(), listener));
         replicas.started(sidecar);
         if (connection.get().send(Frame.newBuilder().setSubmit(submit).build())) {
             return true;
         }
         attempts.remove(submit.getAttempt());
-        replicas.ended(sidecar, true, now());
+        replicas.ended(sidecar, AttemptResult.FAILED, now());
         return false;
     }
 
@@ -162,6 +162,7 @@
     public void cancel(String attempt) {
         OpenAttempt open = attempts.get(attempt);
         if (open != null) {
+            open.cancelled();
             open.connection()
                     .send(Frame.newBuilder()
                             .setCancel(Cancel.newBuilder().setAttempt(attempt))
@@ -296,7 +297,7 @@
             queries.connectionLost(closed);
             attempts.forEach((id, open) -> {
                 if (open.connection() == closed && attempts.remove(id, open)) {
-                    replicas.ended(server.name(), true, now());
+                    replicas.ended(server.name(), AttemptResult.FAILED, now());
                     open.listener().lost();
                 }
             });
@@ -309,7 +310,7 @@
             switch (frame.getBodyCase()) {
                 case BEGIN ->
                     attempt(from, frame.getBegin().getAttempt())
-                            .ifPresentOrElse(open -> open.listener().begun(frame.getBegin()), dropped::increment);
+                            .ifPresentOrElse(open -> open.begun(frame.getBegin()), dropped::increment);
                 case CHUNK ->
                     attempt(from, frame.getChunk().getAttempt())
                             .ifPresentOrElse(open -> open.listener().chunk(frame.getChunk()), dropped::increment);
@@ -337,7 +338,7 @@
                 dropped.increment();
                 return;
             }
-            replicas.ended(server.name(), !frame.getEnd().getComplete(), now());
+            replicas.ended(server.name(), open.get().result(frame.getEnd()), now());
             open.get().listener().ended(frame.getEnd());
         }
 
@@ -349,8 +350,8 @@
                 dropped.increment();
                 return;
             }
-            boolean failed = frame.getRefused().getReason().equals("BACKEND_UNREACHABLE");
-            replicas.ended(server.name(), failed, now());
+            boolean unreachable = frame.getRefused().getReason().equals(RefusalReason.BACKEND_UNREACHABLE.name());
+            replicas.ended(server.name(), unreachable ? AttemptResult.FAILED : AttemptResult.INCONCLUSIVE, now());
             open.get().listener().refused(frame.getRefused());
         }
 
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -48,6 +48,7 @@
 
     private final RequestServices services;
     private final AnswerSink sink;
+    private final AnswerDelivery delivery;
     private final List<Runnable> onDone = new ArrayList<>();
     private final Set<String> triedServers = new HashSet<>();
     private final Set<String> triedDomains = new HashSet<>();
@@ -60,21 +61,26 @@
     private int tries;
     private long startedMillis;
     private boolean submitted;
-    private boolean delivering;
+    private boolean earlierTryMayHaveRun;
     private boolean done;
     private boolean callerGone;
 
     RunningRequest(RequestServices services, AnswerSink sink) {
         this.services = services;
         this.sink = sink;
+        this.delivery = new AnswerDelivery(sink);
     }
 
     synchronized void onDone(Runnable action) {
         onDone.add(action);
     }
 
-    /** Gives the final answer that the request was not run. */
+    /** Gives the final answer that the request was not run, if no earlier try may have run. */
     synchronized void refuse(Refusal refusal) {
+        if (earlierTryMayHaveRun) {
+            fail(Outcome.UNKNOWN, refusal.message() + "; an earlier try broke off and may have run");
+            return;
+        }
         if (finishAnswer()) {
             sink.refuse(refusal);
         }
@@ -109,13 +115,16 @@
         deadlineTimer = services.loops()
                 .next()
                 .schedule(this::deadlinePassed, admitted.deadline().toMillis(), TimeUnit.MILLISECONDS);
-        if (!reserve(services.ledgerRunner().storeAway())) {
-            services.waiters().add(this::reserveAgain);
-            services.ledgerRunner().kick();
-            services.loops()
-                    .next()
-                    .schedule(this::stopWaiting, services.leaseWait().toMillis(), TimeUnit.MILLISECONDS);
+        reserveOrWait();
+    }
+
+    private void reserveOrWait() {
+        if (reserve(services.ledgerRunner().storeAway())) {
+            return;
         }
+        services.waiters().add(this::reserveAgain);
+        services.ledgerRunner().kick();
+        services.loops().next().schedule(this::stopWaiting, services.leaseWait().toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private AdmittedRequest request() {
@@ -193,7 +202,6 @@
             refuseUnrouted(RefusalReason.NO_BACKEND, "no backend server of the service takes work now");
             return;
         }
-        services.replicas().chosen(chosen.get().server().name());
         if (admitted.claimed()) {
             claim(chosen.get());
         } else {
@@ -214,11 +222,11 @@
                 candidate.server().name(),
                 candidate.server().failureDomain(),
                 candidate.server().failureDomain().equals(services.failureDomain()),
-                candidate.load());
+                candidate.cost());
         try {
             return admitted.policy().score(admitted.input(), input);
         } catch (PolicyException e) {
-            return candidate.load();
+            return candidate.cost();
         }
     }
 
@@ -282,7 +290,7 @@
                 .isPresent();
         Optional<Candidate> named = services.replicas().listed().stream()
                 .filter(server -> server.name().equals(record.sidecar()))
-                .map(server -> new Candidate(server, record.sidecarIncarnation(), 0))
+                .map(server -> new Candidate(server, record.sidecarIncarnation(), 0, 1))
                 .findFirst();
         if (there && named.isPresent() && currentLedger().mayUse(record.sidecarIncarnation())) {
             submit(named.get());
@@ -340,22 +348,32 @@
 
     @Override
     public synchronized void begun(Begin begin) {
-        delivering = true;
         if (!done) {
-            sink.begin(begin.getStatus(), begin.getHeadersList());
+            delivery.begin(begin);
         }
     }
 
     @Override
     public synchronized void chunk(Chunk chunk) {
         if (!done) {
-            sink.chunk(chunk.getData());
+            delivery.chunk(chunk);
         }
     }
 
     @Override
     public synchronized void ended(End end) {
+        boolean failed = !end.getComplete() || delivery.holdsServerError();
+        if (failed && end.getTokens() == 0 && mayTryElsewhere()) {
+            releaseReservation();
+            delivery.drop();
+            noteRetryOfWhatMayHaveRun();
+            reserveOrWait();
+            return;
+        }
         book(end);
+        if (!done) {
+            delivery.release();
+        }
         if (end.getComplete()) {
             if (finishAnswer()) {
                 sink.complete();
@@ -365,6 +383,28 @@
         }
     }
 
+    /**
+     * Whether a request that may have run can be tried on another backend server: a second run does no harm, nobody has
+     * seen any part of an answer, and no sidecar keeps an answer under the caller's identifier.
+     */
+    private boolean mayTryElsewhere() {
+        return mayRunTwice() && !request().keyed() && services.retries().tryRetry();
+    }
+
+    private boolean mayRunTwice() {
+        return !done
+                && delivery.nothingPassedOn()
+                && request().repeatable()
+                && !request().claimed()
+                && tries < MAX_TRIES;
+    }
+
+    private void noteRetryOfWhatMayHaveRun() {
+        submitted = false;
+        earlierTryMayHaveRun = true;
+        services.metrics().counter("streamring.retries").increment();
+    }
+
     private void book(End end) {
         if (reservation == null || ledger == null) {
             return;
@@ -402,15 +442,9 @@
      */
     @Override
     public synchronized void lost() {
-        boolean retry = !done
-                && !delivering
-                && request().repeatable()
-                && !request().claimed()
-                && tries < MAX_TRIES
-                && services.retries().tryRetry();
-        if (retry) {
-            submitted = false;
-            services.metrics().counter("streamring.retries").increment();
+        if (mayRunTwice() && services.retries().tryRetry()) {
+            delivery.drop();
+            noteRetryOfWhatMayHaveRun();
             continueOnWorker();
             return;
         }
--- a/integration/src/test/java/org/streamring/fleet/Fleet.java
+++ b/integration/src/test/java/org/streamring/fleet/Fleet.java
@@ -253,6 +253,12 @@
         return http;
     }
 
+    /** A process's metrics, as its admin port shows them. */
+    public String metrics(int adminPort) {
+        URI uri = URI.create("http://127.0.0.1:" + adminPort + "/metrics");
+        return send(HttpRequest.newBuilder(uri).build()).body();
+    }
+
     public static String outcome(HttpResponse<String> response) {
         return response.headers().firstValue("Streamring-Outcome").orElse("");
     }
--- a/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
+++ b/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
@@ -4,6 +4,7 @@
 
 import java.io.InputStream;
 import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
 import org.streamring.fleet.Fleet;
 import org.streamring.standin.engine.EngineFaults;
 import org.streamring.standin.engine.EngineSettings;
@@ -62,6 +63,47 @@
         assertBilledIsWhatRan();
     }
 
+    @Test
+    public void aRetryThatFindsNoServerIsNotToldAsNotRunIfTheFirstTryMayHaveRun() throws Exception {
+        fleet = new Fleet(1, new EngineSettings(50, 32, 2048, 256), 5).start(1);
+        CompletableFuture<HttpResponse<String>> answer = fleet.chatAsync("entry-1", Fleet.HOSPITAL, 100, false, "");
+        eventually("the sidecar has the request").until(() -> running("assist-1") == 1);
+        fleet.sidecars.get("assist-1").kill();
+        eventually("the engine has run something")
+                .until(() -> fleet.engineRecords().stream().anyMatch(record -> !record.complete()));
+        assertThat(Fleet.outcome(answer.join())).isEqualTo("unknown");
+    }
+
+    private long running(String sidecar) {
+        String metrics = fleet.metrics(fleet.sidecars.get(sidecar).adminPort());
+        return metrics.lines()
+                .filter(line -> line.startsWith("streamring_attempts_running "))
+                .mapToLong(line -> (long) Double.parseDouble(line.split(" ", -1)[1]))
+                .sum();
+    }
+
+    @Test
+    public void requestsAreServedElsewhereWhileOneEngineFails() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.engines.get(0).setFaults(EngineFaults.failingAtOnce());
+        for (int i = 0; i < 30; i++) {
+            HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 5, i % 2 == 0, "");
+            assertThat(response.statusCode()).as("request %d", i).isEqualTo(200);
+        }
+        fleet.stopEntries();
+        assertBilledIsWhatRan();
+    }
+
+    @Test
+    public void aServerErrorIsPassedOnIfTheRequestMayNotBeTriedElsewhere() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.engines.forEach(engine -> engine.setFaults(EngineFaults.failingAtOnce()));
+        HttpResponse<String> response = fleet.chat("entry-1", Fleet.HOSPITAL, 5, false, "keyed-1");
+        assertThat(response.statusCode()).isEqualTo(500);
+        assertThat(Fleet.outcome(response)).isEqualTo("answered");
+        assertThat(response.body()).contains("this engine fails");
+    }
+
     @Test
     public void aBackendServerThatCantBeReachedIsToldAsNotRun() throws Exception {
         fleet = new Fleet(1, EngineSettings.fast(), 5).start(1);
