Send a request where its rank has room

Cause, from the measurement of routing: background work was refused while other replicas had places free for it, since an entry drew three replicas by load alone and the sidecar refused by rank. Refusals also used up the retry budget.

Ruled out: more retries (they multiply messages exactly when it is full).

Change: the limit per rank is one piece of kernel code, RankLimit, used by the sidecar that decides and by the entry that chooses among those believed to have room. If none is believed to, one is asked all the same.

--- a/core/src/main/java/org/streamring/kernel/receipt/ReceiptBook.java
+++ b/core/src/main/java/org/streamring/kernel/receipt/ReceiptBook.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.streamring.kernel.limit.RankLimit;
 import org.streamring.kernel.receipt.AdmitDecision.Attach;
 import org.streamring.kernel.receipt.AdmitDecision.RanBefore;
 import org.streamring.kernel.receipt.AdmitDecision.Refuse;
@@ -26,9 +27,6 @@
  * <p>Safe for use by many threads; its lock is a leaf, held while no other lock is taken.
  */
 public final class ReceiptBook {
-    private static final int RANKS = 10;
-    private static final int SHARE_KEPT_FROM_LOWEST_RANK = 2;
-
     private final ReceiptBookSettings settings;
     private final Map<String, Receipt> receipts = new HashMap<>();
     private final Map<String, Remembered> requests = new LinkedHashMap<>();
@@ -82,7 +80,8 @@
         if (leaving) {
             return refuse(order, RefusalReason.LEAVING, nowMillis);
         }
-        boolean full = running >= limitFor(order.rank()) || requests.size() >= settings.maxRemembered();
+        boolean full = running >= RankLimit.of(settings.maxRunning(), order.rank())
+                || requests.size() >= settings.maxRemembered();
         if (full) {
             return refuse(order, RefusalReason.OVERLOAD, nowMillis);
         }
@@ -124,12 +123,6 @@
                 false);
     }
 
-    /** The lower the class, the smaller the share of the backend server that it may fill. */
-    private int limitFor(int rank) {
-        int keptBack = settings.maxRunning() * rank / (RANKS * SHARE_KEPT_FROM_LOWEST_RANK);
-        return Math.max(1, settings.maxRunning() - keptBack);
-    }
-
     /**
      * Notes that a repeatable attempt broke off through no fault of its caller: nothing is charged, and the request may
      * be asked for again.
--- a/core/src/main/java/org/streamring/kernel/routing/Replica.java
+++ b/core/src/main/java/org/streamring/kernel/routing/Replica.java
@@ -62,12 +62,11 @@
     }
 
     /** The report lags; what this entry itself started since then is added. */
-    double load() {
-        int sinceReport = Math.max(0, ownRunning - ownRunningAtReport);
-        return (report.running() + sinceReport) / (double) Math.max(1, report.capacity());
+    private int running() {
+        return report.running() + Math.max(0, ownRunning - ownRunningAtReport);
     }
 
     Candidate candidate(long nowMillis) {
-        return new Candidate(server, incarnation, load(), ejection.returnFactor(nowMillis));
+        return new Candidate(server, incarnation, running(), report.capacity(), ejection.returnFactor(nowMillis));
     }
 }
--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
@@ -48,7 +48,7 @@
             return owner(pool, query.key());
         }
         return switch (strategy) {
-            case ADAPTIVE -> best(sample(pool, SAMPLE), score);
+            case ADAPTIVE -> best(sample(withRoom(pool, query.rank()), SAMPLE), score);
             case LEAST_OF_TWO -> best(sample(pool, SAMPLE_OF_BASELINE), Candidate::load);
             case ROUND_ROBIN -> Optional.of(next(pool));
         };
@@ -65,6 +65,13 @@
         return elsewhere.isEmpty() ? left : elsewhere;
     }
 
+    /** If none is believed to have room, any may be asked: reports lag, and its sidecar decides. */
+    private static List<Candidate> withRoom(List<Candidate> pool, int rank) {
+        List<Candidate> free =
+                pool.stream().filter(candidate -> candidate.hasRoom(rank)).toList();
+        return free.isEmpty() ? pool : free;
+    }
+
     private List<Candidate> sample(List<Candidate> pool, int size) {
         List<Candidate> rest = new ArrayList<>(pool);
         List<Candidate> sample = new ArrayList<>();
--- a/core/src/main/java/org/streamring/kernel/routing/RouteQuery.java
+++ b/core/src/main/java/org/streamring/kernel/routing/RouteQuery.java
@@ -8,8 +8,9 @@
  * @param tried names of replicas that were tried for it
  * @param triedDomains their failure domains, which are avoided if another one is left
  * @param key identifier from the caller; empty if there is none
+ * @param rank its priority rank; 0 is the most urgent
  */
-public record RouteQuery(Set<String> tried, Set<String> triedDomains, String key) {
-    /** A first try without an identifier. */
-    public static final RouteQuery FIRST_TRY = new RouteQuery(Set.of(), Set.of(), "");
+public record RouteQuery(Set<String> tried, Set<String> triedDomains, String key, int rank) {
+    /** A first try of the most urgent rank without an identifier. */
+    public static final RouteQuery FIRST_TRY = new RouteQuery(Set.of(), Set.of(), "", 0);
 }
--- a/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
+++ b/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
@@ -123,6 +123,21 @@
         assertThat(names(candidates(1_500))).contains("s0");
     }
 
+    @Test
+    public void aRequestGoesWhereItsRankHasRoomHoweverFewHaveIt() {
+        for (int i = 0; i < 5; i++) {
+            table.reported("s" + i, new LoadReport(9, 10, false));
+        }
+        table.reported("s5", new LoadReport(2, 10, false));
+        RouteQuery lowest = new RouteQuery(Set.of(), Set.of(), "", 9);
+        for (int i = 0; i < 50; i++) {
+            assertThat(selector.choose(candidates(0), lowest, candidate -> 0))
+                    .get()
+                    .extracting(candidate -> candidate.server().name())
+                    .isEqualTo("s5");
+        }
+    }
+
     private Candidate candidate(String name, long now) {
         return candidates(now).stream()
                 .filter(candidate -> candidate.server().name().equals(name))
@@ -143,14 +158,14 @@
     public void aRetryGoesToAnotherFailureDomainIfOneIsLeft() {
         for (int i = 0; i < 50; i++) {
             Candidate chosen = selector.choose(
-                            candidates(0), new RouteQuery(Set.of("s0"), Set.of("domain-0"), ""), Candidate::load)
+                            candidates(0), new RouteQuery(Set.of("s0"), Set.of("domain-0"), "", 0), Candidate::load)
                     .orElseThrow();
             assertThat(chosen.server().failureDomain()).isNotEqualTo("domain-0");
         }
         List<Candidate> onlyOne = candidates(0).stream()
                 .filter(candidate -> candidate.server().name().equals("s3"))
                 .toList();
-        assertThat(selector.choose(onlyOne, new RouteQuery(Set.of("s0"), Set.of("domain-0"), ""), Candidate::load))
+        assertThat(selector.choose(onlyOne, new RouteQuery(Set.of("s0"), Set.of("domain-0"), "", 0), Candidate::load))
                 .as("the same domain is better than none")
                 .isPresent();
     }
@@ -169,12 +184,12 @@
 
     @Test
     public void anIdentifierGoesToTheSameServerFromEveryEntry() {
-        String first = selector.choose(candidates(0), new RouteQuery(Set.of(), Set.of(), "acc/key"), Candidate::load)
+        String first = selector.choose(candidates(0), new RouteQuery(Set.of(), Set.of(), "acc/key", 0), Candidate::load)
                 .orElseThrow()
                 .server()
                 .name();
         ReplicaSelector other = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(99));
-        assertThat(other.choose(candidates(0), new RouteQuery(Set.of(), Set.of(), "acc/key"), Candidate::load)
+        assertThat(other.choose(candidates(0), new RouteQuery(Set.of(), Set.of(), "acc/key", 0), Candidate::load)
                         .orElseThrow()
                         .server()
                         .name())
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -193,7 +193,11 @@
         Optional<Candidate> chosen = services.selector()
                 .choose(
                         candidates,
-                        new RouteQuery(triedServers, triedDomains, admitted.keyed() ? admitted.requestKey() : ""),
+                        new RouteQuery(
+                                triedServers,
+                                triedDomains,
+                                admitted.keyed() ? admitted.requestKey() : "",
+                                admitted.rank()),
                         this::score);
         if (chosen.isEmpty() && followStandingClaim()) {
             return;
@@ -290,7 +294,7 @@
                 .isPresent();
         Optional<Candidate> named = services.replicas().listed().stream()
                 .filter(server -> server.name().equals(record.sidecar()))
-                .map(server -> new Candidate(server, record.sidecarIncarnation(), 0, 1))
+                .map(server -> new Candidate(server, record.sidecarIncarnation(), 0, 1, 1))
                 .findFirst();
         if (there && named.isPresent() && currentLedger().mayUse(record.sidecarIncarnation())) {
             submit(named.get());
