--- a/core/src/main/java/org/streamring/kernel/limit/RankLimit.java
+++ b/core/src/main/java/org/streamring/kernel/limit/RankLimit.java
@@ -6,7 +6,7 @@
 public final class RankLimit {
     private static final int RANKS = PriorityClass.LOWEST_RANK + 1;
     /** The lowest rank leaves one part in this many free for the others. */
-    private static final int PARTS = 2;
+    private static final int PARTS = 3;
 
     private RankLimit() {}
 
