Count a replica that is slower than its peers as busier

Cause, from the measurement of routing: with one engine four times slower, the late first tokens were those of requests that waited there. Its reported load is as low as that of the others as long as it is asked little, so load alone sends it its share again and again.

Ruled out: ejecting slow replicas (they still do work that counts near the limit); comparing first tokens (they depend on the prompt and on caches).

Change: time per token of streams, and of whole calls of plain services, is smoothed per replica and compared with the median of the service.

--- a/core/src/main/java/org/streamring/kernel/routing/Candidate.java
+++ b/core/src/main/java/org/streamring/kernel/routing/Candidate.java
@@ -10,7 +10,8 @@
  * @param incarnation incarnation of its sidecar
  * @param running attempts in progress, as last reported and corrected for what this entry started since then
  * @param capacity most attempts that it takes
- * @param handicap factor of at least 1 by which it counts as busier, while it comes back after failures
+ * @param handicap factor of at least 1 by which it counts as busier: while it comes back after failures, or as it is
+ *     slower than others
  */
 public record Candidate(BackendServer server, String incarnation, int running, int capacity, double handicap) {
     /** Attempts in progress over capacity. */
@@ -18,9 +19,9 @@
         return running / (double) Math.max(1, capacity);
     }
 
-    /** Load as it counts in a choice. */
+    /** Load with one more attempt, as it counts in a choice. */
     public double cost() {
-        return load() * handicap;
+        return (running + 1) / (double) Math.max(1, capacity) * handicap;
     }
 
     /** Whether it is believed to take one more attempt of a rank. */
--- a/core/src/main/java/org/streamring/kernel/routing/Replica.java
+++ b/core/src/main/java/org/streamring/kernel/routing/Replica.java
@@ -10,6 +10,7 @@
     private int ownRunning;
     private int ownRunningAtReport;
     private final Ejection ejection = new Ejection();
+    private final Pace pace = new Pace();
 
     Replica(BackendServer server) {
         this.server = server;
@@ -66,7 +67,17 @@
         return report.running() + Math.max(0, ownRunning - ownRunningAtReport);
     }
 
-    Candidate candidate(long nowMillis) {
-        return new Candidate(server, incarnation, running(), report.capacity(), ejection.returnFactor(nowMillis));
+    Pace pace() {
+        return pace;
+    }
+
+    /**
+     * Itself as a candidate.
+     *
+     * @param typicalPace time per unit of work of a typical replica of the service, in milliseconds; 0 if not known
+     */
+    Candidate candidate(double typicalPace, long nowMillis) {
+        double handicap = ejection.returnFactor(nowMillis) * pace.slowness(typicalPace, nowMillis);
+        return new Candidate(server, incarnation, running(), report.capacity(), handicap);
     }
 }
--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaTable.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaTable.java
@@ -16,6 +16,8 @@
  * <p>Safe for use by many threads; its lock is a leaf, held while no other lock is taken.
  */
 public final class ReplicaTable {
+    private static final int FEWEST_TO_COMPARE = 3;
+
     private final Map<String, Replica> replicas = new HashMap<>();
     private Set<String> stoppedByOperator = Set.of();
 
@@ -60,6 +62,11 @@
         find(name).ifPresent(replica -> replica.ended(result, nowMillis));
     }
 
+    /** A unit of work, a token or a plain call, has taken so long. */
+    public synchronized void paced(String name, double millisPerUnit, long nowMillis) {
+        find(name).ifPresent(replica -> replica.pace().add(millisPerUnit, nowMillis));
+    }
+
     private Optional<Replica> find(String name) {
         return Optional.ofNullable(replicas.get(name));
     }
@@ -84,7 +91,21 @@
                 .filter(replica -> !replica.ejected(nowMillis))
                 .toList();
         List<Replica> taking = 2 * sound.size() < available.size() ? available : sound;
-        return taking.stream().map(replica -> replica.candidate(nowMillis)).toList();
+        double typicalPace = typicalPace(taking);
+        return taking.stream()
+                .map(replica -> replica.candidate(typicalPace, nowMillis))
+                .toList();
+    }
+
+    /** The median, so that a few slow ones do not shift it; 0 if too few are known to compare with. */
+    private static double typicalPace(List<Replica> compared) {
+        double[] known = compared.stream()
+                .map(Replica::pace)
+                .filter(Pace::known)
+                .mapToDouble(Pace::millisPerUnit)
+                .sorted()
+                .toArray();
+        return known.length < FEWEST_TO_COMPARE ? 0 : known[(known.length - 1) / 2];
     }
 
     /** Whether any replica of a service is listed, taking work or not. */
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -148,7 +148,7 @@
         if (connection.isEmpty()) {
             return false;
         }
-        attempts.put(submit.getAttempt(), new OpenAttempt(connection.get(), listener));
+        attempts.put(submit.getAttempt(), new OpenAttempt(connection.get(), submit, listener));
         replicas.started(sidecar);
         if (connection.get().send(Frame.newBuilder().setSubmit(submit).build())) {
             return true;
@@ -313,7 +313,7 @@
                             .ifPresentOrElse(open -> open.begun(frame.getBegin()), dropped::increment);
                 case CHUNK ->
                     attempt(from, frame.getChunk().getAttempt())
-                            .ifPresentOrElse(open -> open.listener().chunk(frame.getChunk()), dropped::increment);
+                            .ifPresentOrElse(open -> open.chunk(frame.getChunk()), dropped::increment);
                 case END -> ended(from, frame);
                 case REFUSED -> refused(from, frame);
                 case PONG -> reported(frame.getPong().getLoad());
@@ -339,6 +339,7 @@
                 return;
             }
             replicas.ended(server.name(), open.get().result(frame.getEnd()), now());
+            open.get().pace(frame.getEnd()).ifPresent(millis -> replicas.paced(server.name(), millis, now()));
             open.get().listener().ended(frame.getEnd());
         }
 
