Hold the test of the lowest class to the limit in force

Change: the test fills the book exactly to the limit of the lowest rank and expects one more of it to run, the next to be refused and the highest rank to run; before, it left the boundary open.

--- a/core/src/test/java/org/streamring/kernel/receipt/ReceiptBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/receipt/ReceiptBookTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.streamring.kernel.limit.RankLimit;
 import org.streamring.kernel.receipt.AdmitDecision.Attach;
 import org.streamring.kernel.receipt.AdmitDecision.RanBefore;
 import org.streamring.kernel.receipt.AdmitDecision.Refuse;
@@ -124,10 +125,13 @@
 
     @Test
     public void theLowestClassIsRefusedFirst() {
-        for (int i = 0; i < 12; i++) {
+        int limit = RankLimit.of(book.capacity(), 9);
+        assertThat(limit).isLessThan(book.capacity());
+        for (int i = 0; i < limit - 1; i++) {
             assertThat(book.admit(order("a" + i, "r" + i, true, 0), 0)).isEqualTo(new Run());
         }
-        assertThat(book.admit(order("low", "low", true, 9), 0)).isEqualTo(new Refuse(RefusalReason.OVERLOAD));
+        assertThat(book.admit(order("low", "low", true, 9), 0)).isEqualTo(new Run());
+        assertThat(book.admit(order("lower", "lower", true, 9), 0)).isEqualTo(new Refuse(RefusalReason.OVERLOAD));
         assertThat(book.admit(order("high", "high", true, 0), 0)).isEqualTo(new Run());
     }
 
