Send prompts that begin alike to the same replicas

Ruled out: rendezvous hashing of a prompt's first bytes (one long template for all would send everything to the same two replicas); the engines' cache events (control bytes, and they are late).

Change: an index of at most 16,384 hashes of beginnings remembers the last three replicas of each. Those are considered beside the three drawn at random, and may be busier by 0.3 of their capacity times the share of the prompt.

--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
@@ -1,8 +1,11 @@
 package org.streamring.kernel.routing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,14 +15,17 @@
 
 /**
  * Chooses a replica: the best of a few drawn at random, so that late reports do not send everything to the same one. A
- * request with an identifier of its caller's goes to the replicas that all entries would try first for it.
+ * replica that may have the beginning of the prompt cached is considered as well, and may be somewhat busier. A request with an identifier of its caller's goes to the replicas that all entries would try first for it.
  */
 public final class ReplicaSelector {
     private static final int SAMPLE = 3;
     private static final int SAMPLE_OF_BASELINE = 2;
+    /** How much busier a replica may be, as a part of its capacity, if it has a whole prompt cached. */
+    private static final double WORTH_OF_CACHED_PROMPT = 0.3;
 
     private final RoutingStrategy strategy;
     private final RandomGenerator random;
+    private final PrefixIndex prefixes = new PrefixIndex();
     private final AtomicInteger turn = new AtomicInteger();
 
     /**
@@ -48,7 +54,7 @@
             return owner(pool, query.key());
         }
         return switch (strategy) {
-            case ADAPTIVE -> best(sample(withRoom(pool, query.rank()), SAMPLE), score);
+            case ADAPTIVE -> adaptive(withRoom(pool, query.rank()), query.prefix(), score);
             case LEAST_OF_TWO -> best(sample(pool, SAMPLE_OF_BASELINE), Candidate::load);
             case ROUND_ROBIN -> Optional.of(next(pool));
         };
@@ -65,6 +71,22 @@
         return elsewhere.isEmpty() ? left : elsewhere;
     }
 
+    /** The best of a few drawn at random and of those that may have the prompt's beginning cached. */
+    private Optional<Candidate> adaptive(List<Candidate> pool, PromptPrefix prefix, ToDoubleFunction<Candidate> score) {
+        Map<String, Double> cached = prefixes.shares(prefix);
+        Set<Candidate> considered = new LinkedHashSet<>(sample(pool, SAMPLE));
+        pool.stream()
+                .filter(candidate -> cached.containsKey(candidate.server().name()))
+                .forEach(considered::add);
+        Optional<Candidate> chosen = best(
+                considered,
+                candidate -> score.applyAsDouble(candidate)
+                        - WORTH_OF_CACHED_PROMPT
+                                * cached.getOrDefault(candidate.server().name(), 0.0));
+        chosen.ifPresent(candidate -> prefixes.placed(prefix, candidate.server().name()));
+        return chosen;
+    }
+
     /** If none is believed to have room, any may be asked: reports lag, and its sidecar decides. */
     private static List<Candidate> withRoom(List<Candidate> pool, int rank) {
         List<Candidate> free =
@@ -81,7 +103,7 @@
         return sample;
     }
 
-    private static Optional<Candidate> best(List<Candidate> sample, ToDoubleFunction<Candidate> score) {
+    private static Optional<Candidate> best(Collection<Candidate> sample, ToDoubleFunction<Candidate> score) {
         return sample.stream().min(Comparator.comparingDouble(score));
     }
 
--- a/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
+++ b/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
@@ -20,11 +20,12 @@
 
 public class RoutingTest {
     private ReplicaTable table;
-    private final ReplicaSelector selector = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(7));
+    private ReplicaSelector selector;
 
     @BeforeMethod
     public void setUp() {
         table = new ReplicaTable();
+        selector = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(7));
         List<BackendServer> servers = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             servers.add(server("s" + i, "domain-" + i % 3));
@@ -130,7 +131,7 @@
             table.reported("s" + i, new LoadReport(9, 10, false));
         }
         table.reported("s5", new LoadReport(2, 10, false));
-        RouteQuery lowest = new RouteQuery(Set.of(), Set.of(), "", 9);
+        RouteQuery lowest = new RouteQuery(Set.of(), Set.of(), "", 9, PromptPrefix.NONE);
         for (int i = 0; i < 50; i++) {
             assertThat(selector.choose(candidates(0), lowest, candidate -> 0))
                     .get()
@@ -183,6 +184,62 @@
         assertThat(candidate("s0", 0).handicap()).isEqualTo(1);
     }
 
+    private String choose(String prompt) {
+        RouteQuery query = new RouteQuery(Set.of(), Set.of(), "", 0, PromptPrefix.of(prompt));
+        return selector.choose(candidates(0), query, Candidate::cost)
+                .orElseThrow()
+                .server()
+                .name();
+    }
+
+    private static String prompt(String beginning, int seed) {
+        return beginning.repeat(400) + Integer.toString(seed).repeat(400);
+    }
+
+    private void reportAll(int running) {
+        for (int i = 0; i < 6; i++) {
+            table.reported("s" + i, new LoadReport(running, 100, false));
+        }
+    }
+
+    @Test
+    public void promptsThatBeginAlikeGoToTheSameServer() {
+        reportAll(10);
+        for (String beginning : List.of("alpha ", "beta ", "gamma ")) {
+            String first = choose(prompt(beginning, 1));
+            for (int i = 2; i < 30; i++) {
+                assertThat(choose(prompt(beginning, i))).isEqualTo(first);
+            }
+        }
+    }
+
+    @Test
+    public void aMuchBusierServerDoesNotGetAPromptItHasCached() {
+        reportAll(10);
+        String first = choose(prompt("alpha ", 1));
+        table.reported(first, new LoadReport(90, 100, false));
+        assertThat(choose(prompt("alpha ", 2))).isNotEqualTo(first);
+    }
+
+    @Test
+    public void oneBeginningOfAllPromptsDoesNotFillOneServer() {
+        reportAll(0);
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 300; i++) {
+            String name = choose(prompt("alpha ", i));
+            table.started(name);
+            counts.merge(name, 1, Integer::sum);
+        }
+        assertThat(counts).hasSize(6);
+        assertThat(counts.values()).allMatch(count -> count < 100);
+    }
+
+    @Test
+    public void shortPromptsHaveNoMarks() {
+        assertThat(PromptPrefix.of("x".repeat(511)).marks()).isEmpty();
+        assertThat(PromptPrefix.of("x".repeat(513)).marks()).hasSize(1);
+    }
+
     private Candidate candidate(String name, long now) {
         return candidates(now).stream()
                 .filter(candidate -> candidate.server().name().equals(name))
@@ -204,7 +261,7 @@
         for (int i = 0; i < 50; i++) {
             Candidate chosen = selector.choose(
                             candidates(0),
-                            new RouteQuery(Set.of("s0"), Set.of("domain-0"), "", 0),
+                            new RouteQuery(Set.of("s0"), Set.of("domain-0"), "", 0, PromptPrefix.NONE),
                             Candidate::load)
                     .orElseThrow();
             assertThat(chosen.server().failureDomain()).isNotEqualTo("domain-0");
@@ -214,7 +271,7 @@
                 .toList();
         assertThat(selector.choose(
                         onlyOne,
-                        new RouteQuery(Set.of("s0"), Set.of("domain-0"), "", 0),
+                        new RouteQuery(Set.of("s0"), Set.of("domain-0"), "", 0, PromptPrefix.NONE),
                         Candidate::load))
                 .as("the same domain is better than none")
                 .isPresent();
@@ -236,7 +293,7 @@
     public void anIdentifierGoesToTheSameServerFromEveryEntry() {
         String first = selector.choose(
                         candidates(0),
-                        new RouteQuery(Set.of(), Set.of(), "acc/key", 0),
+                        new RouteQuery(Set.of(), Set.of(), "acc/key", 0, PromptPrefix.NONE),
                         Candidate::load)
                 .orElseThrow()
                 .server()
@@ -244,7 +301,7 @@
         ReplicaSelector other = new ReplicaSelector(RoutingStrategy.ADAPTIVE, new SplittableRandom(99));
         assertThat(other.choose(
                                 candidates(0),
-                                new RouteQuery(Set.of(), Set.of(), "acc/key", 0),
+                                new RouteQuery(Set.of(), Set.of(), "acc/key", 0, PromptPrefix.NONE),
                                 Candidate::load)
                         .orElseThrow()
                         .server()
--- a/entry/src/main/java/org/streamring/entry/caller/ModelCall.java
+++ b/entry/src/main/java/org/streamring/entry/caller/ModelCall.java
@@ -50,6 +50,13 @@
         return body.path("model").asText();
     }
 
+    /** The prompt as one text; prompts that begin alike give texts that begin alike. */
+    public String promptText() {
+        return body.has("messages")
+                ? body.path("messages").toString()
+                : body.path("prompt").toString();
+    }
+
     /** Whether a streamed answer is asked for. */
     public boolean stream() {
         return body.path("stream").asBoolean(false);
--- a/entry/src/main/java/org/streamring/entry/request/AdmittedRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/AdmittedRequest.java
@@ -5,6 +5,7 @@
 import org.streamring.entry.caller.Call;
 import org.streamring.kernel.policy.CompiledPolicy;
 import org.streamring.kernel.policy.PolicyInput;
+import org.streamring.kernel.routing.PromptPrefix;
 
 /**
  * A request that may run, with everything decided about it.
@@ -26,6 +27,7 @@
  * @param path path as forwarded
  * @param body body as forwarded
  * @param bodyHash hash of method, path and body as the caller sent them
+ * @param prefix how its prompt begins
  * @param deadline time that it may take
  */
 record AdmittedRequest(
@@ -46,6 +48,7 @@
         String path,
         ByteString body,
         String bodyHash,
+        PromptPrefix prefix,
         Duration deadline) {
 
     String service() {
--- a/entry/src/main/java/org/streamring/entry/request/RequestAdmitter.java
+++ b/entry/src/main/java/org/streamring/entry/request/RequestAdmitter.java
@@ -12,6 +12,7 @@
 import org.streamring.kernel.policy.PolicyDecision;
 import org.streamring.kernel.policy.PolicyException;
 import org.streamring.kernel.policy.PolicyInput;
+import org.streamring.kernel.routing.PromptPrefix;
 import org.streamring.model.declaration.AccountDeclaration;
 import org.streamring.model.declaration.Declarations;
 import org.streamring.model.declaration.ServiceDeclaration;
@@ -92,6 +93,7 @@
                 call.path(),
                 model.forwardedBody(service, rank),
                 bodyHash(call),
+                PromptPrefix.of(model.promptText()),
                 call.deadline().orElse(DEFAULT_DEADLINE));
     }
 
@@ -128,6 +130,7 @@
                 path,
                 call.body(),
                 bodyHash(call),
+                PromptPrefix.NONE,
                 call.deadline().orElse(DEFAULT_DEADLINE));
     }
 
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -197,7 +197,8 @@
                                 triedServers,
                                 triedDomains,
                                 admitted.keyed() ? admitted.requestKey() : "",
-                                admitted.rank()),
+                                admitted.rank(),
+                                admitted.prefix()),
                         this::score);
         if (chosen.isEmpty() && followStandingClaim()) {
             return;
--- a/standin/src/main/java/org/streamring/standin/experiment/SlopesCommand.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/SlopesCommand.java
@@ -24,6 +24,7 @@
         bytes("bytes per budget and account known", Subjects::configuration);
         bytes("bytes per receipt at a sidecar", Subjects::receipts);
         bytes("bytes per remembered request", Subjects::rememberedRequests);
+        bytes("bytes per mark of a prompt's beginning", Subjects::promptMarks);
         for (int size : CANDIDATES) {
             nanos("ns per choice among candidates", size, Subjects.choice(size));
         }
@@ -33,6 +34,7 @@
         nanos("ns per reserve and finish", 1, Subjects.reserveAndFinish());
         nanos("ns per admit and end of an attempt", 1, Subjects.admitAndEnd());
         nanos("ns per policy evaluation (3 parts)", 1, Subjects.policy());
+        nanos("ns per 32 KB prompt marked", 1, Subjects.prefixHashing());
         nanos("ns per change row read and applied", 1, Subjects.changeApplied());
         Subjects.frameSizes().forEach(size -> System.out.printf(FORMAT, size.name(), 1, size.bytes(), size.bytes()));
         writes();
--- a/standin/src/main/java/org/streamring/standin/experiment/Subjects.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/Subjects.java
@@ -25,6 +25,8 @@
 import org.streamring.kernel.receipt.ReceiptBookSettings;
 import org.streamring.kernel.receipt.Usage;
 import org.streamring.kernel.routing.Candidate;
+import org.streamring.kernel.routing.PrefixIndex;
+import org.streamring.kernel.routing.PromptPrefix;
 import org.streamring.kernel.routing.ReplicaSelector;
 import org.streamring.kernel.routing.ReplicaTable;
 import org.streamring.kernel.routing.RouteQuery;
@@ -49,6 +51,9 @@
 final class Subjects {
     private static final int LENGTH_PREFIX_BYTES = 4;
     private static final int BUDGETS_PER_STEP = 15;
+    private static final int MARKS_PER_PROMPT = 6;
+    private static final int PROMPT_BYTES = 4_096;
+    private static final int PROMPT_WORDS = 700;
 
     private Subjects() {}
 
@@ -146,6 +151,24 @@
         return book;
     }
 
+    /** Prompts without a common beginning; each leaves six marks. */
+    static Object promptMarks(int count) {
+        PrefixIndex index = new PrefixIndex();
+        for (int i = 0; i < count; i += MARKS_PER_PROMPT) {
+            index.placed(PromptPrefix.of(prompt(i)), "server-" + i % 32);
+        }
+        return index;
+    }
+
+    static Runnable prefixHashing() {
+        String prompt = prompt(1).repeat(8);
+        return () -> PromptPrefix.of(prompt);
+    }
+
+    private static String prompt(int number) {
+        return (number + " word ").repeat(PROMPT_WORDS).substring(0, PROMPT_BYTES);
+    }
+
     static Runnable choice(int count) {
         ReplicaTable table = new ReplicaTable();
         List<BackendServer> servers = new ArrayList<>();
