--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -2,27 +2,20 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.streamring.entry.caller.AnswerSink;
 import org.streamring.entry.peer.AttemptListener;
-import org.streamring.kernel.ledger.LeaseLedger;
-import org.streamring.kernel.ledger.Reservation;
 import org.streamring.kernel.ledger.ReserveResult;
 import org.streamring.kernel.once.Claim;
 import org.streamring.kernel.once.ClaimRecord;
 import org.streamring.kernel.once.ClaimResult;
-import org.streamring.kernel.policy.CandidateInput;
-import org.streamring.kernel.policy.PolicyException;
 import org.streamring.kernel.routing.Candidate;
-import org.streamring.kernel.routing.RouteQuery;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.model.request.Outcome;
 import org.streamring.model.request.Refusal;
@@ -40,25 +33,20 @@
  * them is held.
  */
 final class RunningRequest implements AttemptListener {
-    private static final int MAX_TRIES = 3;
     private static final Set<RefusalReason> FINAL_REASONS =
             Set.of(RefusalReason.KEY_REUSED, RefusalReason.DEADLINE, RefusalReason.FENCED);
-    private static final AtomicLong ATTEMPTS = new AtomicLong();
     private static final Duration BUSY_RETRY = Duration.ofSeconds(1);
 
     private final RequestServices services;
     private final AnswerSink sink;
     private final AnswerDelivery delivery;
     private final List<Runnable> onDone = new ArrayList<>();
-    private final Set<String> triedServers = new HashSet<>();
-    private final Set<String> triedDomains = new HashSet<>();
+    private final RouteFinder routes;
     private @Nullable AdmittedRequest request;
-    private @Nullable LeaseLedger ledger;
-    private @Nullable Reservation reservation;
+    private final AttemptFunding funding;
     private @Nullable Candidate target;
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private long claimVersion;
-    private int tries;
     private long startedMillis;
     private boolean submitted;
     private boolean earlierTryMayHaveRun;
@@ -69,6 +57,8 @@
         this.services = services;
         this.sink = sink;
         this.delivery = new AnswerDelivery(sink);
+        this.funding = new AttemptFunding(services.ledgers());
+        this.routes = new RouteFinder(services);
     }
 
     synchronized void onDone(Runnable action) {
@@ -135,11 +125,11 @@
     }
 
     private synchronized boolean reserveAgain(boolean storeAway) {
-        return done || reservation != null || reserve(storeAway);
+        return done || funding.isHeld() || reserve(storeAway);
     }
 
     private synchronized void stopWaiting() {
-        if (!done && reservation == null) {
+        if (!done && !funding.isHeld()) {
             refuse(Refusal.of(RefusalReason.LEASE_UNAVAILABLE, "no part of the budget could be leased in time"));
         }
     }
@@ -147,16 +137,8 @@
     /** Returns false if the request must wait for a lease. */
     private boolean reserve(boolean storeAway) {
         AdmittedRequest admitted = request();
-        ledger = services.ledgers().current();
-        String attempt = ledger.incarnation() + "#" + ATTEMPTS.incrementAndGet();
-        if (admitted.worstCase() == 0) {
-            reservation = new Reservation(attempt, admitted.budget(), ledger.incarnation() + "/0", 0);
-            continueOnWorker();
-            return true;
-        }
-        ReserveResult result = ledger.reserve(attempt, admitted.budget(), admitted.worstCase(), now());
-        if (result instanceof ReserveResult.Reserved reserved) {
-            reservation = reserved.reservation();
+        ReserveResult result = funding.reserve(admitted, now());
+        if (result instanceof ReserveResult.Reserved) {
             continueOnWorker();
             return true;
         }
@@ -178,28 +160,18 @@
         try {
             services.workers().execute(this::route);
         } catch (RejectedExecutionException e) {
-            releaseReservation();
+            funding.release();
             refuse(Refusal.of(RefusalReason.OVERLOAD, "this entry is overloaded"));
         }
     }
 
     private synchronized void route() {
         if (done) {
-            releaseReservation();
+            funding.release();
             return;
         }
         AdmittedRequest admitted = request();
-        List<Candidate> candidates = services.replicas().candidates(admitted.service(), currentLedger()::mayUse, now());
-        Optional<Candidate> chosen = services.selector()
-                .choose(
-                        candidates,
-                        new RouteQuery(
-                                triedServers,
-                                triedDomains,
-                                admitted.keyed() ? admitted.requestKey() : "",
-                                admitted.rank(),
-                                admitted.prefix()),
-                        this::score);
+        Optional<Candidate> chosen = routes.choose(admitted, funding::mayUse, now());
         if (chosen.isEmpty() && followStandingClaim()) {
             return;
         }
@@ -214,43 +186,18 @@
         }
     }
 
-    private LeaseLedger currentLedger() {
-        if (ledger == null) {
-            throw new IllegalStateException("nothing is reserved yet");
-        }
-        return ledger;
-    }
-
-    private double score(Candidate candidate) {
-        AdmittedRequest admitted = request();
-        CandidateInput input = new CandidateInput(
-                candidate.server().name(),
-                candidate.server().failureDomain(),
-                candidate.server().failureDomain().equals(services.failureDomain()),
-                candidate.cost());
-        try {
-            return admitted.policy().score(admitted.input(), input);
-        } catch (PolicyException e) {
-            return candidate.cost();
-        }
-    }
-
     private void claim(Candidate candidate) {
         AdmittedRequest admitted = request();
         ClaimRecord record = new ClaimRecord(
-                candidate.server().name(), candidate.incarnation(), admitted.bodyHash(), reservedAttempt());
+                candidate.server().name(), candidate.incarnation(), admitted.bodyHash(), funding.attempt());
         Claim claim = new Claim(admitted.requestKey(), claimVersion, record, now());
         services.claims().commit(claim).whenComplete((result, problem) -> services.workers()
                 .execute(() -> claimed(candidate, result)));
     }
 
-    private String reservedAttempt() {
-        return reservation == null ? "" : reservation.attempt();
-    }
-
     private synchronized void claimed(Candidate candidate, @Nullable ClaimResult result) {
         if (done) {
-            releaseReservation();
+            funding.release();
         } else if (result instanceof ClaimResult.Granted granted) {
             claimVersion = granted.row().version();
             submit(candidate);
@@ -289,32 +236,23 @@
             return;
         }
         claimVersion = bound.row().version();
-        boolean there = services.links()
-                .incarnationOf(record.sidecar())
-                .filter(record.sidecarIncarnation()::equals)
-                .isPresent();
-        Optional<Candidate> named = services.replicas().listed().stream()
-                .filter(server -> server.name().equals(record.sidecar()))
-                .map(server -> new Candidate(server, record.sidecarIncarnation(), 0, 1, 1))
-                .findFirst();
-        if (there && named.isPresent() && currentLedger().mayUse(record.sidecarIncarnation())) {
+        Optional<Candidate> named = routes.namedBy(record).filter(server -> funding.mayUse(server.incarnation()));
+        if (named.isPresent()) {
             submit(named.get());
             return;
         }
-        releaseReservation();
+        funding.release();
         fail(Outcome.UNKNOWN, "an earlier try may have run on a backend server that can't be asked now");
     }
 
     private void submit(Candidate candidate) {
-        if (reservation == null) {
+        if (!funding.isHeld()) {
             return;
         }
         target = candidate;
-        tries++;
-        triedServers.add(candidate.server().name());
-        triedDomains.add(candidate.server().failureDomain());
+        routes.tried(candidate);
         long leftMillis = request().deadline().toMillis() - (now() - startedMillis);
-        Submit frame = AttemptMessages.submit(request(), reservation, candidate.incarnation(), leftMillis);
+        Submit frame = AttemptMessages.submit(request(), funding.reservation(), candidate.incarnation(), leftMillis);
         submitted = services.links().submit(candidate.server().name(), frame, this);
         if (!submitted) {
             retryOrRefuse(RefusalReason.NO_BACKEND);
@@ -325,12 +263,12 @@
     private void retryOrRefuse(RefusalReason reason) {
         submitted = false;
         if (reason == RefusalReason.FENCED) {
-            currentLedger().giveUp();
+            funding.giveUpLedger();
             services.ledgerRunner().kick();
         }
         boolean elsewhere = !FINAL_REASONS.contains(reason);
         boolean retry =
-                !done && elsewhere && tries < MAX_TRIES && services.retries().tryRetry();
+                !done && elsewhere && routes.mayTryAgain() && services.retries().tryRetry();
         if (!retry) {
             refuseUnrouted(reason, "the backend servers that were tried did not take the request");
             return;
@@ -340,17 +278,10 @@
     }
 
     private void refuseUnrouted(RefusalReason reason, String message) {
-        releaseReservation();
+        funding.release();
         refuse(new Refusal(reason, message, BUSY_RETRY));
     }
 
-    private void releaseReservation() {
-        if (reservation != null && ledger != null) {
-            ledger.release(reservation);
-            reservation = null;
-        }
-    }
-
     @Override
     public synchronized void begun(Begin begin) {
         if (!done) {
@@ -369,13 +300,13 @@
     public synchronized void ended(End end) {
         boolean failed = !end.getComplete() || delivery.holdsServerError();
         if (failed && end.getTokens() == 0 && mayTryElsewhere()) {
-            releaseReservation();
+            funding.release();
             delivery.drop();
             noteRetryOfWhatMayHaveRun();
             reserveOrWait();
             return;
         }
-        book(end);
+        funding.book(request(), end, target == null ? "" : target.incarnation(), now());
         if (!done) {
             delivery.release();
         }
@@ -401,7 +332,7 @@
                 && delivery.nothingPassedOn()
                 && request().repeatable()
                 && !request().claimed()
-                && tries < MAX_TRIES;
+                && routes.mayTryAgain();
     }
 
     private void noteRetryOfWhatMayHaveRun() {
@@ -410,23 +341,10 @@
         services.metrics().counter("streamring.retries").increment();
     }
 
-    private void book(End end) {
-        if (reservation == null || ledger == null) {
-            return;
-        }
-        if (end.getBilled()) {
-            String backend = target == null ? "" : target.incarnation();
-            ledger.finish(reservation, AttemptMessages.billItem(request(), reservation, backend, end, now()), now());
-        } else {
-            ledger.release(reservation);
-        }
-        reservation = null;
-    }
-
     @Override
     public synchronized void refused(Refused refused) {
         if (refused.getRanBefore()) {
-            releaseReservation();
+            funding.release();
             fail(Outcome.UNKNOWN, "the request ran before, and its answer is no longer kept");
             return;
         }
@@ -453,8 +371,8 @@
             continueOnWorker();
             return;
         }
-        if (reservation != null && ledger != null && target != null) {
-            ledger.markUncertain(reservation, target.incarnation());
+        if (target != null) {
+            funding.leaveInDoubt(target.incarnation());
         }
         fail(Outcome.UNKNOWN, "the connection to the backend server was lost");
     }
@@ -464,7 +382,7 @@
             return;
         }
         if (!submitted) {
-            releaseReservation();
+            funding.release();
             refuse(Refusal.of(RefusalReason.DEADLINE, "the deadline passed before the request could run"));
             return;
         }
@@ -489,8 +407,8 @@
     }
 
     private void cancelAttempt() {
-        if (submitted && reservation != null) {
-            services.links().cancel(reservation.attempt());
+        if (submitted && funding.isHeld()) {
+            services.links().cancel(funding.attempt());
         }
     }
 
