Ask elsewhere after a refusal for lack of room only where there is room

Cause: every refusal by a full sidecar took leave of the retry budget before another was asked. Under overload background work used it up, and urgent work that met a full replica was refused at once though others had room for it.

Ruled out: a larger retry budget (it multiplies messages when all are full); one budget per class (the lowest would still try in vain).

Change: after a refusal for lack of room another replica is asked if one is believed to have room for the rank, without leave; if none is, the request is refused at once. Other retries need leave as before.

--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
@@ -60,6 +60,11 @@
         };
     }
 
+    /** Whether a replica that was not tried is believed to have room for one more of the request's rank. */
+    public static boolean hasRoomElsewhere(List<Candidate> candidates, RouteQuery query) {
+        return pool(candidates, query).stream().anyMatch(candidate -> candidate.hasRoom(query.rank()));
+    }
+
     private static List<Candidate> pool(List<Candidate> candidates, RouteQuery query) {
         List<Candidate> left = candidates.stream()
                 .filter(candidate -> !query.tried().contains(candidate.server().name()))
--- a/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
+++ b/core/src/test/java/org/streamring/kernel/routing/RoutingTest.java
@@ -140,6 +140,21 @@
         }
     }
 
+    @Test
+    public void aRefusedRequestIsOnlySentOnWhereItsRankHasRoom() {
+        for (int i = 0; i < 6; i++) {
+            table.reported("s" + i, new LoadReport(9, 12, false));
+        }
+        RouteQuery lowest = new RouteQuery(Set.of("s0"), Set.of(), "", 9, PromptPrefix.NONE);
+        RouteQuery highest = new RouteQuery(Set.of("s0"), Set.of(), "", 0, PromptPrefix.NONE);
+        assertThat(ReplicaSelector.hasRoomElsewhere(candidates(0), lowest)).isFalse();
+        assertThat(ReplicaSelector.hasRoomElsewhere(candidates(0), highest)).isTrue();
+        table.reported("s0", new LoadReport(0, 12, false));
+        assertThat(ReplicaSelector.hasRoomElsewhere(candidates(0), lowest))
+                .as("where it was tried does not count")
+                .isFalse();
+    }
+
     private void pace(String name, double millis, long now) {
         for (int i = 0; i < 10; i++) {
             table.paced(name, millis, now);
--- a/entry/src/main/java/org/streamring/entry/request/RouteFinder.java
+++ b/entry/src/main/java/org/streamring/entry/request/RouteFinder.java
@@ -9,6 +9,7 @@
 import org.streamring.kernel.policy.CandidateInput;
 import org.streamring.kernel.policy.PolicyException;
 import org.streamring.kernel.routing.Candidate;
+import org.streamring.kernel.routing.ReplicaSelector;
 import org.streamring.kernel.routing.RouteQuery;
 
 /** Finds backend servers for the tries of one request. Guarded by its {@link RunningRequest}. */
@@ -30,14 +31,26 @@
      * @param mayUse which sidecar incarnations may be given work
      */
     Optional<Candidate> choose(AdmittedRequest request, Predicate<String> mayUse, long nowMillis) {
-        List<Candidate> candidates = services.replicas().candidates(request.service(), mayUse, nowMillis);
-        RouteQuery query = new RouteQuery(
+        return services.selector()
+                .choose(candidates(request, mayUse, nowMillis), query(request), candidate -> score(request, candidate));
+    }
+
+    /** Whether a server that was not tried is believed to have room for the request. */
+    boolean hasRoomElsewhere(AdmittedRequest request, Predicate<String> mayUse, long nowMillis) {
+        return ReplicaSelector.hasRoomElsewhere(candidates(request, mayUse, nowMillis), query(request));
+    }
+
+    private List<Candidate> candidates(AdmittedRequest request, Predicate<String> mayUse, long nowMillis) {
+        return services.replicas().candidates(request.service(), mayUse, nowMillis);
+    }
+
+    private RouteQuery query(AdmittedRequest request) {
+        return new RouteQuery(
                 triedServers,
                 triedDomains,
                 request.keyed() ? request.requestKey() : "",
                 request.rank(),
                 request.prefix());
-        return services.selector().choose(candidates, query, candidate -> score(request, candidate));
     }
 
     private double score(AdmittedRequest request, Candidate candidate) {
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -266,9 +266,7 @@
             funding.giveUpLedger();
             services.ledgerRunner().kick();
         }
-        boolean elsewhere = !FINAL_REASONS.contains(reason);
-        boolean retry =
-                !done && elsewhere && routes.mayTryAgain() && services.retries().tryRetry();
+        boolean retry = !done && !FINAL_REASONS.contains(reason) && routes.mayTryAgain() && mayRetryAfter(reason);
         if (!retry) {
             refuseUnrouted(reason, "the backend servers that were tried did not take the request");
             return;
@@ -277,6 +275,16 @@
         continueOnWorker();
     }
 
+    /**
+     * A refusal for lack of room cost no work, so another server may be asked whenever one is believed to have room, and
+     * never otherwise: under overload that would only multiply messages. Other retries need leave.
+     */
+    private boolean mayRetryAfter(RefusalReason reason) {
+        return reason == RefusalReason.OVERLOAD
+                ? routes.hasRoomElsewhere(request(), funding::mayUse, now())
+                : services.retries().tryRetry();
+    }
+
     private void refuseUnrouted(RefusalReason reason, String message) {
         funding.release();
         refuse(new Refusal(reason, message, BUSY_RETRY));
