--- a/core/src/main/java/org/streamring/kernel/routing/Ejection.java
+++ b/core/src/main/java/org/streamring/kernel/routing/Ejection.java
@@ -31,12 +31,10 @@
 
     void ended(AttemptResult result, long nowMillis) {
         trial = false;
-        switch (result) {
-            case FAILED -> failed(nowMillis);
-            case SERVED -> served(nowMillis);
-            case INCONCLUSIVE -> {
-                // Says nothing about the replica.
-            }
+        if (result == AttemptResult.FAILED) {
+            failed(nowMillis);
+        } else if (result == AttemptResult.SERVED) {
+            served(nowMillis);
         }
     }
 
--- a/core/src/main/java/org/streamring/kernel/routing/PrefixIndex.java
+++ b/core/src/main/java/org/streamring/kernel/routing/PrefixIndex.java
@@ -37,7 +37,7 @@
         }
     }
 
-    /** For each replica that a prompt of the same beginning went to, the share of the prompt that it may have cached. */
+    /** For each replica that got a prompt of the same beginning, the share of the prompt that it may have cached. */
     public synchronized Map<String, Double> shares(PromptPrefix prefix) {
         Map<String, Double> shares = new HashMap<>();
         for (PromptPrefix.Mark mark : prefix.marks()) {
--- a/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
+++ b/core/src/main/java/org/streamring/kernel/routing/ReplicaSelector.java
@@ -15,7 +15,8 @@
 
 /**
  * Chooses a replica: the best of a few drawn at random, so that late reports do not send everything to the same one. A
- * replica that may have the beginning of the prompt cached is considered as well, and may be somewhat busier. A request with an identifier of its caller's goes to the replicas that all entries would try first for it.
+ * replica that may have the beginning of the prompt cached is considered as well, and may be somewhat busier. A request
+ * with an identifier of its caller's goes to the replicas that all entries would try first for it.
  */
 public final class ReplicaSelector {
     private static final int SAMPLE = 3;
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -276,7 +276,7 @@
     }
 
     /**
-     * A refusal for lack of room cost no work, so another server may be asked whenever one is believed to have room, and
+     * A refusal for lack of room cost no work, so another server may be asked if one is believed to have room, and
      * never otherwise: under overload that would only multiply messages. Other retries need leave.
      */
     private boolean mayRetryAfter(RefusalReason reason) {
--- a/standin/src/main/java/org/streamring/standin/experiment/routing/RequestKind.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/routing/RequestKind.java
@@ -47,7 +47,8 @@
         String shared = text(name + random.nextInt(subjects), sharedTokens);
         String own = text(Long.toHexString(random.nextLong()), ownTokens);
         return """
-                {"model":"assist","messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}],\
+                {"model":"assist","messages":[{"role":"system","content":"%s"},\
+                {"role":"user","content":"%s"}],\
                 "max_tokens":%d,"standin_answer_tokens":%d,"stream":true}""".formatted(shared, own, answerTokens, answerTokens);
     }
 
--- a/standin/src/main/java/org/streamring/standin/experiment/routing/RoutingTally.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/routing/RoutingTally.java
@@ -20,15 +20,19 @@
 
     synchronized void add(RequestKind kind, RoutedCall call) {
         sent.merge(kind.name(), 1, Integer::sum);
-        switch (call.result()) {
-            case WHOLE -> {
-                first.recordValue(call.firstMicros());
-                if (kind.answerTokens() > 1) {
-                    gap.recordValue(call.gapMicros());
-                }
-            }
-            case REFUSED -> refused.merge(kind.name(), 1, Integer::sum);
-            case BROKEN -> broken++;
+        if (call.result() == RoutedCall.Result.WHOLE) {
+            addTimes(kind, call);
+        } else if (call.result() == RoutedCall.Result.REFUSED) {
+            refused.merge(kind.name(), 1, Integer::sum);
+        } else {
+            broken++;
+        }
+    }
+
+    private void addTimes(RequestKind kind, RoutedCall call) {
+        first.recordValue(call.firstMicros());
+        if (kind.answerTokens() > 1) {
+            gap.recordValue(call.gapMicros());
         }
     }
 
