Read the times of a streamed answer in one class

Change: StreamTimes serves both; how an entry told its caller is part of it. An answer counts as whole by its [DONE], which an entry passes on only at the regular end of a stream.

--- a/standin/src/main/java/org/streamring/standin/experiment/StreamTimes.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/StreamTimes.java
@@ -9,8 +9,8 @@
 import org.asynchttpclient.HttpResponseStatus;
 import org.jspecify.annotations.Nullable;
 
-/** Times of one streamed answer: to its first part, between parts, and in all. */
-final class StreamTimes implements AsyncHandler<Void> {
+/** Times of one streamed answer: to its first part, between parts, and in all; and what its caller was told. */
+public final class StreamTimes implements AsyncHandler<Void> {
     private static final int OK = 200;
     private static final int TAIL_CHARACTERS = 400;
 
@@ -20,6 +20,7 @@
     private int parts;
     private int status;
     private String tail = "";
+    private String outcome = "";
 
     @Override
     public State onStatusReceived(HttpResponseStatus responseStatus) {
@@ -29,6 +30,7 @@
 
     @Override
     public State onHeadersReceived(HttpHeaders headers) {
+        outcome = headers.get("Streamring-Outcome", "");
         return State.CONTINUE;
     }
 
@@ -58,15 +60,23 @@
         return null;
     }
 
-    boolean whole() {
+    /** Whether the answer came to its regular end. */
+    public boolean whole() {
         return status == OK && tail.contains("[DONE]");
     }
 
-    long firstMicros() {
+    /** Whether the caller was told that nothing ran. */
+    public boolean refused() {
+        return outcome.equals("not-run");
+    }
+
+    /** Time to the first part. */
+    public long firstMicros() {
         return TimeUnit.NANOSECONDS.toMicros(firstNanos - startNanos);
     }
 
-    long totalMicros() {
+    /** Time to the last part. */
+    public long totalMicros() {
         return TimeUnit.NANOSECONDS.toMicros(lastNanos - startNanos);
     }
 
@@ -74,4 +84,9 @@
     long gapMicros() {
         return parts < 2 ? 0 : TimeUnit.NANOSECONDS.toMicros(lastNanos - firstNanos) / (parts - 1);
     }
+
+    /** Mean time between tokens of an answer of known length; parts may carry several. */
+    public long tokenMicros(int answerTokens) {
+        return TimeUnit.NANOSECONDS.toMicros(lastNanos - firstNanos) / Math.max(1, answerTokens - 1);
+    }
 }
--- a/standin/src/main/java/org/streamring/standin/experiment/routing/RoutingCommand.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/routing/RoutingCommand.java
@@ -18,6 +18,7 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.RequestBuilder;
 import org.streamring.standin.engine.EngineFaults;
+import org.streamring.standin.experiment.StreamTimes;
 import org.streamring.standin.experiment.routing.MeasuredFleet.PromptCounts;
 
 /**
@@ -166,7 +167,7 @@
                 .setHeader("Authorization", "Bearer " + kind.accountKey())
                 .setHeader("Streamring-Deadline-Ms", DEADLINE_MILLIS)
                 .setBody(kind.body(random));
-        RoutedCall call = new RoutedCall(kind.answerTokens());
+        StreamTimes call = new StreamTimes();
         open.register();
         client.executeRequest(request, call).toCompletableFuture().whenComplete((ignored, problem) -> {
             tally.add(kind, call);
--- a/standin/src/main/java/org/streamring/standin/experiment/routing/RoutingTally.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/routing/RoutingTally.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import org.streamring.standin.experiment.StreamTimes;
 
 /** What came of the requests of one strategy in one scenario. */
 final class RoutingTally {
@@ -18,21 +19,21 @@
     private long cachedTokens;
     private long promptTokens;
 
-    synchronized void add(RequestKind kind, RoutedCall call) {
+    synchronized void add(RequestKind kind, StreamTimes call) {
         sent.merge(kind.name(), 1, Integer::sum);
-        if (call.result() == RoutedCall.Result.WHOLE) {
+        if (call.whole()) {
             addTimes(kind, call);
-        } else if (call.result() == RoutedCall.Result.REFUSED) {
+        } else if (call.refused()) {
             refused.merge(kind.name(), 1, Integer::sum);
         } else {
             broken++;
         }
     }
 
-    private void addTimes(RequestKind kind, RoutedCall call) {
+    private void addTimes(RequestKind kind, StreamTimes call) {
         first.recordValue(call.firstMicros());
         if (kind.answerTokens() > 1) {
-            gap.recordValue(call.gapMicros());
+            gap.recordValue(call.tokenMicros(kind.answerTokens()));
         }
     }
 
