Leave tokens in doubt when a lost try finds no other server

Cause, found by reading the change again: a request lost at one sidecar is tried elsewhere under the same reservation; if nobody takes it, the reservation was released as if nothing had run. The first sidecar's engine may have run it, so its tokens could be spent a second time.

Ruled out: marking it in doubt when it is lost (the second sidecar's answer would then be booked against tokens that nobody frees).

Change: AttemptFunding remembers where the attempt was lost; giving it back then leaves it in doubt at that sidecar, whose receipts or an operator decide.

--- a/entry/src/main/java/org/streamring/entry/request/AttemptFunding.java
+++ b/entry/src/main/java/org/streamring/entry/request/AttemptFunding.java
@@ -1,5 +1,6 @@
 package org.streamring.entry.request;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.streamring.entry.ledger.LedgerHolder;
@@ -18,6 +19,7 @@
     private final LedgerHolder ledgers;
     private @Nullable LeaseLedger ledger;
     private @Nullable Reservation reservation;
+    private Optional<String> lostAt = Optional.empty();
 
     AttemptFunding(LedgerHolder ledgers) {
         this.ledgers = ledgers;
@@ -26,6 +28,7 @@
     /** Sets the worst case of the next attempt aside; what costs nothing needs no lease. */
     ReserveResult reserve(AdmittedRequest request, long nowMillis) {
         ledger = ledgers.current();
+        lostAt = Optional.empty();
         String attempt = ledger.incarnation() + "#" + ATTEMPTS.incrementAndGet();
         if (request.worstCase() == 0) {
             reservation = new Reservation(attempt, request.budget(), ledger.incarnation() + "/0", 0);
@@ -59,12 +62,25 @@
         return requireLedger().mayUse(sidecarIncarnation);
     }
 
-    /** Gives back what an attempt that did not run would have cost. */
+    /**
+     * Gives back what an attempt that did not run would have cost. If the same attempt was lost at a sidecar before, that
+     * sidecar may have spent it, so it is left in doubt instead.
+     */
     void release() {
-        if (reservation != null) {
+        if (reservation == null) {
+            return;
+        }
+        if (lostAt.isPresent()) {
+            requireLedger().markUncertain(reservation, lostAt.get());
+        } else {
             requireLedger().release(reservation);
-            reservation = null;
         }
+        reservation = null;
+    }
+
+    /** Notes that the attempt was lost at a sidecar and is tried elsewhere under the same reservation. */
+    void lostAt(String sidecarIncarnation) {
+        lostAt = Optional.of(sidecarIncarnation);
     }
 
     /** Books what an attempt spent. */
@@ -78,10 +94,10 @@
                             reservation,
                             AttemptMessages.billItem(request, reservation, sidecarIncarnation, end, nowMillis),
                             nowMillis);
+            reservation = null;
         } else {
-            requireLedger().release(reservation);
+            release();
         }
-        reservation = null;
     }
 
     /** Leaves what was set aside as it is until the sidecar has told what became of the attempt. */
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -375,6 +375,9 @@
     public synchronized void lost() {
         if (mayRunTwice() && services.retries().tryRetry()) {
             delivery.drop();
+            if (target != null) {
+                funding.lostAt(target.incarnation());
+            }
             noteRetryOfWhatMayHaveRun();
             continueOnWorker();
             return;
--- a/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
+++ b/integration/src/test/java/org/streamring/integration/TruthToCallersTest.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
 import org.streamring.fleet.Fleet;
+import org.streamring.kernel.table.RowKeys;
 import org.streamring.standin.engine.EngineFaults;
 import org.streamring.standin.engine.EngineSettings;
 import org.streamring.standin.engine.RunRecord;
@@ -72,6 +73,10 @@
         eventually("the engine has run something")
                 .until(() -> fleet.engineRecords().stream().anyMatch(record -> !record.complete()));
         assertThat(Fleet.outcome(answer.join())).isEqualTo("unknown");
+        fleet.stopEntries();
+        assertThat(fleet.amount(RowKeys.held(Fleet.BUDGET)))
+                .as("what may have run is not free again")
+                .isPositive();
     }
 
     private long running(String sidecar) {
