--- a/entry/src/main/java/org/streamring/entry/request/AttemptFunding.java
+++ b/entry/src/main/java/org/streamring/entry/request/AttemptFunding.java
@@ -63,8 +63,8 @@
     }
 
     /**
-     * Gives back what an attempt that did not run would have cost. If the same attempt was lost at a sidecar before, that
-     * sidecar may have spent it, so it is left in doubt instead.
+     * Gives back what an attempt that did not run would have cost. If the same attempt was lost at a sidecar before,
+     * that sidecar may have spent it, so it is left in doubt instead.
      */
     void release() {
         if (reservation == null) {
