--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/store/RowPage.java
@@ -0,0 +1,17 @@
+package org.streamring.kernel.store;
+
+import java.util.List;
+
+/**
+ * Rows read at one moment, or changed since one.
+ *
+ * @param rows the rows
+ * @param version the store's newest version at that moment
+ * @param historyLost whether changes are missing, so that the rows have to be listed anew
+ */
+public record RowPage(List<StoredRow> rows, long version, boolean historyLost) {
+    /** Copies the list. */
+    public RowPage {
+        rows = List.copyOf(rows);
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -0,0 +1,154 @@
+package org.streamring.direct;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.streamring.direct.caller.CallerServer;
+import org.streamring.direct.feed.BackendFeed;
+import org.streamring.direct.feed.ConfigurationFeed;
+import org.streamring.direct.feed.MemberRegister;
+import org.streamring.direct.feed.TableWatch;
+import org.streamring.direct.ledger.PrepaidRunner;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.request.Fleet;
+import org.streamring.direct.request.RequestRouter;
+import org.streamring.direct.request.RequestServices;
+import org.streamring.kernel.prepaid.PrepaidBook;
+import org.streamring.kernel.prepaid.PrepaidSettings;
+import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.kernel.route.RouteTable;
+import org.streamring.model.route.CallerLimits;
+import org.streamring.net.peer.PeerException;
+import org.streamring.platform.node.NodePlatform;
+import org.streamring.platform.node.NodeSettings;
+
+/**
+ * A running entry that sends requests to backend servers directly.
+ *
+ * <p>All its state is confined to one event loop, so there are no locks; only the log has a thread of its own.
+ */
+final class DirectEntry {
+    private static final long TIDY_MILLIS = 250;
+    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+    private static final Duration BALANCER_NOTICES = Duration.ofMillis(2_500);
+
+    private final EventLoop loop;
+    private final NodeSettings settings;
+    private final DecisionLog log;
+    private final LongSupplier clock;
+    private final BackendRegistry registry;
+    private final ConfigurationFeed configuration;
+    private final BackendFeed backends;
+    private final MemberRegister members;
+    private final PrepaidRunner tokens;
+    private final Fleet fleet;
+    private final TableWatch configurationWatch;
+    private final TableWatch backendWatch;
+    private final CallerServer callers;
+    private boolean stopping;
+
+    DirectEntry(EventLoopGroup loops, EventLoop loop, NodePlatform platform, NodeSettings settings, DecisionLog log)
+            throws PeerException {
+        this.loop = loop;
+        this.settings = settings;
+        this.log = log;
+        long start = System.nanoTime();
+        this.clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        String incarnation = Incarnation.create(settings.nodeName());
+        this.registry = new BackendRegistry(settings.keepLapsed().toMillis());
+        this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
+        this.backends = new BackendFeed(platform.operatorRows(), registry, clock, log);
+        this.members = new MemberRegister(loop, platform.store(), settings.nodeName(), incarnation, clock);
+        this.tokens = new PrepaidRunner(
+                loop,
+                platform.store(),
+                new PrepaidBook(incarnation, PrepaidSettings.DEFAULT),
+                configuration::inForce,
+                members::live,
+                clock,
+                log);
+        Random random = new Random();
+        this.fleet = new Fleet(
+                loop,
+                registry,
+                random,
+                platform.headers().requestId(),
+                clock,
+                members::live,
+                settings.retries());
+        this.configurationWatch = new TableWatch(
+                loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
+        this.backendWatch =
+                new TableWatch(loop, platform.store(), platform.operatorRows().backendTable(), backends);
+        RequestRouter router = new RequestRouter(new RequestServices(
+                loop,
+                clock,
+                random,
+                settings.failureDomain(),
+                platform.headers(),
+                configuration::inForce,
+                fleet,
+                tokens,
+                log));
+        this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
+        new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
+        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
+    }
+
+    /** Starts to read the store; to be called on the event loop. */
+    void start() {
+        configurationWatch.start();
+        backendWatch.start();
+        members.start();
+        tokens.start();
+        loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Finishes what is in progress; complete when the process may end. To be called on the event loop. */
+    CompletableFuture<Void> stop() {
+        stopping = true;
+        log.line("stopping", "requests", callers.busy());
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        long began = clock.getAsLong();
+        members.stop();
+        waitForRequests(began, stopped);
+        return stopped;
+    }
+
+    private void waitForRequests(long began, CompletableFuture<Void> stopped) {
+        long elapsed = clock.getAsLong() - began;
+        boolean quiet = callers.busy() == 0 && elapsed >= BALANCER_NOTICES.toMillis();
+        boolean late = elapsed >= settings.grace().minus(STOP_MARGIN).toMillis();
+        if (!quiet && !late) {
+            loop.schedule(() -> waitForRequests(began, stopped), 50, TimeUnit.MILLISECONDS);
+            return;
+        }
+        callers.closeUnused();
+        log.line("stopped", "requests", callers.busy(), "ms", elapsed);
+        CompletableFuture<Void> returned = tokens.close();
+        returned.whenComplete((done, failure) -> stopped.complete(null));
+        loop.schedule(() -> stopped.complete(null), 400, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean ready() {
+        return !stopping && configuration.inForce().isPresent() && backends.known();
+    }
+
+    private CallerLimits limits() {
+        return configuration
+                .inForce()
+                .map(RouteTable::configuration)
+                .map(each -> each.limits())
+                .orElse(CallerLimits.DEFAULT);
+    }
+
+    private void tidy() {
+        registry.expire(clock.getAsLong()).forEach(id -> log.line("backend_lapsed", "backend", id));
+        fleet.tidy();
+        callers.closeIdle();
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -0,0 +1,56 @@
+package org.streamring.direct;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.net.peer.PeerException;
+import org.streamring.net.process.StopSignal;
+import org.streamring.net.settings.SettingsException;
+import org.streamring.platform.node.NodePlatform;
+import org.streamring.platform.node.NodePlatformProvider;
+import org.streamring.platform.node.NodeSettings;
+
+/** Runs an entry that sends requests to backend servers directly, on the platform that is on the class path. */
+public final class DirectEntryMain {
+    private static final int WRONG_SETTINGS = 2;
+
+    private DirectEntryMain() {}
+
+    /** Runs the program until it is asked to stop. */
+    public static void main(String[] arguments) throws PeerException, InterruptedException {
+        NioEventLoopGroup loops = new NioEventLoopGroup(1);
+        EventLoop loop = loops.next();
+        NodePlatform platform;
+        NodeSettings settings;
+        try {
+            platform = NodePlatformProvider.find().open(System.getenv(), loop);
+            settings = platform.readSettings();
+        } catch (SettingsException e) {
+            System.err.println(e.getMessage());
+            System.exit(WRONG_SETTINGS);
+            return;
+        }
+        DecisionLog log = new DecisionLog(System.out, settings.nodeName());
+        StopSignal signal = new StopSignal();
+        DirectEntry entry = new DirectEntry(loops, loop, platform, settings, log);
+        loop.execute(entry::start);
+        signal.await();
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        loop.execute(() -> entry.stop().whenComplete((done, failure) -> stopped.complete(null)));
+        awaitStop(stopped, settings);
+        log.close();
+        signal.stopped();
+    }
+
+    private static void awaitStop(CompletableFuture<Void> stopped, NodeSettings settings) throws InterruptedException {
+        try {
+            stopped.get(settings.grace().toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            System.err.println("stop: not finished in time: " + e);
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
@@ -0,0 +1,80 @@
+package org.streamring.direct.backend;
+
+import org.jspecify.annotations.Nullable;
+
+/** A request on its way to a backend server. Confined to the event loop. */
+public final class BackendAttempt {
+    private final AttemptListener listener;
+    private @Nullable BackendConnection connection;
+    private boolean sent;
+    private boolean over;
+
+    BackendAttempt(AttemptListener listener) {
+        this.listener = listener;
+    }
+
+    /** Gives the attempt up; its listener hears nothing more. */
+    public void cancel() {
+        over = true;
+        if (connection != null) {
+            connection.cancel();
+            connection = null;
+        }
+    }
+
+    /** Stops or resumes reading the answer. */
+    public void pauseReading(boolean paused) {
+        if (connection != null) {
+            connection.pauseReading(paused);
+        }
+    }
+
+    /** Whether the request was written to a connection. */
+    public boolean sent() {
+        return sent;
+    }
+
+    void run(BackendConnection opened, BackendRequest request, long nowMillis) {
+        if (over) {
+            opened.close();
+            return;
+        }
+        sent = true;
+        connection = opened;
+        opened.send(request, new Relay(), nowMillis);
+    }
+
+    void notSent(String reason) {
+        if (!over) {
+            over = true;
+            listener.onFailure(AttemptFailure.NOT_SENT, reason);
+        }
+    }
+
+    /** Lets go of the connection before the end is told, as it may serve another request from then on. */
+    private final class Relay implements AttemptListener {
+        @Override
+        public void onHead(AnswerHead head) {
+            listener.onHead(head);
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            listener.onData(data);
+        }
+
+        @Override
+        public void onEnd() {
+            connection = null;
+            over = true;
+            listener.onEnd();
+        }
+
+        @Override
+        public void onFailure(AttemptFailure failure, String reason) {
+            connection = null;
+            over = true;
+            listener.onFailure(failure, reason);
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -0,0 +1,157 @@
+package org.streamring.direct.backend;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/** Connections to one backend server. Confined to the event loop. */
+public final class BackendPool {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+    private static final long FRESH_MILLIS = 1_500;
+
+    private final EventLoop loop;
+    private final String host;
+    private final int port;
+    private final String requestIdHeader;
+    private final LongSupplier clock;
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private final Set<BackendConnection> open = new HashSet<>();
+    private long heardMillis;
+    private long openedCount;
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param requestIdHeader header by which an answer names its request
+     * @param clock milliseconds of a steady clock
+     */
+    public BackendPool(EventLoop loop, String host, int port, String requestIdHeader, LongSupplier clock) {
+        this.loop = loop;
+        this.host = host;
+        this.port = port;
+        this.requestIdHeader = requestIdHeader;
+        this.clock = clock;
+        this.heardMillis = clock.getAsLong();
+    }
+
+    /** Starts an attempt; the result is for cancelling it. */
+    public BackendAttempt begin(BackendRequest request, AttemptListener listener) {
+        BackendAttempt attempt = new BackendAttempt(listener);
+        BackendConnection ready = takeIdle(request.freshOnly());
+        if (ready != null) {
+            attempt.run(ready, request, clock.getAsLong());
+            return attempt;
+        }
+        connect(request, attempt);
+        return attempt;
+    }
+
+    /** Whether attempts are waiting and nothing was heard from the server for so long. */
+    public boolean silentFor(long millis) {
+        long now = clock.getAsLong();
+        return now - heardMillis > millis
+                && open.stream().anyMatch(each -> each.busy() && now - each.startedMillis() > millis);
+    }
+
+    /** Connections opened so far. */
+    public long openedCount() {
+        return openedCount;
+    }
+
+    /** Closes idle connections that have rested too long. */
+    public void closeStale() {
+        long now = clock.getAsLong();
+        idle.removeIf(each -> {
+            boolean stale = !each.isOpen() || now - each.lastUseMillis() > each.keepAliveMillis();
+            if (stale) {
+                each.close();
+            }
+            return stale;
+        });
+    }
+
+    /** Closes all idle connections. */
+    public void closeIdle() {
+        idle.forEach(BackendConnection::close);
+        idle.clear();
+    }
+
+    /** Whether no connection is open. */
+    public boolean isEmpty() {
+        return open.isEmpty();
+    }
+
+    long nowMillis() {
+        return clock.getAsLong();
+    }
+
+    void heard() {
+        heardMillis = clock.getAsLong();
+    }
+
+    void idle(BackendConnection connection) {
+        idle.addFirst(connection);
+    }
+
+    void closed(BackendConnection connection) {
+        idle.remove(connection);
+        open.remove(connection);
+    }
+
+    private @Nullable BackendConnection takeIdle(boolean freshOnly) {
+        closeStale();
+        BackendConnection first = idle.peekFirst();
+        if (first == null) {
+            return null;
+        }
+        if (freshOnly && clock.getAsLong() - first.lastUseMillis() > FRESH_MILLIS) {
+            return null;
+        }
+        return idle.pollFirst();
+    }
+
+    private void connect(BackendRequest request, BackendAttempt attempt) {
+        BackendConnection connection = new BackendConnection(this, requestIdHeader);
+        openedCount++;
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel created) {
+                        created.pipeline()
+                                .addLast(
+                                        new HttpRequestEncoder(),
+                                        new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
+                                        connection);
+                    }
+                })
+                .connect(host, port);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                attempt.notSent(String.valueOf(done.cause()));
+                return;
+            }
+            connection.opened(connecting.channel());
+            open.add(connection);
+            heard();
+            attempt.run(connection, request, clock.getAsLong());
+        });
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/backend/KeepAlive.java
@@ -0,0 +1,33 @@
+package org.streamring.direct.backend;
+
+import org.jspecify.annotations.Nullable;
+
+/** Reads how long an idle connection may be kept. */
+final class KeepAlive {
+    private static final long DEFAULT_MILLIS = 5_000;
+    private static final double USED_PART = 0.7;
+    private static final String TIMEOUT = "timeout=";
+
+    private KeepAlive() {}
+
+    static long millis(@Nullable String header) {
+        if (header == null) {
+            return DEFAULT_MILLIS;
+        }
+        for (String parameter : header.split(",", -1)) {
+            String trimmed = parameter.trim();
+            if (trimmed.startsWith(TIMEOUT)) {
+                return seconds(trimmed.substring(TIMEOUT.length()));
+            }
+        }
+        return DEFAULT_MILLIS;
+    }
+
+    private static long seconds(String text) {
+        try {
+            return Math.min(DEFAULT_MILLIS * 2, (long) (Long.parseLong(text) * 1_000 * USED_PART));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
@@ -0,0 +1,91 @@
+package org.streamring.direct.caller;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.streamring.model.route.CallerLimits;
+import org.streamring.net.peer.PeerException;
+import org.streamring.net.process.Listening;
+
+/** Listens for callers. Confined to the event loop but for its creation. */
+public final class CallerServer {
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int CHUNK_BYTES = 65_536;
+
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private final Supplier<CallerLimits> limits;
+    private final Listening listening;
+
+    /** Starts to listen. */
+    public CallerServer(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            RequestSink sink,
+            Supplier<CallerLimits> limits,
+            LongSupplier clock,
+            BooleanSupplier stopping)
+            throws PeerException {
+        this.limits = limits;
+        this.listening = new Listening(
+                loops, address, accepted -> prepare(accepted, new CallerConnection(sink, clock, stopping)));
+    }
+
+    /** Port in use. */
+    public int port() {
+        return listening.port();
+    }
+
+    /** Closes connections that have rested too long. */
+    public void closeIdle() {
+        long idleMillis = limits.get().idleTimeout().toMillis();
+        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(idleMillis));
+    }
+
+    /** Closes connections without a request in progress. */
+    public void closeUnused() {
+        List.copyOf(connections).forEach(CallerConnection::closeIfUnused);
+    }
+
+    /** Requests in progress. */
+    public long busy() {
+        return connections.stream().filter(CallerConnection::busy).count();
+    }
+
+    private void prepare(SocketChannel accepted, CallerConnection connection) {
+        CallerLimits inForce = limits.get();
+        accepted.config().setTcpNoDelay(true);
+        accepted.pipeline()
+                .addLast(
+                        new HttpServerCodec(
+                                Math.max(MAX_LINE_BYTES, inForce.maxHeaderBytes()),
+                                inForce.maxHeaderBytes(),
+                                CHUNK_BYTES),
+                        new HttpObjectAggregator(inForce.maxBodyBytes()),
+                        connection,
+                        new Registration(connection));
+    }
+
+    private final class Registration extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        private Registration(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            connections.add(connection);
+            context.channel().closeFuture().addListener(closed -> connections.remove(connection));
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/caller/package-info.java
@@ -0,0 +1,5 @@
+/** Connections of callers. */
+@NullMarked
+package org.streamring.direct.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -0,0 +1,88 @@
+package org.streamring.direct.feed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.registry.BackendInstance;
+import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.kernel.store.StoredRow;
+import org.streamring.platform.node.MalformedRowException;
+import org.streamring.platform.node.OperatorRows;
+
+/** Feeds the registry of backend servers from their table. Confined to the event loop. */
+public final class BackendFeed implements TableWatch.Listener {
+    private final OperatorRows rows;
+    private final BackendRegistry registry;
+    private final LongSupplier clock;
+    private final DecisionLog log;
+    private boolean known;
+
+    /** Creates one. */
+    public BackendFeed(OperatorRows rows, BackendRegistry registry, LongSupplier clock, DecisionLog log) {
+        this.rows = rows;
+        this.registry = registry;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Whether the table was read once. */
+    public boolean known() {
+        return known;
+    }
+
+    @Override
+    public void listed(List<StoredRow> list) {
+        known = true;
+        List<BackendInstance> instances = new ArrayList<>();
+        for (StoredRow row : list) {
+            read(row, instances);
+        }
+        registry.replaceAll(instances, clock.getAsLong());
+        log.line("backends_listed", "count", instances.size());
+    }
+
+    @Override
+    public void changed(StoredRow row) {
+        if (row.removed()) {
+            registry.remove(row.key().key(), clock.getAsLong());
+            log.line("backend_gone", "backend", row.key().key(), "version", row.version());
+            return;
+        }
+        List<BackendInstance> instances = new ArrayList<>();
+        read(row, instances);
+        for (BackendInstance instance : instances) {
+            registry.put(instance);
+            log.line(
+                    "backend_changed",
+                    "backend",
+                    instance.id(),
+                    "service",
+                    instance.service(),
+                    "ready",
+                    instance.ready(),
+                    "version",
+                    row.version());
+        }
+    }
+
+    private void read(StoredRow row, List<BackendInstance> into) {
+        try {
+            into.add(rows.backend(row));
+        } catch (MalformedRowException e) {
+            log.line("backend_unreadable", "backend", row.key().key(), "reason", e.getMessage());
+        }
+    }
+
+    @Override
+    public void lost(String reason) {
+        registry.listLost();
+        log.line("store_lost", "by", "backends", "reason", reason);
+    }
+
+    @Override
+    public void regained() {
+        registry.listBack(clock.getAsLong());
+        log.line("store_regained", "by", "backends");
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -0,0 +1,138 @@
+package org.streamring.direct.feed;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.streamring.kernel.store.RowPage;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StoredRow;
+
+/**
+ * Follows a table: lists it, then waits for changes, and lists it anew when changes were missed.
+ *
+ * <p>Never goes back: a list older than what is known is asked for again, and a row older than its last version is passed
+ * over. Confined to the event loop.
+ */
+public final class TableWatch {
+    private static final Duration WAIT = Duration.ofSeconds(2);
+    private static final long RETRY_MILLIS = 200;
+
+    private final EventLoop loop;
+    private final RowStore store;
+    private final String table;
+    private final Listener listener;
+    private final Map<String, Long> versions = new HashMap<>();
+    private long known = -1;
+    private boolean listed;
+    private boolean away;
+    private boolean stopped;
+
+    /** Hears what the table holds. */
+    public interface Listener {
+        /** The whole table as it stands. */
+        void listed(List<StoredRow> rows);
+
+        /** A row was written or removed. */
+        void changed(StoredRow row);
+
+        /** The store can't be reached, since now. */
+        void lost(String reason);
+
+        /** The store can be reached again, and what follows is its state since then. */
+        void regained();
+    }
+
+    /** Creates one; nothing happens before {@link #start}. */
+    public TableWatch(EventLoop loop, RowStore store, String table, Listener listener) {
+        this.loop = loop;
+        this.store = store;
+        this.table = table;
+        this.listener = listener;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        list();
+    }
+
+    /** Ends. */
+    public void stop() {
+        stopped = true;
+    }
+
+    private void list() {
+        if (stopped) {
+            return;
+        }
+        store.list(table, "").whenComplete((page, failure) -> {
+            if (failure != null) {
+                failed(failure);
+            } else if (page.version() < known) {
+                later();
+            } else {
+                takeList(page);
+            }
+        });
+    }
+
+    private void takeList(RowPage page) {
+        reached();
+        listed = true;
+        known = page.version();
+        page.rows().forEach(row -> versions.merge(row.key().key(), row.version(), Math::max));
+        listener.listed(page.rows());
+        watch();
+    }
+
+    private void watch() {
+        if (stopped) {
+            return;
+        }
+        store.watch(table, known, WAIT).whenComplete((page, failure) -> {
+            if (failure != null) {
+                failed(failure);
+            } else if (page.historyLost()) {
+                reached();
+                listed = false;
+                list();
+            } else {
+                takeChanges(page);
+            }
+        });
+    }
+
+    private void takeChanges(RowPage page) {
+        reached();
+        known = Math.max(known, page.version());
+        for (StoredRow row : page.rows()) {
+            long before = versions.getOrDefault(row.key().key(), -1L);
+            if (row.version() > before) {
+                versions.put(row.key().key(), row.version());
+                listener.changed(row);
+            }
+        }
+        watch();
+    }
+
+    private void reached() {
+        if (away) {
+            away = false;
+            listener.regained();
+        }
+    }
+
+    private void failed(Throwable failure) {
+        if (!away) {
+            away = true;
+            listener.lost(String.valueOf(failure.getMessage()));
+        }
+        later();
+    }
+
+    private void later() {
+        loop.schedule(listed ? this::watch : this::list, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -0,0 +1,68 @@
+package org.streamring.direct.ledger;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.streamring.kernel.prepaid.Holding;
+import org.streamring.kernel.prepaid.PrepaidRow;
+
+/**
+ * Text form of an account's row: {@code [closed, limit, limit version, holder, granted, spent, holder, …]}, short as the
+ * store's bytes are paid for.
+ */
+final class PrepaidRowCodec {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private PrepaidRowCodec() {}
+
+    static String write(PrepaidRow row) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator generator = JSON.createGenerator(text)) {
+            generator.writeStartArray();
+            generator.writeNumber(row.closed());
+            generator.writeNumber(row.limit());
+            generator.writeNumber(row.limitVersion());
+            for (Map.Entry<String, Holding> holding : row.holdings().entrySet()) {
+                generator.writeString(holding.getKey());
+                generator.writeNumber(holding.getValue().granted());
+                generator.writeNumber(holding.getValue().spent());
+            }
+            generator.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    /** Reads a row; empty if the text is of another form. */
+    static Optional<PrepaidRow> read(String text) {
+        try (JsonParser parser = JSON.createParser(text)) {
+            if (parser.nextToken() != JsonToken.START_ARRAY) {
+                return Optional.empty();
+            }
+            long closed = number(parser);
+            long limit = number(parser);
+            long limitVersion = number(parser);
+            Map<String, Holding> holdings = new TreeMap<>();
+            while (parser.nextToken() == JsonToken.VALUE_STRING) {
+                String holder = parser.getText();
+                holdings.put(holder, new Holding(number(parser), number(parser)));
+            }
+            return Optional.of(new PrepaidRow(closed, limit, limitVersion, holdings));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static long number(JsonParser parser) throws IOException {
+        parser.nextToken();
+        return parser.getLongValue();
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/log/package-info.java
@@ -0,0 +1,5 @@
+/** One line for each decision. */
+@NullMarked
+package org.streamring.direct.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
@@ -0,0 +1,45 @@
+package org.streamring.direct.request;
+
+import java.util.Optional;
+
+/**
+ * How an attempt ended.
+ *
+ * @param kind what is known of it
+ * @param reason short name of the cause
+ * @param answer the backend server's own failure, if it gave one
+ */
+record AttemptEnd(Kind kind, String reason, Optional<BufferedAnswer> answer) {
+    enum Kind {
+        /** The caller has the whole answer. */
+        WHOLE,
+        /** No byte was sent. */
+        NOT_SENT,
+        /** The backend server promised not to run it. */
+        NOT_RUN,
+        /** The backend server answered with a failure. */
+        FAILED,
+        /** No sound answer came; it may have run. */
+        BROKEN
+    }
+
+    static AttemptEnd whole() {
+        return new AttemptEnd(Kind.WHOLE, "answered", Optional.empty());
+    }
+
+    static AttemptEnd notSent(String reason) {
+        return new AttemptEnd(Kind.NOT_SENT, reason, Optional.empty());
+    }
+
+    static AttemptEnd notRun(String reason) {
+        return new AttemptEnd(Kind.NOT_RUN, reason, Optional.empty());
+    }
+
+    static AttemptEnd failed(BufferedAnswer answer) {
+        return new AttemptEnd(Kind.FAILED, "status_" + answer.head().status(), Optional.of(answer));
+    }
+
+    static AttemptEnd broken(String reason) {
+        return new AttemptEnd(Kind.BROKEN, reason, Optional.empty());
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -0,0 +1,224 @@
+package org.streamring.direct.request;
+
+import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.streamring.direct.backend.AnswerHead;
+import org.streamring.direct.backend.AttemptFailure;
+import org.streamring.direct.backend.AttemptListener;
+import org.streamring.direct.backend.BackendAttempt;
+import org.streamring.direct.backend.BackendRequest;
+import org.streamring.kernel.placement.ReplicaState;
+import org.streamring.kernel.registry.BackendInstance;
+
+/** One attempt of a request at one replica: judges the answer and the replica's health. Confined to the event loop. */
+final class AttemptRun implements AttemptListener {
+    private static final int SERVER_ERROR = 500;
+    private static final int FIRST_FAILURE = 300;
+    private static final long WATCH_MILLIS = 200;
+
+    private final RequestServices services;
+    private final RequestPlan plan;
+    private final BackendInstance instance;
+    private final ReplicaState state;
+    private final AnswerRelay relay;
+    private final Owner owner;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private @Nullable BackendAttempt attempt;
+    private @Nullable AnswerHead head;
+    private @Nullable Future<?> watch;
+    private boolean streaming;
+    private boolean promptRead;
+    private boolean over;
+
+    /** The request that the attempt serves. */
+    interface Owner {
+        /** The request may run from now on. */
+        void attemptSent();
+
+        /** Events were passed on. */
+        void handedOut(int events);
+
+        /** The attempt is over. */
+        void attemptEnded(AttemptEnd end);
+    }
+
+    AttemptRun(
+            RequestServices services,
+            RequestPlan plan,
+            BackendInstance instance,
+            AnswerRelay relay,
+            Owner owner) {
+        this.services = services;
+        this.plan = plan;
+        this.instance = instance;
+        this.state = services.fleet().state(instance);
+        this.relay = relay;
+        this.owner = owner;
+    }
+
+    void begin(BackendRequest request) {
+        state.started(plan.promptTokens());
+        attempt = services.fleet().pool(instance).begin(request, this);
+        watch = services.loop()
+                .scheduleAtFixedRate(this::checkSilence, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    boolean sent() {
+        return attempt != null && attempt.sent();
+    }
+
+    void pauseReading(boolean paused) {
+        if (attempt != null) {
+            attempt.pauseReading(paused);
+        }
+    }
+
+    /** Gives the attempt up; the owner hears nothing more. */
+    void cancel() {
+        if (sent()) {
+            owner.attemptSent();
+        }
+        release();
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    private void checkSilence() {
+        if (over || !plan.route().repeatable() || !services.fleet().silent(instance)) {
+            return;
+        }
+        state.unreachable(services.clock().getAsLong());
+        BackendAttempt silent = attempt;
+        if (silent != null) {
+            silent.cancel();
+        }
+        endAfterSending(AttemptEnd.broken("replica_silent"));
+    }
+
+    @Override
+    public void onHead(AnswerHead answerHead) {
+        head = answerHead;
+        streaming = relay.streams(answerHead) && sealed(answerHead);
+        if (streaming) {
+            relay.newStream(answerHead);
+        }
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        readPrompt();
+        if (!streaming) {
+            body.writeBytes(data);
+            return;
+        }
+        int events = relay.streamData(data);
+        if (events > 0) {
+            owner.handedOut(events);
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        AnswerHead answered = Objects.requireNonNull(head);
+        if (streaming) {
+            endStream();
+            return;
+        }
+        BufferedAnswer answer = new BufferedAnswer(answered, body.toByteArray());
+        if (answered.headers().contains(services.names().notRun()) || answered.status() == 421) {
+            notRun(answered);
+            return;
+        }
+        if (answered.status() < FIRST_FAILURE) {
+            endSuccess(answer);
+            return;
+        }
+        if (answered.status() >= SERVER_ERROR) {
+            state.failed(services.clock().getAsLong());
+        } else {
+            state.succeeded();
+        }
+        endAfterSending(AttemptEnd.failed(answer));
+    }
+
+    private void endStream() {
+        if (!relay.endsBetweenEvents()) {
+            spoiled("stream_cut_in_event");
+            return;
+        }
+        state.succeeded();
+        endAfterSending(AttemptEnd.whole());
+    }
+
+    private void endSuccess(BufferedAnswer answer) {
+        if (!sealed(answer.head())) {
+            spoiled("success_without_signature");
+            return;
+        }
+        if (relay.begun()) {
+            spoiled("no_stream_where_one_was_begun");
+            return;
+        }
+        state.succeeded();
+        relay.whole(answer);
+        endAfterSending(AttemptEnd.whole());
+    }
+
+    private void notRun(AnswerHead answered) {
+        if (answered.status() == 421) {
+            state.unreachable(services.clock().getAsLong());
+        }
+        release();
+        owner.attemptEnded(AttemptEnd.notRun("replica_refused_" + answered.status()));
+    }
+
+    private void spoiled(String reason) {
+        state.failed(services.clock().getAsLong());
+        endAfterSending(AttemptEnd.broken(reason));
+    }
+
+    @Override
+    public void onFailure(AttemptFailure failure, String reason) {
+        if (failure == AttemptFailure.NOT_SENT) {
+            state.unreachable(services.clock().getAsLong());
+            release();
+            owner.attemptEnded(AttemptEnd.notSent("not_connected"));
+            return;
+        }
+        spoiled(streaming ? "stream_broken" : "no_whole_answer");
+    }
+
+    private boolean sealed(AnswerHead answered) {
+        return answered.headers().contains(services.names().signature())
+                && !answered.headers().contains("content-encoding");
+    }
+
+    private void endAfterSending(AttemptEnd end) {
+        release();
+        owner.attemptSent();
+        owner.attemptEnded(end);
+    }
+
+    private void readPrompt() {
+        if (!promptRead) {
+            promptRead = true;
+            state.promptRead(plan.promptTokens());
+        }
+    }
+
+    private void release() {
+        if (over) {
+            return;
+        }
+        over = true;
+        readPrompt();
+        state.ended();
+        if (watch != null) {
+            watch.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -0,0 +1,345 @@
+package org.streamring.direct.request;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.streamring.direct.backend.BackendRequest;
+import org.streamring.direct.caller.AnswerWriter;
+import org.streamring.direct.caller.CallerRequest;
+import org.streamring.direct.caller.RequestSink;
+import org.streamring.kernel.placement.PlacementQuery;
+import org.streamring.kernel.registry.BackendInstance;
+import org.streamring.platform.node.ForwardingHeaders;
+
+/**
+ * One request from its arrival to its final answer: reserves tokens, finds a replica, sends the request, sends it
+ * elsewhere where that is allowed, and settles. Confined to the event loop.
+ */
+final class DirectRequest implements RequestSink.ActiveRequest, PlaceQueue.Waiting, AttemptRun.Owner {
+    private static final Duration RETRY_SOON = Duration.ofMillis(250);
+    private static final Duration RETRY_FOR_TOKENS = Duration.ofSeconds(1);
+    private static final int MAX_UNSENT = 8;
+    private static final int WAIT_PARTS = 5;
+    private static final long LEAST_TIME_MILLIS = 30;
+    private static final long DEADLINE_MARGIN_MILLIS = 5;
+
+    private final RequestServices services;
+    private final PlaceQueue places;
+    private final HeaderFilter filter;
+    private final RequestPlan plan;
+    private final CallerRequest request;
+    private final AnswerWriter writer;
+    private final AnswerRelay relay;
+    private final Optional<Reservation> reservation;
+    private final Set<String> tried = new HashSet<>();
+    private TokenSource.@Nullable Pending pendingTokens;
+    private @Nullable AttemptRun run;
+    private @Nullable Future<?> deadlineTimer;
+    private AttemptEnd lastEnd = AttemptEnd.notRun("not_tried");
+    private int sent;
+    private int unsent;
+    private boolean mayHaveRun;
+    private boolean paid;
+    private boolean over;
+
+    DirectRequest(
+            RequestServices services,
+            PlaceQueue places,
+            HeaderFilter filter,
+            RequestPlan plan,
+            CallerRequest request,
+            AnswerWriter writer) {
+        this.services = services;
+        this.places = places;
+        this.filter = filter;
+        this.plan = plan;
+        this.request = request;
+        this.writer = writer;
+        this.relay = new AnswerRelay(
+                plan.route().stream(),
+                filter,
+                writer,
+                Optional.ofNullable(request.headers().get(services.names().lastEventId())));
+        this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
+    }
+
+    void start() {
+        services.fleet().retries(plan.service().name()).request(now());
+        long left = Math.max(0, plan.deadlineMillis() - now() - DEADLINE_MARGIN_MILLIS);
+        deadlineTimer = services.loop().schedule(this::onDeadline, left, TimeUnit.MILLISECONDS);
+        if (reservation.isPresent()) {
+            pendingTokens = reservation.get().reserve(this::onTokens);
+        } else {
+            place();
+        }
+    }
+
+    private void onTokens(TokenSource.Outcome outcome) {
+        if (over) {
+            return;
+        }
+        paid = true;
+        switch (outcome) {
+            case RESERVED -> place();
+            case EXHAUSTED -> end(OwnAnswer.refusal(402, "prepaid_used_up"));
+            case UNAVAILABLE -> end(OwnAnswer.later("no_tokens_leased", RETRY_FOR_TOKENS));
+        }
+    }
+
+    private void place() {
+        if (!tryPlace()) {
+            places.add(this);
+        }
+    }
+
+    @Override
+    public int rank() {
+        return plan.rank();
+    }
+
+    @Override
+    public boolean tryPlace() {
+        if (over) {
+            return true;
+        }
+        PlacementQuery query = new PlacementQuery(
+                plan.affinity(), plan.promptTokens(), plan.rank(), services.failureDomain(), tried);
+        Optional<BackendInstance> chosen = services.fleet().choose(plan.service().name(), query);
+        if (chosen.isPresent()) {
+            send(chosen.get());
+            return true;
+        }
+        if (waitedLongEnough()) {
+            conclude(lastEnd.reason().equals("not_tried") ? AttemptEnd.notRun("no_place") : lastEnd);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean waitedLongEnough() {
+        long longest = plan.route().targetLatency().toMillis() / WAIT_PARTS;
+        return now() - request.arrivedMillis() >= longest;
+    }
+
+    private void send(BackendInstance instance) {
+        tried.add(instance.id());
+        run = new AttemptRun(services, plan, instance, relay, this);
+        run.begin(backendRequest(instance));
+    }
+
+    private BackendRequest backendRequest(BackendInstance instance) {
+        ForwardingHeaders names = services.names();
+        HttpHeaders headers = filter.forBackend(request.headers(), plan.account().isPresent());
+        headers.set(names.deadline(), Math.max(1, plan.callerWaitMillis() - (now() - request.arrivedMillis())));
+        headers.set(names.expectedInstance(), instance.id());
+        plan.account().ifPresent(account -> headers.set(names.account(), account.name()));
+        if (plan.service().isEngine()) {
+            headers.set(names.urgency(), plan.rank());
+        }
+        relay.lastEventId().ifPresent(id -> headers.set(names.lastEventId(), id));
+        if (request.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || request.body().length > 0) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        }
+        return new BackendRequest(
+                plan.id(),
+                request.method(),
+                request.target(),
+                headers,
+                request.body(),
+                !plan.route().repeatable());
+    }
+
+    @Override
+    public void attemptSent() {
+        sent++;
+        reservation.ifPresent(Reservation::ran);
+    }
+
+    @Override
+    public void handedOut(int events) {
+        reservation.ifPresent(each -> each.handedOut((long) events * plan.service().tokensPerEvent()));
+    }
+
+    @Override
+    public void attemptEnded(AttemptEnd end) {
+        if (over) {
+            return;
+        }
+        lastEnd = end;
+        run = null;
+        logAttempt(end);
+        switch (end.kind()) {
+            case WHOLE -> finish("answered", 200);
+            case NOT_SENT -> {
+                unsent++;
+                if (unsent <= MAX_UNSENT && timeLeft()) {
+                    place();
+                } else {
+                    conclude(end);
+                }
+            }
+            case NOT_RUN -> retryOrConclude(end, true);
+            case FAILED, BROKEN -> {
+                mayHaveRun = true;
+                if (end.kind() == AttemptEnd.Kind.BROKEN) {
+                    reservation.ifPresent(Reservation::useUnknown);
+                }
+                retryOrConclude(end, plan.route().repeatable());
+            }
+        }
+    }
+
+    private void retryOrConclude(AttemptEnd end, boolean allowed) {
+        boolean retry = allowed
+                && sent < plan.route().maxAttempts()
+                && timeLeft()
+                && services.fleet().tryRetry(plan.service().name());
+        if (retry) {
+            place();
+        } else {
+            conclude(end);
+        }
+    }
+
+    private boolean timeLeft() {
+        return plan.deadlineMillis() - now() > LEAST_TIME_MILLIS;
+    }
+
+    /** Ends without a success. */
+    private void conclude(AttemptEnd end) {
+        if (relay.begun()) {
+            settle();
+            over("aborted", 0);
+            writer.abort();
+            return;
+        }
+        if (end.answer().isPresent() && end.answer().get().passable()) {
+            BufferedAnswer answer = end.answer().get();
+            settle();
+            over("failure_passed_on", answer.head().status());
+            writer.whole(answer.head().status(), filter.forCaller(answer.head().headers()), answer.body());
+            return;
+        }
+        end(mayHaveRun ? OwnAnswer.unknown(502, end.reason()) : OwnAnswer.later(end.reason(), RETRY_SOON));
+    }
+
+    private void onDeadline() {
+        if (over) {
+            return;
+        }
+        AttemptRun running = run;
+        if (running != null) {
+            mayHaveRun |= running.sent();
+            running.cancel();
+            reservation.ifPresent(Reservation::useUnknown);
+        }
+        if (relay.begun()) {
+            settle();
+            over("deadline_in_stream", 0);
+            writer.abort();
+            return;
+        }
+        end(mayHaveRun ? OwnAnswer.unknown(504, "deadline") : OwnAnswer.later("deadline_not_run", RETRY_SOON));
+    }
+
+    @Override
+    public void callerGone() {
+        if (over) {
+            return;
+        }
+        AttemptRun running = run;
+        if (running != null) {
+            running.cancel();
+            reservation.ifPresent(Reservation::useUnknown);
+        }
+        settle();
+        over("caller_gone", 0);
+    }
+
+    @Override
+    public void writabilityChanged(boolean writable) {
+        if (run != null) {
+            run.pauseReading(!writable);
+        }
+    }
+
+    private void finish(String outcome, int status) {
+        settle();
+        over(outcome, status);
+        relay.end();
+    }
+
+    private void end(OwnAnswer answer) {
+        settle();
+        over(answer.reason(), answer.status());
+        answer.write(writer, services.names(), plan.id());
+    }
+
+    private void settle() {
+        reservation.ifPresent(Reservation::settle);
+    }
+
+    private void over(String outcome, int status) {
+        over = true;
+        places.remove(this);
+        if (pendingTokens != null) {
+            pendingTokens.cancel();
+        }
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel(false);
+        }
+        services.log()
+                .line(
+                        "request_ended",
+                        "request",
+                        plan.id(),
+                        "route",
+                        plan.route().name(),
+                        "account",
+                        plan.prepaidAccount().orElse(""),
+                        "rank",
+                        plan.rank(),
+                        "outcome",
+                        outcome,
+                        "status",
+                        status,
+                        "attempts",
+                        sent,
+                        "unsent",
+                        unsent,
+                        "paid",
+                        paid,
+                        "ms",
+                        now() - request.arrivedMillis());
+        places.poke();
+    }
+
+    private void logAttempt(AttemptEnd end) {
+        if (end.kind() == AttemptEnd.Kind.WHOLE) {
+            return;
+        }
+        services.log()
+                .line(
+                        "attempt_failed",
+                        "request",
+                        plan.id(),
+                        "service",
+                        plan.service().name(),
+                        "kind",
+                        end.kind(),
+                        "reason",
+                        end.reason(),
+                        "ms",
+                        now() - request.arrivedMillis());
+    }
+
+    private long now() {
+        return services.clock().getAsLong();
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -0,0 +1,114 @@
+package org.streamring.direct.request;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.streamring.direct.backend.BackendPool;
+import org.streamring.kernel.limit.FleetRetryBudget;
+import org.streamring.kernel.placement.PlacementQuery;
+import org.streamring.kernel.placement.PlacementTable;
+import org.streamring.kernel.placement.ReplicaState;
+import org.streamring.kernel.registry.BackendInstance;
+import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.platform.node.NodeSettings;
+
+/** The backend servers as this entry uses them: connections, load, health and retries. Confined to the event loop. */
+public final class Fleet {
+    private static final long SILENT_MILLIS = 1_000;
+
+    private final EventLoop loop;
+    private final BackendRegistry registry;
+    private final PlacementTable placement;
+    private final String requestIdHeader;
+    private final LongSupplier clock;
+    private final IntSupplier entries;
+    private final NodeSettings.RetryLimit retryLimit;
+    private final Map<String, BackendPool> pools = new HashMap<>();
+    private final Map<String, FleetRetryBudget> retries = new HashMap<>();
+
+    /**
+     * Creates one without connections.
+     *
+     * @param entries number of live entries
+     */
+    public Fleet(
+            EventLoop loop,
+            BackendRegistry registry,
+            Random random,
+            String requestIdHeader,
+            LongSupplier clock,
+            IntSupplier entries,
+            NodeSettings.RetryLimit retryLimit) {
+        this.loop = loop;
+        this.registry = registry;
+        this.placement = new PlacementTable(random);
+        this.requestIdHeader = requestIdHeader;
+        this.clock = clock;
+        this.entries = entries;
+        this.retryLimit = retryLimit;
+    }
+
+    /** Chooses a replica of a service. */
+    Optional<BackendInstance> choose(String service, PlacementQuery query) {
+        return placement.choose(query, registry.ready(service), entries.getAsInt(), clock.getAsLong());
+    }
+
+    /** Whether some replica of a service is not known to be out of order. */
+    boolean anyUsable(String service) {
+        return placement.anyUsable(registry.ready(service), clock.getAsLong());
+    }
+
+    /** Load and health of a replica. */
+    ReplicaState state(BackendInstance instance) {
+        return placement.state(instance.id());
+    }
+
+    /** Connections to a replica. */
+    BackendPool pool(BackendInstance instance) {
+        return pools.computeIfAbsent(
+                instance.id(),
+                id -> new BackendPool(loop, instance.host(), instance.port(), requestIdHeader, clock));
+    }
+
+    /** The limit on retries at a service. */
+    FleetRetryBudget retries(String service) {
+        return retries.computeIfAbsent(
+                service,
+                name -> new FleetRetryBudget(
+                        retryLimit.ratio(),
+                        retryLimit.slack(),
+                        retryLimit.window().toMillis()));
+    }
+
+    /** Takes leave for one retry at a service. */
+    boolean tryRetry(String service) {
+        return retries(service).tryRetry(clock.getAsLong(), entries.getAsInt());
+    }
+
+    /** Whether a replica has answered nothing for long although requests are in progress. */
+    boolean silent(BackendInstance instance) {
+        BackendPool pool = pools.get(instance.id());
+        return pool != null && pool.silentFor(SILENT_MILLIS);
+    }
+
+    /** Drops what belongs to replicas that are gone, and idle connections that rested too long. */
+    public void tidy() {
+        Set<String> known = new HashSet<>();
+        registry.all().forEach(instance -> known.add(instance.id()));
+        placement.keepOnly(known);
+        pools.entrySet().removeIf(entry -> {
+            if (known.contains(entry.getKey()) && registry.isReady(entry.getKey())) {
+                entry.getValue().closeStale();
+                return false;
+            }
+            entry.getValue().closeIdle();
+            return entry.getValue().isEmpty();
+        });
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -0,0 +1,34 @@
+package org.streamring.direct.request;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.route.RouteTable;
+import org.streamring.platform.node.ForwardingHeaders;
+
+/**
+ * What every request needs.
+ *
+ * @param loop event loop to which all of this is confined
+ * @param clock milliseconds of a steady clock
+ * @param random for choices among equals
+ * @param failureDomain failure domain of this entry
+ * @param names names of headers
+ * @param routes configuration in force; empty until one is known
+ * @param fleet backend servers
+ * @param tokens prepaid tokens
+ * @param log decisions
+ */
+public record RequestServices(
+        EventLoop loop,
+        LongSupplier clock,
+        Random random,
+        String failureDomain,
+        ForwardingHeaders names,
+        Supplier<Optional<RouteTable>> routes,
+        Fleet fleet,
+        TokenSource tokens,
+        DecisionLog log) {}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/package-info.java
@@ -0,0 +1,5 @@
+/** The way of one request from its arrival to its final answer. */
+@NullMarked
+package org.streamring.direct.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -0,0 +1,183 @@
+package org.streamring.net.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Calls one HTTP service.
+ *
+ * <p>A call without an answer in time closes its connection, as an answer that comes later belongs to no call. Confined to
+ * its event loop.
+ */
+public final class HttpCaller {
+    private static final int CONNECT_TIMEOUT_MILLIS = 600;
+    private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Deque<Channel> idle = new ArrayDeque<>();
+
+    /** Creates one without connections. */
+    public HttpCaller(EventLoop loop, InetSocketAddress address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    /**
+     * Calls the service.
+     *
+     * @param body JSON body; empty for none
+     * @param timeoutMillis longest wait for the whole answer
+     * @return fails with {@link HttpCallException}
+     */
+    public CompletableFuture<HttpReply> call(HttpMethod method, String target, byte[] body, long timeoutMillis) {
+        Call call = new Call(method, target, body);
+        call.timer = loop.schedule(() -> call.fail("no answer in time"), timeoutMillis, TimeUnit.MILLISECONDS);
+        Channel kept = idle.pollFirst();
+        while (kept != null && !kept.isActive()) {
+            kept = idle.pollFirst();
+        }
+        if (kept == null) {
+            connect(call);
+        } else {
+            call.send(kept);
+        }
+        return call.reply;
+    }
+
+    private void connect(Call call) {
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel created) {
+                        created.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        new HttpObjectAggregator(MAX_REPLY_BYTES),
+                                        new ReplyHandler());
+                    }
+                })
+                .connect(address);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                call.fail(String.valueOf(done.cause()));
+            } else if (call.reply.isDone()) {
+                connecting.channel().close();
+            } else {
+                call.send(connecting.channel());
+            }
+        });
+    }
+
+    private final class Call {
+        private final HttpMethod method;
+        private final String target;
+        private final byte[] body;
+        private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        private @Nullable Future<?> timer;
+        private @Nullable Channel channel;
+
+        private Call(HttpMethod method, String target, byte[] body) {
+            this.method = method;
+            this.target = target;
+            this.body = body;
+        }
+
+        private void send(Channel open) {
+            channel = open;
+            open.pipeline().get(ReplyHandler.class).call = this;
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+            if (body.length > 0) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            }
+            open.writeAndFlush(request);
+        }
+
+        private void fail(String reason) {
+            end();
+            if (channel != null) {
+                channel.close();
+            }
+            String step = method + " " + target + " at " + address;
+            reply.completeExceptionally(new HttpCallException(step, reason, channel != null));
+        }
+
+        private void end() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+    }
+
+    private final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private @Nullable Call call;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            Call answered = call;
+            call = null;
+            if (answered == null || response.decoderResult().isFailure()) {
+                context.close();
+                if (answered != null) {
+                    answered.fail("bytes that are no answer");
+                }
+                return;
+            }
+            answered.end();
+            if (HttpUtil.isKeepAlive(response)) {
+                idle.addFirst(context.channel());
+            } else {
+                context.close();
+            }
+            HttpReply whole = new HttpReply(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            answered.reply.complete(whole);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            idle.remove(context.channel());
+            Call broken = call;
+            call = null;
+            if (broken != null) {
+                broken.fail("the connection was closed");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/streamring/platform/node/NodeSettings.java
@@ -0,0 +1,36 @@
+package org.streamring.platform.node;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Settings of one process.
+ *
+ * @param nodeName name of the box
+ * @param failureDomain failure domain of the box
+ * @param callers address where callers connect
+ * @param readiness address where the balancer asks whether the process is ready
+ * @param peers address where other entries connect
+ * @param grace time from the signal to stop to the forced end
+ * @param keepLapsed how long a backend server's lapsed entry is kept after the store is back
+ * @param retries limit on retries that all entries share
+ */
+public record NodeSettings(
+        String nodeName,
+        String failureDomain,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        InetSocketAddress peers,
+        Duration grace,
+        Duration keepLapsed,
+        RetryLimit retries) {
+
+    /**
+     * A limit on retries: in every window, retries &le; ratio × requests + slack.
+     *
+     * @param ratio retries per request
+     * @param slack retries besides
+     * @param window length of the window
+     */
+    public record RetryLimit(double ratio, double slack, Duration window) {}
+}
