Outlive HUP, and end a planned stop without cutting streams

Ruled out: a replica that broke off; the store. Change: HUP reads the settings anew; a stop closes connections without a request at once and refuses streams that begin after the balancer has noticed.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -23,6 +23,7 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.net.peer.PeerException;
+import org.streamring.net.settings.SettingsException;
 import org.streamring.platform.node.NodePlatform;
 import org.streamring.platform.node.NodeSettings;
 
@@ -33,11 +34,14 @@
  */
 final class DirectEntry {
     private static final long TIDY_MILLIS = 250;
-    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+    private static final long RELOAD_MILLIS = 5_000;
+    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+    /** The balancer asks each second and takes an entry out after two misses. */
     private static final Duration BALANCER_NOTICES = Duration.ofMillis(2_500);
 
     private final EventLoop loop;
-    private final NodeSettings settings;
+    private final NodePlatform platform;
+    private NodeSettings settings;
     private final DecisionLog log;
     private final LongSupplier clock;
     private final BackendRegistry registry;
@@ -50,10 +54,12 @@
     private final TableWatch backendWatch;
     private final CallerServer callers;
     private boolean stopping;
+    private long stopBegan;
 
     DirectEntry(EventLoopGroup loops, EventLoop loop, NodePlatform platform, NodeSettings settings, DecisionLog log)
             throws PeerException {
         this.loop = loop;
+        this.platform = platform;
         this.settings = settings;
         this.log = log;
         long start = System.nanoTime();
@@ -79,7 +85,7 @@
                 platform.headers().requestId(),
                 clock,
                 members::live,
-                settings.retries());
+                () -> this.settings.retries());
         this.configurationWatch = new TableWatch(
                 loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
         this.backendWatch =
@@ -93,6 +99,7 @@
                 configuration::inForce,
                 fleet,
                 tokens,
+                this::takesStreams,
                 log));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
@@ -106,6 +113,20 @@
         members.start();
         tokens.start();
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> reload("look"), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads the settings anew; those that can't be read leave the old ones in force. To be called on the event loop. */
+    void reload(String cause) {
+        try {
+            NodeSettings read = platform.readSettings();
+            if (!read.equals(settings)) {
+                settings = read;
+                log.line("settings_changed", "cause", cause, "grace_ms", read.grace().toMillis());
+            }
+        } catch (SettingsException e) {
+            log.line("settings_unreadable", "cause", cause, "reason", String.valueOf(e.getMessage()));
+        }
     }
 
     /** Finishes what is in progress; complete when the process may end. To be called on the event loop. */
@@ -113,18 +134,19 @@
         stopping = true;
         log.line("stopping", "requests", callers.busy());
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        long began = clock.getAsLong();
+        stopBegan = clock.getAsLong();
         members.stop();
-        waitForRequests(began, stopped);
+        callers.closeUnused();
+        waitForRequests(stopped);
         return stopped;
     }
 
-    private void waitForRequests(long began, CompletableFuture<Void> stopped) {
-        long elapsed = clock.getAsLong() - began;
+    private void waitForRequests(CompletableFuture<Void> stopped) {
+        long elapsed = clock.getAsLong() - stopBegan;
         boolean quiet = callers.busy() == 0 && elapsed >= BALANCER_NOTICES.toMillis();
         boolean late = elapsed >= settings.grace().minus(STOP_MARGIN).toMillis();
         if (!quiet && !late) {
-            loop.schedule(() -> waitForRequests(began, stopped), 50, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> waitForRequests(stopped), 50, TimeUnit.MILLISECONDS);
             return;
         }
         callers.closeUnused();
@@ -134,6 +156,11 @@
         loop.schedule(() -> stopped.complete(null), 400, TimeUnit.MILLISECONDS);
     }
 
+    /** A stream that begins late in a planned stop could not end in time. */
+    private boolean takesStreams() {
+        return !stopping || clock.getAsLong() - stopBegan < BALANCER_NOTICES.toMillis();
+    }
+
     private boolean ready() {
         return !stopping && configuration.inForce().isPresent() && backends.known();
     }
--- a/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeoutException;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.net.peer.PeerException;
+import org.streamring.net.process.HangUpSignal;
 import org.streamring.net.process.StopSignal;
 import org.streamring.net.settings.SettingsException;
 import org.streamring.platform.node.NodePlatform;
@@ -38,6 +39,7 @@
         StopSignal signal = new StopSignal();
         DirectEntry entry = new DirectEntry(loops, loop, platform, settings, log);
         loop.execute(entry::start);
+        HangUpSignal.listen(() -> loop.execute(() -> entry.reload("signal")));
         signal.await();
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> entry.stop().whenComplete((done, failure) -> stopped.complete(null)));
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.PlacementQuery;
@@ -28,7 +29,7 @@
     private final String requestIdHeader;
     private final LongSupplier clock;
     private final IntSupplier entries;
-    private final NodeSettings.RetryLimit retryLimit;
+    private final Supplier<NodeSettings.RetryLimit> retryLimit;
     private final Map<String, BackendPool> pools = new HashMap<>();
     private final Map<String, FleetRetryBudget> retries = new HashMap<>();
 
@@ -44,7 +45,7 @@
             String requestIdHeader,
             LongSupplier clock,
             IntSupplier entries,
-            NodeSettings.RetryLimit retryLimit) {
+            Supplier<NodeSettings.RetryLimit> retryLimit) {
         this.loop = loop;
         this.registry = registry;
         this.placement = new PlacementTable(random);
@@ -81,9 +82,9 @@
         return retries.computeIfAbsent(
                 service,
                 name -> new FleetRetryBudget(
-                        retryLimit.ratio(),
-                        retryLimit.slack(),
-                        retryLimit.window().toMillis()));
+                        retryLimit.get().ratio(),
+                        retryLimit.get().slack(),
+                        retryLimit.get().window().toMillis()));
     }
 
     /** Takes leave for one retry at a service. */
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -14,6 +14,7 @@
 public final class RequestRouter implements RequestSink {
     private static final String KEY_SCHEME = "Bearer ";
     private static final Duration UNTIL_CONFIGURED = Duration.ofMillis(500);
+    private static final Duration ELSEWHERE = Duration.ofMillis(20);
     private static final ActiveRequest NOTHING = new Ended();
 
     private final RequestServices services;
@@ -47,6 +48,9 @@
                 return refuse(request, writer, OwnAnswer.refusal(401, "unknown_key"));
             }
         }
+        if (route.stream() && !services.takesStreams().getAsBoolean()) {
+            return refuse(request, writer, OwnAnswer.later("entry_stops", ELSEWHERE));
+        }
         String service = RouteTable.pickService(route, services.random().nextDouble());
         RequestPlan plan = RequestPlan.of(request, route, table.service(service), account, services.names());
         DirectRequest started = new DirectRequest(services, places, filter, plan, request, writer);
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
@@ -20,6 +21,7 @@
  * @param routes configuration in force; empty until one is known
  * @param fleet backend servers
  * @param tokens prepaid tokens
+ * @param takesStreams whether a stream that begins now could end in time
  * @param log decisions
  */
 public record RequestServices(
@@ -31,4 +33,5 @@
         Supplier<Optional<RouteTable>> routes,
         Fleet fleet,
         TokenSource tokens,
+        BooleanSupplier takesStreams,
         DecisionLog log) {}
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -39,7 +39,7 @@
     private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Deque<Channel> idle = new ArrayDeque<>();
 
     /** Creates one without connections. */
@@ -48,6 +48,15 @@
         this.address = address;
     }
 
+    /** Calls another address from now on. */
+    public void moveTo(InetSocketAddress other) {
+        if (!other.equals(address)) {
+            address = other;
+            idle.forEach(Channel::close);
+            idle.clear();
+        }
+    }
+
     /**
      * Calls the service.
      *
