--- a/core/src/main/java/org/streamring/kernel/placement/PlacementQuery.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementQuery.java
@@ -11,8 +11,7 @@
  * @param failureDomain failure domain of this entry
  * @param excluded replicas that were tried already
  */
-public record PlacementQuery(
-        String affinity, long promptTokens, int rank, String failureDomain, Set<String> excluded) {
+public record PlacementQuery(String affinity, long promptTokens, int rank, String failureDomain, Set<String> excluded) {
     /** Copies the set. */
     public PlacementQuery {
         excluded = Set.copyOf(excluded);
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -44,8 +44,9 @@
 
     /** Forgets replicas that are gone, unless attempts still run there. */
     public void keepOnly(Set<String> ids) {
-        states.entrySet().removeIf(entry -> !ids.contains(entry.getKey())
-                && entry.getValue().running() == 0);
+        states.entrySet()
+                .removeIf(entry ->
+                        !ids.contains(entry.getKey()) && entry.getValue().running() == 0);
     }
 
     /**
@@ -81,8 +82,7 @@
     }
 
     private Optional<BackendInstance> preferred(PlacementQuery query, List<BackendInstance> candidates) {
-        double mean =
-                candidates.stream().mapToDouble(this::load).average().orElse(0);
+        double mean = candidates.stream().mapToDouble(this::load).average().orElse(0);
         double bound = mean * BOUND_FACTOR + BOUND_SLACK_MILLIS;
         Map<String, BackendInstance> byId = new HashMap<>();
         candidates.forEach(instance -> byId.put(instance.id(), instance));
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -96,8 +96,8 @@
             return Optional.empty();
         }
         long granted = lease.used() + wanted;
-        return Optional.of(new Proposal(
-                account, row.withHolding(incarnation, new Holding(granted, lease.used())), granted));
+        return Optional.of(
+                new Proposal(account, row.withHolding(incarnation, new Holding(granted, lease.used())), granted));
     }
 
     /** Whether the rest that nobody has spent for sure can't hold a request at its most. */
--- a/core/src/main/java/org/streamring/kernel/route/RouteTable.java
+++ b/core/src/main/java/org/streamring/kernel/route/RouteTable.java
@@ -23,8 +23,9 @@
     /** Indexes a configuration. */
     public RouteTable(RoutingConfiguration configuration) {
         this.configuration = configuration;
-        Comparator<Route> longestPrefixFirst =
-                Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+        Comparator<Route> longestPrefixFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
         Map<String, List<Route>> unordered = new HashMap<>();
         for (Route route : configuration.routes()) {
             unordered
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -86,8 +86,8 @@
                 clock,
                 members::live,
                 () -> this.settings.retries());
-        this.configurationWatch = new TableWatch(
-                loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
+        this.configurationWatch =
+                new TableWatch(loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
         this.backendWatch =
                 new TableWatch(loop, platform.store(), platform.operatorRows().backendTable(), backends);
         RequestRouter router = new RequestRouter(new RequestServices(
@@ -122,7 +122,12 @@
             NodeSettings read = platform.readSettings();
             if (!read.equals(settings)) {
                 settings = read;
-                log.line("settings_changed", "cause", cause, "grace_ms", read.grace().toMillis());
+                log.line(
+                        "settings_changed",
+                        "cause",
+                        cause,
+                        "grace_ms",
+                        read.grace().toMillis());
             }
         } catch (SettingsException e) {
             log.line("settings_unreadable", "cause", cause, "reason", String.valueOf(e.getMessage()));
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
--- a/direct/src/main/java/org/streamring/direct/caller/CallerRequest.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerRequest.java
@@ -13,5 +13,4 @@
  * @param arrivedMillis when it was whole, on the process's steady clock
  */
 @SuppressWarnings("ArrayRecordComponent") // bytes are handed on, not copied
-public record CallerRequest(
-        HttpMethod method, String target, HttpHeaders headers, byte[] body, long arrivedMillis) {}
+public record CallerRequest(HttpMethod method, String target, HttpHeaders headers, byte[] body, long arrivedMillis) {}
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -37,8 +37,7 @@
     private record Seen(long version, long changedMillis, boolean stopped) {}
 
     /** Creates one; nothing happens before {@link #start}. */
-    public MemberRegister(
-            EventLoop loop, RowStore store, String nodeName, String incarnation, LongSupplier clock) {
+    public MemberRegister(EventLoop loop, RowStore store, String nodeName, String incarnation, LongSupplier clock) {
         this.loop = loop;
         this.store = store;
         this.ownKey = new RowKey(TABLE, "", nodeName);
@@ -87,7 +86,9 @@
             }
             Seen before = seen.get(row.key().key());
             if (before == null || before.version() != row.version()) {
-                seen.put(row.key().key(), new Seen(row.version(), now, row.value().equals(STOPPED)));
+                seen.put(
+                        row.key().key(),
+                        new Seen(row.version(), now, row.value().equals(STOPPED)));
             }
         }
         long oldest = now - interval() * MISSED_BEATS;
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRunner.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRunner.java
@@ -212,9 +212,7 @@
         writing = true;
         List<RowChange> changes = proposals.stream()
                 .map(each -> new RowChange(
-                        keyOf(each.account()),
-                        cached(each.account()).version(),
-                        PrepaidRowCodec.write(each.row())))
+                        keyOf(each.account()), cached(each.account()).version(), PrepaidRowCodec.write(each.row())))
                 .toList();
         if (changes.isEmpty()) {
             writing = false;
--- a/direct/src/main/java/org/streamring/direct/log/DecisionLog.java
+++ b/direct/src/main/java/org/streamring/direct/log/DecisionLog.java
@@ -110,7 +110,9 @@
             generator.writeStringField("process", process);
             generator.writeStringField("event", line.event());
             for (int i = 0; i + 1 < line.fields().size(); i += 2) {
-                generator.writeObjectField(String.valueOf(line.fields().get(i)), plain(line.fields().get(i + 1)));
+                generator.writeObjectField(
+                        String.valueOf(line.fields().get(i)),
+                        plain(line.fields().get(i + 1)));
             }
             generator.writeEndObject();
         }
--- a/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
+++ b/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
@@ -78,7 +78,8 @@
     void end() {
         BufferedAnswer buffered = whole;
         if (buffered != null && !begun) {
-            writer.whole(buffered.head().status(), filter.forCaller(buffered.head().headers()), buffered.body());
+            writer.whole(
+                    buffered.head().status(), filter.forCaller(buffered.head().headers()), buffered.body());
             return;
         }
         beginOnce();
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -45,12 +45,7 @@
         void attemptEnded(AttemptEnd end);
     }
 
-    AttemptRun(
-            RequestServices services,
-            RequestPlan plan,
-            BackendInstance instance,
-            AnswerRelay relay,
-            Owner owner) {
+    AttemptRun(RequestServices services, RequestPlan plan, BackendInstance instance, AnswerRelay relay, Owner owner) {
         this.services = services;
         this.plan = plan;
         this.instance = instance;
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -108,9 +108,10 @@
         if (over) {
             return true;
         }
-        PlacementQuery query = new PlacementQuery(
-                plan.affinity(), plan.promptTokens(), plan.rank(), services.failureDomain(), tried);
-        Optional<BackendInstance> chosen = services.fleet().choose(plan.service().name(), query);
+        PlacementQuery query =
+                new PlacementQuery(plan.affinity(), plan.promptTokens(), plan.rank(), services.failureDomain(), tried);
+        Optional<BackendInstance> chosen =
+                services.fleet().choose(plan.service().name(), query);
         if (chosen.isPresent()) {
             send(chosen.get());
             return true;
@@ -135,7 +136,8 @@
 
     private BackendRequest backendRequest(BackendInstance instance) {
         ForwardingHeaders names = services.names();
-        HttpHeaders headers = filter.forBackend(request.headers(), plan.account().isPresent());
+        HttpHeaders headers =
+                filter.forBackend(request.headers(), plan.account().isPresent());
         headers.set(names.deadline(), Math.max(1, plan.callerWaitMillis() - (now() - request.arrivedMillis())));
         headers.set(names.expectedInstance(), instance.id());
         plan.account().ifPresent(account -> headers.set(names.account(), account.name()));
@@ -163,7 +165,8 @@
 
     @Override
     public void handedOut(int events) {
-        reservation.ifPresent(each -> each.handedOut((long) events * plan.service().tokensPerEvent()));
+        reservation.ifPresent(
+                each -> each.handedOut((long) events * plan.service().tokensPerEvent()));
     }
 
     @Override
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -73,8 +73,7 @@
     /** Connections to a replica. */
     BackendPool pool(BackendInstance instance) {
         return pools.computeIfAbsent(
-                instance.id(),
-                id -> new BackendPool(loop, instance.host(), instance.port(), requestIdHeader, clock));
+                instance.id(), id -> new BackendPool(loop, instance.host(), instance.port(), requestIdHeader, clock));
     }
 
     /** The limit on retries at a service. */
--- a/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
@@ -38,7 +38,8 @@
             ServiceTraits service,
             Optional<PrepaidAccount> account,
             ForwardingHeaders names) {
-        String id = Optional.ofNullable(request.headers().get(names.requestId())).orElse("");
+        String id =
+                Optional.ofNullable(request.headers().get(names.requestId())).orElse("");
         long wait = callerWait(request, route, names);
         long held = Math.min(wait, route.timeout().toMillis());
         int rank = account.map(PrepaidAccount::priority)
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -35,7 +35,8 @@
             return refuse(request, writer, OwnAnswer.later("not_configured", UNTIL_CONFIGURED));
         }
         RouteTable table = configured.get();
-        String host = Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST)).orElse("");
+        String host =
+                Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST)).orElse("");
         Optional<Route> found = table.find(host, request.target());
         if (found.isEmpty()) {
             return refuse(request, writer, OwnAnswer.refusal(404, "no_route"));
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -124,8 +124,8 @@
         private void send(Channel open) {
             channel = open;
             open.pipeline().get(ReplyHandler.class).call = this;
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                    HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
             request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
             if (body.length > 0) {
                 request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
