--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
@@ -12,5 +12,5 @@
 public record PrepaidSettings(Duration cover, Duration rateWindow, double idleShare) {
     /** Rides out an absence of the store of some eight seconds. */
     public static final PrepaidSettings DEFAULT =
-            new PrepaidSettings(Duration.ofSeconds(10), Duration.ofSeconds(4), 0.8);
+            new PrepaidSettings(Duration.ofSeconds(10), Duration.ofSeconds(4), 0.05);
 }
