Let entries lend tokens to each other, and take back what a dead entry left

Cause: cut off from the store, an entry refused requests although other entries held tokens of the account; a killed entry's leases were lost for good. Change: frames between entries to lend tokens (the lender counts them as used); each entry's writes carry marks below its grants, and nothing beyond a mark is used before the store was silent for four seconds, so that a successor on the same box that starts sooner takes the rest back.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -3,28 +3,32 @@
 import java.time.Duration;
 
 /**
- * What this incarnation holds of one account, and what it spent of it.
+ * What this incarnation holds of one account, what it used of it, and what it lent to or borrowed from other entries.
  *
- * <p>{@code usable} never exceeds what is durable under any outcome of the writes in progress. Confined to one thread.
+ * <p>Two amounts are durable: all that is granted, and a mark below it. While the store answers, no more is used than the
+ * mark, so that a successor may take back what lies between the two. Confined to one thread.
  */
 final class AccountLease {
-    private long usable;
-    private long durable;
-    private boolean uncertain;
+    private final DurableAmount granted = new DurableAmount();
+    private final DurableAmount mark = new DurableAmount();
     private long spent;
     private long reserved;
+    private long lent;
+    private long borrowed;
     private long waiting;
     private long largest;
     private long sampledUse;
     private long sampledMillis = -1;
     private double tokensPerMilli;
 
-    long available() {
-        return usable - spent - reserved;
+    /** Tokens that can be reserved at once. */
+    long available(boolean beyondMark) {
+        return (beyondMark ? granted.usable() : mark.usable()) + borrowed - lent - spent - reserved;
     }
 
+    /** Tokens of the grant that are used, at least; what was borrowed is used first. */
     long used() {
-        return spent + reserved;
+        return Math.max(0, spent + reserved + lent - borrowed);
     }
 
     long waiting() {
@@ -35,9 +39,9 @@
         waiting += tokens;
     }
 
-    boolean tryReserve(long tokens) {
+    boolean tryReserve(long tokens, boolean beyondMark) {
         largest = Math.max(largest, tokens);
-        if (available() < tokens) {
+        if (available(beyondMark) < tokens) {
             return false;
         }
         reserved += tokens;
@@ -49,45 +53,54 @@
         spent += Math.min(usedTokens, reservedTokens);
     }
 
-    void proposed(long granted) {
-        usable = Math.min(usable, granted);
+    void lend(long tokens) {
+        lent += tokens;
     }
 
-    void confirmed(long granted) {
-        usable = granted;
-        durable = granted;
-        uncertain = false;
+    void borrow(long tokens) {
+        borrowed += tokens;
+    }
+
+    void proposed(long newGranted, long newMark) {
+        granted.proposed(newGranted);
+        mark.proposed(newMark);
+    }
+
+    void confirmed(long newGranted, long newMark) {
+        granted.confirmed(newGranted);
+        mark.confirmed(newMark);
     }
 
     void refused() {
-        if (!uncertain) {
-            usable = durable;
-        }
+        granted.refused();
+        mark.refused();
     }
 
     void unanswered() {
-        uncertain = true;
+        granted.unanswered();
+        mark.unanswered();
     }
 
     boolean uncertain() {
-        return uncertain;
+        return granted.uncertain();
     }
 
     void sample(long nowMillis, Duration window) {
+        long use = spent + reserved;
         if (sampledMillis < 0) {
             sampledMillis = nowMillis;
-            sampledUse = used();
+            sampledUse = use;
             return;
         }
         long elapsed = nowMillis - sampledMillis;
         if (elapsed <= 0) {
             return;
         }
-        double rate = Math.max(0, used() - sampledUse) / (double) elapsed;
+        double rate = Math.max(0, use - sampledUse) / (double) elapsed;
         double weight = 1 - Math.exp(-elapsed / (double) window.toMillis());
         tokensPerMilli += weight * (rate - tokensPerMilli);
         sampledMillis = nowMillis;
-        sampledUse = used();
+        sampledUse = use;
     }
 
     /** Tokens that should be at hand, out of those that are at hand or unheld. */
@@ -98,4 +111,12 @@
         long target = (long) Math.max(demand + Math.min((double) largest, demand), idle);
         return Math.max(Math.min(target, share), Math.min(waiting, Math.max(0, pool)));
     }
+
+    /** Tokens of those at hand that may be used while the store answers. */
+    long wantedBelowMark(long wanted, PrepaidSettings settings) {
+        double demand = tokensPerMilli * settings.patience().toMillis() * 2;
+        double part = wanted * settings.markShare();
+        long needed = Math.max((long) Math.max(demand, part), Math.max(waiting, 0));
+        return Math.min(wanted, needed);
+    }
 }
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -10,8 +10,8 @@
  * This incarnation's leases of prepaid tokens, and the plan for their renewal.
  *
  * <p>A request reserves its worst case before it runs; afterwards it settles what it used. The book spends only what is
- * durably leased to this incarnation: a lease that grows is usable once its write is confirmed, one that shrinks is
- * smaller from the moment its write is proposed. Confined to one thread.
+ * durably leased to this incarnation, or was lent by another entry out of its own lease. A lease that grows is usable once
+ * its write is confirmed, one that shrinks is smaller from the moment its write is proposed. Confined to one thread.
  */
 public final class PrepaidBook {
     private static final double LOW_PART = 0.7;
@@ -21,6 +21,7 @@
     private final String incarnation;
     private final PrepaidSettings settings;
     private final Map<String, AccountLease> leases = new HashMap<>();
+    private boolean beyondMark;
 
     /** How a reservation ended. */
     public enum Outcome {
@@ -31,13 +32,14 @@
     }
 
     /**
-     * One change that the book wants written.
+     * What the book wants written of one account.
      *
      * @param account account
-     * @param row the account's row after the change
+     * @param row the account's row after the change; empty if it stays as it is
      * @param granted what this incarnation holds after the change
+     * @param mark its mark after the change
      */
-    public record Proposal(String account, PrepaidRow row, long granted) {}
+    public record Proposal(String account, Optional<PrepaidRow> row, long granted, long mark) {}
 
     /**
      * Creates an empty book.
@@ -50,9 +52,24 @@
         this.settings = settings;
     }
 
+    /** Whose leases these are. */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** How large leases are. */
+    public PrepaidSettings settings() {
+        return settings;
+    }
+
+    /** Says whether the store has been silent for so long that tokens beyond the marks may be used. */
+    public void useBeyondMark(boolean allowed) {
+        beyondMark = allowed;
+    }
+
     /** Reserves tokens of an account. */
     public Outcome reserve(String account, long tokens) {
-        return lease(account).tryReserve(tokens) ? Outcome.RESERVED : Outcome.SHORT;
+        return lease(account).tryReserve(tokens, beyondMark) ? Outcome.RESERVED : Outcome.SHORT;
     }
 
     /** Books what a request used and frees the rest of its reservation. */
@@ -60,6 +77,28 @@
         lease(account).settle(reserved, used);
     }
 
+    /**
+     * Lends tokens to another entry, for good: they count as used here.
+     *
+     * @param least the smallest amount that helps
+     * @return tokens lent; 0 if not even the least is at hand
+     */
+    public long lend(String account, long least) {
+        AccountLease lease = lease(account);
+        long available = lease.available(beyondMark);
+        if (available < least) {
+            return 0;
+        }
+        long amount = Math.max(least, available / 2);
+        lease.lend(amount);
+        return amount;
+    }
+
+    /** Takes tokens that another entry lent. */
+    public void borrow(String account, long tokens) {
+        lease(account).borrow(tokens);
+    }
+
     /** Counts tokens that a request waits for; negative when it stops waiting. */
     public void addWaiting(String account, long tokens) {
         lease(account).addWaiting(tokens);
@@ -67,12 +106,7 @@
 
     /** Tokens of an account that can be reserved at once. */
     public long available(String account) {
-        return lease(account).available();
-    }
-
-    /** Tokens of an account that this incarnation has spent or reserved. */
-    public long used(String account) {
-        return lease(account).used();
+        return lease(account).available(beyondMark);
     }
 
     /** Notes the demand since the last call. */
@@ -85,19 +119,21 @@
      *
      * @param row the row as last read, with the limit in force
      * @param entries live entries that share the account
-     * @return empty if nothing needs to be written
      */
-    public Optional<Proposal> plan(String account, PrepaidRow row, int entries) {
+    public Proposal plan(String account, PrepaidRow row, int entries) {
         AccountLease lease = lease(account);
-        long available = lease.available();
-        long pool = row.unheld() + heldIn(row) - lease.used();
+        long held = heldIn(row);
+        long used = lease.used();
+        long pool = row.unheld() + held - used;
         long wanted = lease.wanted(pool, entries, settings);
-        if (!lease.uncertain() && settled(available, wanted, lease.waiting())) {
-            return Optional.empty();
+        if (!lease.uncertain() && settled(held - used, wanted, lease.waiting())) {
+            long mark = used + lease.wantedBelowMark(Math.max(0, held - used), settings);
+            return new Proposal(account, Optional.empty(), held, Math.min(held, mark));
         }
-        long granted = lease.used() + wanted;
-        return Optional.of(
-                new Proposal(account, row.withHolding(incarnation, new Holding(granted, lease.used())), granted));
+        long granted = used + wanted;
+        long mark = used + lease.wantedBelowMark(wanted, settings);
+        PrepaidRow changed = row.withHolding(incarnation, new Holding(granted, used));
+        return new Proposal(account, Optional.of(changed), granted, mark);
     }
 
     /** Whether the rest that nobody has spent for sure can't hold a request at its most. */
@@ -107,18 +143,29 @@
 
     /** Plans the return of all that is neither spent nor reserved. */
     public Proposal planClose(String account, PrepaidRow row) {
-        AccountLease lease = lease(account);
-        return new Proposal(account, row.withClosed(incarnation, lease.used()), lease.used());
+        long used = lease(account).used();
+        return new Proposal(account, Optional.of(row.withClosed(incarnation, used)), used, used);
+    }
+
+    /**
+     * Plans to take back what a predecessor on this box left unused.
+     *
+     * @param marks its marks, which it is known to have held
+     * @return the row without its holding; empty if it has none
+     */
+    public static Optional<PrepaidRow> reclaim(String account, PrepaidRow row, MarkRow marks) {
+        return row.holding(marks.incarnation())
+                .map(holding -> row.withClosed(marks.incarnation(), marks.markOf(account, holding.granted())));
     }
 
     /** Notes that a write was sent. */
     public void proposed(Proposal proposal) {
-        lease(proposal.account()).proposed(proposal.granted());
+        lease(proposal.account()).proposed(proposal.granted(), proposal.mark());
     }
 
     /** Notes that a write took effect. */
     public void confirmed(Proposal proposal) {
-        lease(proposal.account()).confirmed(proposal.granted());
+        lease(proposal.account()).confirmed(proposal.granted(), proposal.mark());
     }
 
     /** Notes that a write did not take effect and never will. */
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
@@ -7,10 +7,14 @@
  *
  * @param cover time for which a lease should suffice without another
  * @param rateWindow time over which demand is smoothed
- * @param idleShare part of an entry's share of the rest that it holds without any demand
+ * @param idleShare part of an entry's even share that it holds without any demand
+ * @param patience how long the store must have been silent before tokens beyond the mark are used; a successor that
+ *     starts sooner after its predecessor's last write takes them back
+ * @param markShare least part of a lease that lies below the mark
  */
-public record PrepaidSettings(Duration cover, Duration rateWindow, double idleShare) {
+public record PrepaidSettings(
+        Duration cover, Duration rateWindow, double idleShare, Duration patience, double markShare) {
     /** Rides out an absence of the store of some eight seconds. */
-    public static final PrepaidSettings DEFAULT =
-            new PrepaidSettings(Duration.ofSeconds(10), Duration.ofSeconds(4), 0.05);
+    public static final PrepaidSettings DEFAULT = new PrepaidSettings(
+            Duration.ofSeconds(10), Duration.ofSeconds(4), 0.05, Duration.ofSeconds(4), 0.3);
 }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -12,8 +12,9 @@
 import org.streamring.direct.feed.ConfigurationFeed;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.feed.TableWatch;
-import org.streamring.direct.ledger.PrepaidRunner;
+import org.streamring.direct.ledger.TokenDesk;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.request.Fleet;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
@@ -23,6 +24,7 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.net.peer.PeerException;
+import org.streamring.net.peer.PeerIdentity;
 import org.streamring.net.settings.SettingsException;
 import org.streamring.platform.node.NodePlatform;
 import org.streamring.platform.node.NodeSettings;
@@ -48,7 +50,8 @@
     private final ConfigurationFeed configuration;
     private final BackendFeed backends;
     private final MemberRegister members;
-    private final PrepaidRunner tokens;
+    private final TokenDesk tokens;
+    private final EntryPeers peers;
     private final Fleet fleet;
     private final TableWatch configurationWatch;
     private final TableWatch backendWatch;
@@ -56,28 +59,33 @@
     private boolean stopping;
     private long stopBegan;
 
-    DirectEntry(EventLoopGroup loops, EventLoop loop, NodePlatform platform, NodeSettings settings, DecisionLog log)
+    DirectEntry(EventLoopGroup loops, EventLoop loop, NodePlatform platform, NodeSettings settings, LongSupplier clock, DecisionLog log)
             throws PeerException {
         this.loop = loop;
         this.platform = platform;
         this.settings = settings;
         this.log = log;
-        long start = System.nanoTime();
-        this.clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        this.clock = clock;
         String incarnation = Incarnation.create(settings.nodeName());
         this.registry = new BackendRegistry(settings.keepLapsed().toMillis());
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
         this.backends = new BackendFeed(platform.operatorRows(), registry, clock, log);
-        this.members = new MemberRegister(loop, platform.store(), settings.nodeName(), incarnation, clock);
-        this.tokens = new PrepaidRunner(
+        Random random = new Random();
+        PrepaidBook book = new PrepaidBook(incarnation, PrepaidSettings.DEFAULT);
+        PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
+        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, book, random, log);
+        this.members = new MemberRegister(
+                loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, peers::members);
+        this.tokens = new TokenDesk(
                 loop,
                 platform.store(),
-                new PrepaidBook(incarnation, PrepaidSettings.DEFAULT),
+                book,
+                settings.nodeName() + "@" + settings.callers().getHostString(),
                 configuration::inForce,
                 members::live,
+                peers,
                 clock,
                 log);
-        Random random = new Random();
         this.fleet = new Fleet(
                 loop,
                 registry,
@@ -111,6 +119,7 @@
         configurationWatch.start();
         backendWatch.start();
         members.start();
+        peers.start();
         tokens.start();
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(() -> reload("look"), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
--- a/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.HangUpSignal;
@@ -23,6 +24,8 @@
 
     /** Runs the program until it is asked to stop. */
     public static void main(String[] arguments) throws PeerException, InterruptedException {
+        long start = System.nanoTime();
+        LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         EventLoop loop = loops.next();
         NodePlatform platform;
@@ -37,7 +40,7 @@
         }
         DecisionLog log = new DecisionLog(System.out, settings.nodeName());
         StopSignal signal = new StopSignal();
-        DirectEntry entry = new DirectEntry(loops, loop, platform, settings, log);
+        DirectEntry entry = new DirectEntry(loops, loop, platform, settings, clock, log);
         loop.execute(entry::start);
         HangUpSignal.listen(() -> loop.execute(() -> entry.reload("signal")));
         signal.await();
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -1,10 +1,13 @@
 package org.streamring.direct.feed;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowKey;
@@ -27,21 +30,35 @@
     private final EventLoop loop;
     private final RowStore store;
     private final RowKey ownKey;
-    private final String incarnation;
+    private final String ownValue;
+    private final Consumer<List<InetSocketAddress>> onChange;
     private final LongSupplier clock;
     private final Map<String, Seen> seen = new HashMap<>();
     private long ownVersion;
     private int live = 1;
     private boolean stopping;
 
-    private record Seen(long version, long changedMillis, boolean stopped) {}
+    private record Seen(long version, long changedMillis, String value) {}
 
-    /** Creates one; nothing happens before {@link #start}. */
-    public MemberRegister(EventLoop loop, RowStore store, String nodeName, String incarnation, LongSupplier clock) {
+    /**
+     * Creates one; nothing happens before {@link #start}.
+     *
+     * @param peers where this entry listens for others
+     * @param onChange told the addresses of the other live entries after each reading
+     */
+    public MemberRegister(
+            EventLoop loop,
+            RowStore store,
+            String nodeName,
+            String incarnation,
+            InetSocketAddress peers,
+            LongSupplier clock,
+            Consumer<List<InetSocketAddress>> onChange) {
         this.loop = loop;
         this.store = store;
         this.ownKey = new RowKey(TABLE, "", nodeName);
-        this.incarnation = incarnation;
+        this.ownValue = incarnation + " " + peers.getAddress().getHostAddress() + ":" + peers.getPort();
+        this.onChange = onChange;
         this.clock = clock;
     }
 
@@ -66,7 +83,7 @@
             if (failure == null) {
                 take(page);
                 if (!stopping) {
-                    write(incarnation);
+                    write(ownValue);
                 }
             }
             loop.schedule(this::refresh, interval(), TimeUnit.MILLISECONDS);
@@ -88,14 +105,30 @@
             if (before == null || before.version() != row.version()) {
                 seen.put(
                         row.key().key(),
-                        new Seen(row.version(), now, row.value().equals(STOPPED)));
+                        new Seen(row.version(), now, row.value()));
             }
         }
         long oldest = now - interval() * MISSED_BEATS;
-        long others = seen.values().stream()
-                .filter(each -> !each.stopped() && each.changedMillis() >= oldest)
-                .count();
-        live = 1 + (int) others;
+        List<InetSocketAddress> others = seen.values().stream()
+                .filter(each -> !each.value().equals(STOPPED) && each.changedMillis() >= oldest)
+                .flatMap(each -> addressIn(each.value()).stream())
+                .toList();
+        live = 1 + others.size();
+        onChange.accept(others);
+    }
+
+    private static Optional<InetSocketAddress> addressIn(String value) {
+        int space = value.indexOf(' ');
+        int colon = value.lastIndexOf(':');
+        if (space < 0 || colon < space) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new InetSocketAddress(
+                    value.substring(space + 1, colon), Integer.parseInt(value.substring(colon + 1))));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 
     private void write(String value) {
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -0,0 +1,355 @@
+package org.streamring.direct.ledger;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.prepaid.MarkRow;
+import org.streamring.kernel.prepaid.PrepaidBook;
+import org.streamring.kernel.prepaid.PrepaidRow;
+import org.streamring.kernel.route.RouteTable;
+import org.streamring.kernel.store.CommitResult;
+import org.streamring.kernel.store.RowChange;
+import org.streamring.kernel.store.RowPage;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StoreException;
+import org.streamring.model.route.PrepaidAccount;
+
+/**
+ * Keeps the leases of prepaid tokens in the store: all accounts of this entry in one transaction at a time, each with this
+ * box's marks. Confined to the event loop.
+ */
+final class LeaseRenewer {
+    private static final long BASE_INTERVAL_MILLIS = 400;
+    private static final long INTERVAL_PER_ENTRY_MILLIS = 15;
+    private static final long URGENT_MILLIS = 5;
+    private static final long WATCH_MILLIS = 50;
+    private static final long STORE_SILENT_MILLIS = 700;
+    private static final long CLOSE_RETRY_MILLIS = 10;
+    private static final long RECLAIM_MARGIN_MILLIS = 200;
+    private static final int MAX_CHANGES = 90;
+
+    private final EventLoop loop;
+    private final RowStore store;
+    private final PrepaidBook book;
+    private final LeaseRows rows;
+    private final Supplier<Optional<RouteTable>> routes;
+    private final IntSupplier entries;
+    private final LongSupplier clock;
+    private final DecisionLog log;
+    private final Listener listener;
+    private boolean listed;
+    private boolean writing;
+    private boolean tickScheduled;
+    private boolean stopping;
+    private boolean away;
+    private boolean reclaimed;
+    private long writeSentMillis;
+    private long confirmedSentMillis;
+    private long confirmedStoreMillis;
+    private long anchorStoreMillis;
+    private long anchorLocalMillis;
+    private long startStoreMillis = Long.MAX_VALUE;
+
+    /** Hears what the store decided. */
+    interface Listener {
+        /** Leases or rows have changed. */
+        void renewed();
+
+        /** The store does not answer. */
+        void storeAway();
+    }
+
+    /**
+     * Creates one; nothing happens before {@link #start}.
+     *
+     * @param clock milliseconds since this process began, on a steady clock
+     */
+    LeaseRenewer(
+            EventLoop loop,
+            RowStore store,
+            PrepaidBook book,
+            LeaseRows rows,
+            Supplier<Optional<RouteTable>> routes,
+            IntSupplier entries,
+            LongSupplier clock,
+            DecisionLog log,
+            Listener listener) {
+        this.loop = loop;
+        this.store = store;
+        this.book = book;
+        this.rows = rows;
+        this.routes = routes;
+        this.entries = entries;
+        this.clock = clock;
+        this.log = log;
+        this.listener = listener;
+    }
+
+    void start() {
+        readAll();
+        loop.scheduleAtFixedRate(this::watchStore, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Whether the store does not answer at the moment. */
+    boolean away() {
+        return away;
+    }
+
+    /** Milliseconds until tokens beyond the marks may be used if the store stays silent. */
+    long patienceLeftMillis() {
+        return Math.max(0, book.settings().patience().toMillis() - (clock.getAsLong() - confirmedSentMillis));
+    }
+
+    /** Writes as soon as possible. */
+    void renewSoon() {
+        if (!tickScheduled) {
+            tickScheduled = true;
+            loop.schedule(this::tick, URGENT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Gives back all that is not spent; complete when the store said so or did not answer. */
+    CompletableFuture<Void> close() {
+        stopping = true;
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        closeWhenIdle(closed);
+        return closed;
+    }
+
+    private void closeWhenIdle(CompletableFuture<Void> closed) {
+        if (closed.isDone()) {
+            return;
+        }
+        if (writing) {
+            loop.schedule(() -> closeWhenIdle(closed), CLOSE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        List<PrepaidBook.Proposal> proposals = book.accounts().stream()
+                .filter(account -> rows.account(account).holding(book.incarnation()).isPresent())
+                .map(account -> book.planClose(account, rows.account(account)))
+                .toList();
+        if (proposals.isEmpty() || !listed) {
+            closed.complete(null);
+            return;
+        }
+        write(proposals).whenComplete((committed, failure) -> {
+            if (failure == null && !committed) {
+                closeWhenIdle(closed);
+            } else {
+                closed.complete(null);
+            }
+        });
+    }
+
+    private void readAll() {
+        long sentMillis = clock.getAsLong();
+        CompletableFuture<RowPage> accounts = store.list(LeaseRows.ACCOUNTS, "");
+        CompletableFuture<RowPage> marks = store.list(LeaseRows.MARKS, "");
+        accounts.thenCombine(marks, (first, second) -> {
+                    rows.takeAll(first.rows());
+                    rows.takeAll(second.rows());
+                    startStoreMillis = Math.min(startStoreMillis, second.storeMillis() - sentMillis);
+                    return second;
+                })
+                .whenComplete((page, failure) -> {
+                    if (failure != null) {
+                        noAnswer(failure);
+                        loop.schedule(this::readAll, BASE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                    } else {
+                        listed = true;
+                        answered(page.storeMillis());
+                        renewSoon();
+                    }
+                });
+    }
+
+    private void renewLater() {
+        if (!tickScheduled) {
+            tickScheduled = true;
+            long interval = BASE_INTERVAL_MILLIS + INTERVAL_PER_ENTRY_MILLIS * entries.getAsInt();
+            loop.schedule(this::tick, interval, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void tick() {
+        tickScheduled = false;
+        if (writing || stopping) {
+            return;
+        }
+        if (!listed) {
+            renewLater();
+            return;
+        }
+        if (!reclaimed) {
+            reclaim();
+            return;
+        }
+        book.sample(clock.getAsLong());
+        List<PrepaidBook.Proposal> proposals = plan();
+        if (proposals.isEmpty()) {
+            renewLater();
+            return;
+        }
+        write(proposals);
+    }
+
+    private List<PrepaidBook.Proposal> plan() {
+        List<PrepaidBook.Proposal> proposals = new ArrayList<>();
+        Optional<RouteTable> table = routes.get();
+        if (table.isEmpty()) {
+            return proposals;
+        }
+        for (PrepaidAccount account : table.get().configuration().accounts()) {
+            if (account.prepaid().isPresent() && proposals.size() < MAX_CHANGES) {
+                PrepaidRow row = rows.account(account.name())
+                        .withLimit(account.prepaid().getAsLong(), table.get().version());
+                proposals.add(book.plan(account.name(), row, entries.getAsInt()));
+            }
+        }
+        return proposals;
+    }
+
+    /** Takes back what a predecessor on this box left, if it can't have used it; then this box's row is ours. */
+    private void reclaim() {
+        Optional<MarkRow> left = rows.marks().filter(marks -> !marks.incarnation().equals(book.incarnation()));
+        Map<String, PrepaidRow> changed = new HashMap<>();
+        left.filter(this::heldItsMarks).ifPresent(marks -> {
+            for (String account : rows.accounts()) {
+                PrepaidBook.reclaim(account, rows.account(account), marks)
+                        .ifPresent(row -> changed.put(account, row));
+            }
+        });
+        left.ifPresent(marks -> log.line(
+                "predecessor_found",
+                "incarnation",
+                marks.incarnation(),
+                "confirmed",
+                marks.confirmedMillis(),
+                "started",
+                startStoreMillis,
+                "accounts_taken_back",
+                changed.size()));
+        commit(changed, new MarkRow(book.incarnation(), 0, Map.of())).whenComplete((committed, failure) -> {
+            reclaimed = failure == null && committed;
+            if (failure == null) {
+                renewSoon();
+            }
+        });
+    }
+
+    private boolean heldItsMarks(MarkRow marks) {
+        long patience = book.settings().patience().toMillis() - RECLAIM_MARGIN_MILLIS;
+        return marks.heldBy(startStoreMillis, patience);
+    }
+
+    private CompletableFuture<Boolean> write(List<PrepaidBook.Proposal> proposals) {
+        Map<String, PrepaidRow> changed = new HashMap<>();
+        Map<String, Long> marks = new HashMap<>();
+        for (PrepaidBook.Proposal proposal : proposals) {
+            proposal.row().ifPresent(row -> changed.put(proposal.account(), row));
+            marks.put(proposal.account(), proposal.mark());
+        }
+        proposals.forEach(book::proposed);
+        MarkRow marksRow = new MarkRow(book.incarnation(), confirmedStoreMillis, marks);
+        return commit(changed, marksRow).whenComplete((committed, failure) -> {
+            if (failure != null) {
+                boolean nothingDone = failure instanceof StoreException store && store.nothingDone();
+                proposals.forEach(nothingDone ? book::refused : book::unanswered);
+            } else {
+                proposals.forEach(committed ? book::confirmed : book::refused);
+                listener.renewed();
+                scheduleNext(committed);
+            }
+        });
+    }
+
+    private void scheduleNext(boolean committed) {
+        if (committed) {
+            renewLater();
+        } else {
+            renewSoon();
+        }
+    }
+
+    private CompletableFuture<Boolean> commit(Map<String, PrepaidRow> changed, MarkRow marks) {
+        writing = true;
+        long sentMillis = clock.getAsLong();
+        writeSentMillis = sentMillis;
+        long sentStoreMillis = anchorStoreMillis + sentMillis - anchorLocalMillis;
+        List<RowChange> changes = new ArrayList<>();
+        changed.forEach((account, row) -> changes.add(rows.accountChange(account, row)));
+        changes.add(rows.marksChange(marks));
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        store.commit(changes).whenComplete((answer, failure) -> {
+            writing = false;
+            if (failure != null) {
+                result.completeExceptionally(failure);
+                noAnswer(failure);
+                rereadLater();
+                return;
+            }
+            answered(answer.storeMillis());
+            take(answer, changed, marks);
+            if (answer.committed()) {
+                confirmedSentMillis = sentMillis;
+                confirmedStoreMillis = sentStoreMillis;
+                book.useBeyondMark(false);
+            }
+            result.complete(answer.committed());
+        });
+        return result;
+    }
+
+    private void take(CommitResult answer, Map<String, PrepaidRow> changed, MarkRow marks) {
+        if (answer.committed()) {
+            rows.written(changed, marks, answer.version());
+        } else {
+            rows.takeAll(answer.current());
+        }
+    }
+
+    private void rereadLater() {
+        if (!stopping) {
+            listed = false;
+            loop.schedule(this::readAll, BASE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answered(long storeMillis) {
+        anchorStoreMillis = storeMillis;
+        anchorLocalMillis = clock.getAsLong();
+        if (away) {
+            away = false;
+            log.line("store_regained", "by", "ledger");
+        }
+    }
+
+    private void noAnswer(Throwable failure) {
+        if (!away) {
+            away = true;
+            log.line("store_lost", "by", "ledger", "reason", String.valueOf(failure.getMessage()));
+            listener.storeAway();
+        }
+    }
+
+    private void watchStore() {
+        long now = clock.getAsLong();
+        if (writing && now - writeSentMillis > STORE_SILENT_MILLIS) {
+            noAnswer(new StoreException("renew leases", "no answer for long", false));
+        }
+        boolean outOfPatience = now - confirmedSentMillis
+                >= book.settings().patience().toMillis();
+        if (reclaimed && outOfPatience) {
+            book.useBeyondMark(true);
+        }
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.streamring.kernel.prepaid.Holding;
+import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidRow;
 
 /**
@@ -61,6 +62,43 @@
         }
     }
 
+    /** Writes marks: {@code [incarnation, confirmed, account, mark, …]}. */
+    static String writeMarks(MarkRow marks) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator generator = JSON.createGenerator(text)) {
+            generator.writeStartArray();
+            generator.writeString(marks.incarnation());
+            generator.writeNumber(marks.confirmedMillis());
+            for (Map.Entry<String, Long> mark : marks.marks().entrySet()) {
+                generator.writeString(mark.getKey());
+                generator.writeNumber(mark.getValue());
+            }
+            generator.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    /** Reads marks; empty if the text is of another form. */
+    static Optional<MarkRow> readMarks(String text) {
+        try (JsonParser parser = JSON.createParser(text)) {
+            if (parser.nextToken() != JsonToken.START_ARRAY || parser.nextToken() != JsonToken.VALUE_STRING) {
+                return Optional.empty();
+            }
+            String incarnation = parser.getText();
+            long confirmed = number(parser);
+            Map<String, Long> marks = new TreeMap<>();
+            while (parser.nextToken() == JsonToken.VALUE_STRING) {
+                String account = parser.getText();
+                marks.put(account, number(parser));
+            }
+            return Optional.of(new MarkRow(incarnation, confirmed, marks));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
     private static long number(JsonParser parser) throws IOException {
         parser.nextToken();
         return parser.getLongValue();
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -0,0 +1,202 @@
+package org.streamring.direct.ledger;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.request.TokenSource;
+import org.streamring.kernel.prepaid.PrepaidBook;
+import org.streamring.kernel.prepaid.PrepaidRow;
+import org.streamring.kernel.route.RouteTable;
+import org.streamring.kernel.store.RowStore;
+
+/**
+ * Gives prepaid tokens to requests: from this entry's leases, from a larger lease if the store answers in time, or from
+ * what another entry lends. Confined to the event loop.
+ */
+public final class TokenDesk implements TokenSource, LeaseRenewer.Listener {
+    private static final long LONGEST_WAIT_MILLIS = 250;
+    private static final long EXPIRY_MILLIS = 50;
+
+    private final EventLoop loop;
+    private final PrepaidBook book;
+    private final LeaseRows rows;
+    private final LeaseRenewer renewer;
+    private final Lenders lenders;
+    private final LongSupplier clock;
+    private final DecisionLog log;
+    private final List<Waiter> waiters = new ArrayList<>();
+
+    /**
+     * Creates one; nothing happens before {@link #start}.
+     *
+     * @param box name and address of this box
+     * @param clock milliseconds since this process began, on a steady clock
+     */
+    public TokenDesk(
+            EventLoop loop,
+            RowStore store,
+            PrepaidBook book,
+            String box,
+            Supplier<Optional<RouteTable>> routes,
+            IntSupplier entries,
+            Lenders lenders,
+            LongSupplier clock,
+            DecisionLog log) {
+        this.loop = loop;
+        this.book = book;
+        this.rows = new LeaseRows(log, box);
+        this.lenders = lenders;
+        this.clock = clock;
+        this.log = log;
+        this.renewer = new LeaseRenewer(loop, store, book, rows, routes, entries, clock, log, this);
+    }
+
+    /** Starts to read and renew leases. */
+    public void start() {
+        renewer.start();
+        loop.scheduleAtFixedRate(this::expireWaiters, EXPIRY_MILLIS, EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Gives back all that is not spent; complete when the store said so or did not answer. */
+    public CompletableFuture<Void> close() {
+        return renewer.close();
+    }
+
+    @Override
+    public Pending reserve(String account, long tokens, Consumer<Outcome> then) {
+        if (book.reserve(account, tokens) == PrepaidBook.Outcome.RESERVED) {
+            then.accept(Outcome.RESERVED);
+            return () -> {};
+        }
+        Waiter waiter = new Waiter(account, tokens, then);
+        waiters.add(waiter);
+        book.addWaiting(account, tokens);
+        if (renewer.away()) {
+            waiter.borrow();
+        } else {
+            renewer.renewSoon();
+        }
+        return waiter::cancel;
+    }
+
+    @Override
+    public void settle(String account, long reserved, long used) {
+        book.settle(account, reserved, used);
+        serveWaiters();
+    }
+
+    @Override
+    public void renewed() {
+        serveWaiters();
+        for (Waiter waiter : List.copyOf(waiters)) {
+            PrepaidRow row = rows.account(waiter.account);
+            if (PrepaidBook.exhausted(row, waiter.tokens)) {
+                waiter.end(Outcome.EXHAUSTED, "rest_too_small");
+            } else if (row.unheld() < waiter.tokens) {
+                waiter.borrow();
+            }
+        }
+    }
+
+    @Override
+    public void storeAway() {
+        List.copyOf(waiters).forEach(Waiter::borrow);
+    }
+
+    private void serveWaiters() {
+        for (Waiter waiter : List.copyOf(waiters)) {
+            waiter.tryServe();
+        }
+    }
+
+    private void expireWaiters() {
+        long now = clock.getAsLong();
+        for (Waiter waiter : List.copyOf(waiters)) {
+            if (now - waiter.sinceMillis > LONGEST_WAIT_MILLIS) {
+                waiter.borrow();
+            }
+        }
+    }
+
+    private final class Waiter {
+        private final String account;
+        private final long tokens;
+        private final Consumer<Outcome> then;
+        private final long sinceMillis = clock.getAsLong();
+        private boolean asked;
+
+        private Waiter(String account, long tokens, Consumer<Outcome> then) {
+            this.account = account;
+            this.tokens = tokens;
+            this.then = then;
+        }
+
+        private void cancel() {
+            if (waiters.remove(this)) {
+                book.addWaiting(account, -tokens);
+            }
+        }
+
+        private void tryServe() {
+            if (book.reserve(account, tokens) == PrepaidBook.Outcome.RESERVED) {
+                end(Outcome.RESERVED, "leased");
+            }
+        }
+
+        /** Asks other entries, once; what they lend stays here also if the request has gone on. */
+        private void borrow() {
+            if (asked) {
+                return;
+            }
+            asked = true;
+            lenders.ask(account, tokens, lent -> {
+                if (lent > 0) {
+                    book.borrow(account, lent);
+                    log.line("tokens_borrowed", "account", account, "tokens", lent);
+                    serveWaiters();
+                }
+                if (waiters.contains(this)) {
+                    end(Outcome.UNAVAILABLE, renewer.away() ? "store_away" : "lease_not_in_time");
+                }
+            });
+        }
+
+        private void end(Outcome outcome, String reason) {
+            cancel();
+            if (outcome != Outcome.RESERVED) {
+                logRefusal(reason);
+            }
+            then.accept(outcome);
+        }
+
+        private void logRefusal(String reason) {
+            PrepaidRow row = rows.account(account);
+            log.line(
+                    "tokens_refused",
+                    "account",
+                    account,
+                    "tokens",
+                    tokens,
+                    "reason",
+                    reason,
+                    "available",
+                    book.available(account),
+                    "limit",
+                    row.limit(),
+                    "used",
+                    row.used(),
+                    "spent_at_least",
+                    row.spentAtLeast(),
+                    "patience_left_ms",
+                    renewer.patienceLeftMillis());
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -0,0 +1,242 @@
+package org.streamring.direct.peer;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
+import org.streamring.direct.ledger.Lenders;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.prepaid.PrepaidBook;
+import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.LendAnswer;
+import org.streamring.net.generated.Wire.LendAsk;
+import org.streamring.net.peer.FleetKey;
+import org.streamring.net.peer.PeerConnection;
+import org.streamring.net.peer.PeerConnector;
+import org.streamring.net.peer.PeerIdentity;
+import org.streamring.net.peer.PeerListener;
+import org.streamring.net.peer.PeerServer;
+
+/**
+ * Connections to some of the other entries, over which entries lend tokens to each other.
+ *
+ * <p>An answer that comes too late is dropped: its tokens count as used by the lender. Confined to the event loop.
+ */
+public final class EntryPeers implements Lenders {
+    private static final int MOST_PEERS = 8;
+    private static final int MOST_ASKED = 4;
+    private static final long ANSWER_MILLIS = 80;
+
+    private final EventLoopGroup loops;
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final PeerIdentity own;
+    private final PrepaidBook book;
+    private final Random random;
+    private final DecisionLog log;
+    private final FleetKeyRow keyRow;
+    private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
+    private final Map<InetSocketAddress, PeerConnection> connections = new HashMap<>();
+    private final Map<Long, LongConsumer> asked = new HashMap<>();
+    private @Nullable FleetKey key;
+    private List<InetSocketAddress> members = List.of();
+    private long nextQuery;
+
+    /**
+     * Creates one without connections.
+     *
+     * @param address where this entry listens for others
+     * @param own who this entry is
+     * @param book leases to lend from
+     */
+    public EntryPeers(
+            EventLoopGroup loops,
+            EventLoop loop,
+            RowStore store,
+            InetSocketAddress address,
+            PeerIdentity own,
+            PrepaidBook book,
+            Random random,
+            DecisionLog log) {
+        this.loops = loops;
+        this.loop = loop;
+        this.address = address;
+        this.own = own;
+        this.book = book;
+        this.random = random;
+        this.log = log;
+        this.keyRow = new FleetKeyRow(loop, store);
+    }
+
+    /** Starts to listen and to connect, once the fleet's key is known. */
+    public void start() {
+        keyRow.fetch(fetched -> {
+            key = fetched;
+            listen(fetched);
+            connect();
+        });
+    }
+
+    private void listen(FleetKey fetched) {
+        PeerServer.open(loops, address, fetched, own, new Answering()).addListener(done -> {
+            if (!done.isSuccess()) {
+                log.line("peers_not_listening", "address", address, "reason", String.valueOf(done.cause()));
+            }
+        });
+    }
+
+    /** Takes the addresses of the other live entries. */
+    public void members(List<InetSocketAddress> others) {
+        members = List.copyOf(others);
+        connect();
+    }
+
+    private void connect() {
+        FleetKey known = key;
+        if (known == null) {
+            return;
+        }
+        List<InetSocketAddress> wanted = chosen();
+        connectors.entrySet().removeIf(entry -> {
+            boolean gone = !wanted.contains(entry.getKey());
+            if (gone) {
+                entry.getValue().stop();
+            }
+            return gone;
+        });
+        for (InetSocketAddress peer : wanted) {
+            connectors.computeIfAbsent(peer, to -> {
+                PeerConnector connector = new PeerConnector(loops, to, known, own, new Asking(to));
+                connector.start();
+                return connector;
+            });
+        }
+    }
+
+    private List<InetSocketAddress> chosen() {
+        Map<String, InetSocketAddress> byName = new HashMap<>();
+        members.forEach(member -> byName.put(member.toString(), member));
+        return RendezvousHash.order(own.name(), byName.keySet()).stream()
+                .limit(MOST_PEERS)
+                .map(byName::get)
+                .toList();
+    }
+
+    @Override
+    public void ask(String account, long tokens, LongConsumer then) {
+        List<PeerConnection> order = new ArrayList<>(connections.values());
+        Collections.shuffle(order, random);
+        Deque<PeerConnection> left = new ArrayDeque<>(order.subList(0, Math.min(MOST_ASKED, order.size())));
+        askNext(account, tokens, left, then);
+    }
+
+    private void askNext(String account, long tokens, Deque<PeerConnection> left, LongConsumer then) {
+        PeerConnection next = left.pollFirst();
+        if (next == null) {
+            then.accept(0);
+            return;
+        }
+        long query = nextQuery++;
+        LongConsumer onAnswer = lent -> {
+            if (lent > 0) {
+                then.accept(lent);
+            } else {
+                askNext(account, tokens, left, then);
+            }
+        };
+        asked.put(query, onAnswer);
+        loop.schedule(() -> answered(query, 0), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        LendAsk ask = LendAsk.newBuilder()
+                .setQuery(query)
+                .setAccount(account)
+                .setTokens(tokens)
+                .build();
+        if (!next.send(Frame.newBuilder().setLendAsk(ask).build())) {
+            answered(query, 0);
+        }
+    }
+
+    private void answered(long query, long tokens) {
+        Optional.ofNullable(asked.remove(query)).ifPresent(then -> then.accept(tokens));
+    }
+
+    /** Connections that this entry made, on which it asks. */
+    private final class Asking implements PeerListener {
+        private final InetSocketAddress peer;
+
+        private Asking(InetSocketAddress peer) {
+            this.peer = peer;
+        }
+
+        @Override
+        public void connected(PeerConnection connection) {
+            connections.put(peer, connection);
+            log.line("peer_connected", "peer", connection.remote().name());
+        }
+
+        @Override
+        public void received(PeerConnection connection, Frame frame) {
+            if (frame.hasLendAnswer()) {
+                answered(frame.getLendAnswer().getQuery(), frame.getLendAnswer().getTokens());
+            }
+        }
+
+        @Override
+        public void disconnected(PeerConnection connection) {
+            connections.remove(peer, connection);
+            log.line("peer_lost", "peer", connection.remote().name());
+        }
+    }
+
+    /** Connections that other entries made, on which this one answers. */
+    private final class Answering implements PeerListener {
+        @Override
+        public void connected(PeerConnection connection) {
+            log.line("peer_accepted", "peer", connection.remote().name());
+        }
+
+        @Override
+        public void received(PeerConnection connection, Frame frame) {
+            if (frame.hasLendAsk()) {
+                lend(connection, frame.getLendAsk());
+            }
+        }
+
+        private void lend(PeerConnection connection, LendAsk ask) {
+            long tokens = ask.getTokens() > 0 ? book.lend(ask.getAccount(), ask.getTokens()) : 0;
+            if (tokens > 0) {
+                log.line(
+                        "tokens_lent",
+                        "account",
+                        ask.getAccount(),
+                        "tokens",
+                        tokens,
+                        "to",
+                        connection.remote().name());
+            }
+            LendAnswer answer = LendAnswer.newBuilder()
+                    .setQuery(ask.getQuery())
+                    .setTokens(tokens)
+                    .build();
+            connection.send(Frame.newBuilder().setLendAnswer(answer).build());
+        }
+
+        @Override
+        public void disconnected(PeerConnection connection) {
+            log.line("peer_left", "peer", connection.remote().name());
+        }
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Frames between entries. */
+@NullMarked
+package org.streamring.direct.peer;
+
+import org.jspecify.annotations.NullMarked;
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -82,6 +82,7 @@
 
     private void onTokens(TokenSource.Outcome outcome) {
         if (over) {
+            settle();
             return;
         }
         paid = true;
--- a/net/src/main/java/org/streamring/net/peer/PeerServer.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerServer.java
@@ -1,6 +1,7 @@
 package org.streamring.net.peer;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import org.streamring.net.peer.FleetKey.Side;
 import org.streamring.net.process.Listening;
@@ -20,6 +21,16 @@
                         FrameCodec.install(accepted, new HandshakeHandler(Side.ACCEPTING, fleetKey, own, listener)));
     }
 
+    /** Starts to listen without waiting, for callers on an event loop. */
+    public static Future<Void> open(
+            EventLoopGroup loops, InetSocketAddress address, FleetKey fleetKey, PeerIdentity own, PeerListener listener) {
+        return Listening.open(
+                loops,
+                address,
+                accepted ->
+                        FrameCodec.install(accepted, new HandshakeHandler(Side.ACCEPTING, fleetKey, own, listener)));
+    }
+
     /** Port in use. */
     public int port() {
         return listening.port();
--- a/net/src/main/java/org/streamring/net/process/Listening.java
+++ b/net/src/main/java/org/streamring/net/process/Listening.java
@@ -22,7 +22,17 @@
      */
     public Listening(EventLoopGroup loops, InetSocketAddress address, Consumer<SocketChannel> prepare)
             throws PeerException {
-        ChannelFuture bound = new ServerBootstrap()
+        ChannelFuture bound = open(loops, address, prepare).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new PeerException("listen", address.toString(), String.valueOf(bound.cause()));
+        }
+        channel = bound.channel();
+    }
+
+    /** Starts to listen without waiting, for callers on an event loop. */
+    public static ChannelFuture open(
+            EventLoopGroup loops, InetSocketAddress address, Consumer<SocketChannel> prepare) {
+        return new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -31,12 +41,7 @@
                         prepare.accept(accepted);
                     }
                 })
-                .bind(address)
-                .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new PeerException("listen", address.toString(), String.valueOf(bound.cause()));
-        }
-        channel = bound.channel();
+                .bind(address);
     }
 
     /** Port in use. */
