--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -0,0 +1,202 @@
+package org.streamring.kernel.prepaid;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import org.streamring.kernel.prepaid.PrepaidBook.Outcome;
+import org.streamring.kernel.prepaid.PrepaidBook.Proposal;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class PrepaidBookTest {
+    private static final String ACCOUNT = "hospitals";
+    private static final long LIMIT = 100_000;
+
+    private PrepaidBook book;
+    private PrepaidRow row;
+
+    @BeforeMethod
+    public void setUp() {
+        book = new PrepaidBook("entry-1.a", PrepaidSettings.DEFAULT);
+        row = PrepaidRow.EMPTY.withLimit(LIMIT, 1);
+    }
+
+    @Test
+    public void nothingIsSpentBeforeALeaseIsConfirmed() {
+        Proposal proposal = propose(10_000);
+        assertThat(book.reserve(ACCOUNT, 1)).isEqualTo(Outcome.SHORT);
+
+        book.confirmed(proposal);
+        assertThat(book.reserve(ACCOUNT, 10_000)).isEqualTo(Outcome.RESERVED);
+    }
+
+    @Test
+    public void aLeaseThatIsRefusedGivesNothing() {
+        Proposal proposal = propose(10_000);
+        book.refused(proposal);
+        assertThat(book.available(ACCOUNT)).isZero();
+    }
+
+    @Test
+    public void aSmallerLeaseCountsFromItsProposal() {
+        book.confirmed(propose(50_000));
+        book.addWaiting(ACCOUNT, -50_000);
+        Proposal smaller = book.plan(ACCOUNT, row, 1);
+        assertThat(smaller.granted()).isLessThan(50_000);
+
+        book.proposed(smaller);
+        assertThat(book.available(ACCOUNT)).isLessThanOrEqualTo(smaller.granted());
+    }
+
+    @Test
+    public void withoutAnAnswerTheSmallerOutcomeCounts() {
+        book.confirmed(propose(50_000));
+        book.addWaiting(ACCOUNT, -50_000);
+        Proposal smaller = book.plan(ACCOUNT, row, 1);
+        book.proposed(smaller);
+        book.unanswered(smaller);
+        Proposal next = book.plan(ACCOUNT, row, 1);
+        book.proposed(next);
+        book.refused(next);
+
+        assertThat(book.available(ACCOUNT)).isLessThanOrEqualTo(smaller.granted());
+    }
+
+    @Test
+    public void aLeaseWhoseWriteHasNoAnswerIsPlannedAnew() {
+        Proposal proposal = propose(10_000);
+        book.unanswered(proposal);
+        book.addWaiting(ACCOUNT, -10_000);
+        assertThat(book.plan(ACCOUNT, row, 1).row()).isPresent();
+    }
+
+    @Test
+    public void leasesNeverExceedWhatIsUnheld() {
+        PrepaidRow nearlyUsed = row.withHolding("entry-2.b", new Holding(LIMIT - 100, 0));
+        book.addWaiting(ACCOUNT, 10_000);
+        Proposal proposal = book.plan(ACCOUNT, nearlyUsed, 2);
+        assertThat(proposal.granted()).isLessThanOrEqualTo(100);
+    }
+
+    @Test
+    public void aLoweredLimitLeavesOnlyWhatIsUsed() {
+        book.confirmed(propose(50_000));
+        book.addWaiting(ACCOUNT, -50_000);
+        book.reserve(ACCOUNT, 5_000);
+        Proposal proposal = book.plan(ACCOUNT, row.withLimit(1_000, 2), 1);
+        assertThat(proposal.granted()).isEqualTo(5_000);
+    }
+
+    @Test
+    public void anOlderConfigurationDoesNotRaiseTheLimit() {
+        PrepaidRow newer = row.withLimit(1_000, 5);
+        assertThat(newer.withLimit(LIMIT, 4).limit()).isEqualTo(1_000);
+    }
+
+    @Test
+    public void tokensBeyondTheMarkWaitForPatience() {
+        book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, 3_000));
+        assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.SHORT);
+
+        book.useBeyondMark(true);
+        assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.RESERVED);
+    }
+
+    @Test
+    public void settlingFreesWhatWasNotUsed() {
+        book.confirmed(propose(10_000));
+        book.reserve(ACCOUNT, 10_000);
+        book.settle(ACCOUNT, 10_000, 4_000);
+        assertThat(book.available(ACCOUNT)).isEqualTo(6_000);
+    }
+
+    @Test
+    public void aRequestNeverUsesMoreThanItReserved() {
+        book.confirmed(propose(10_000));
+        book.reserve(ACCOUNT, 2_000);
+        book.settle(ACCOUNT, 2_000, 3_000);
+        assertThat(book.available(ACCOUNT)).isEqualTo(8_000);
+    }
+
+    @Test
+    public void lentTokensAreUsedHereAndAvailableThere() {
+        book.confirmed(propose(10_000));
+        PrepaidBook other = new PrepaidBook("entry-2.b", PrepaidSettings.DEFAULT);
+
+        long lent = book.lend(ACCOUNT, 1_000);
+        other.borrow(ACCOUNT, lent);
+
+        assertThat(lent).isBetween(1_000L, 10_000L);
+        assertThat(book.available(ACCOUNT)).isEqualTo(10_000 - lent);
+        assertThat(other.reserve(ACCOUNT, lent)).isEqualTo(Outcome.RESERVED);
+        assertThat(other.reserve(ACCOUNT, 1)).isEqualTo(Outcome.SHORT);
+    }
+
+    @Test
+    public void nothingIsLentWhereItDoesNotHelp() {
+        book.confirmed(new Proposal(ACCOUNT, Optional.empty(), 500, 500));
+        assertThat(book.lend(ACCOUNT, 1_000)).isZero();
+        assertThat(book.available(ACCOUNT)).isEqualTo(500);
+    }
+
+    @Test
+    public void borrowedTokensAreNotCountedTwiceInTheRow() {
+        book.borrow(ACCOUNT, 5_000);
+        book.reserve(ACCOUNT, 5_000);
+        book.settle(ACCOUNT, 5_000, 5_000);
+        Proposal closing = book.planClose(ACCOUNT, row);
+        assertThat(closing.granted()).isZero();
+    }
+
+    @Test
+    public void closingKeepsWhatIsUsedAndFreesTheRest() {
+        Proposal proposal = propose(10_000);
+        book.confirmed(proposal);
+        book.reserve(ACCOUNT, 4_000);
+        PrepaidRow closed =
+                book.planClose(ACCOUNT, proposal.row().orElseThrow()).row().orElseThrow();
+        assertThat(closed.used()).isEqualTo(4_000);
+        assertThat(closed.holdings()).isEmpty();
+    }
+
+    @Test
+    public void aSuccessorTakesBackWhatLiesBeyondTheMark() {
+        PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, 6_000L));
+        PrepaidRow taken = PrepaidBook.reclaim(ACCOUNT, held, marks).orElseThrow();
+        assertThat(taken.used()).isEqualTo(6_000);
+        assertThat(taken.holdings()).isEmpty();
+    }
+
+    @Test
+    public void anAccountWithoutAMarkStaysUsedInFull() {
+        PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of());
+        assertThat(PrepaidBook.reclaim(ACCOUNT, held, marks).orElseThrow().used())
+                .isEqualTo(30_000);
+    }
+
+    @Test
+    public void marksHoldOnlyForSuccessorsThatStartSoon() {
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of());
+        assertThat(marks.heldBy(4_999, 4_000)).isTrue();
+        assertThat(marks.heldBy(5_000, 4_000)).isFalse();
+    }
+
+    @Test
+    public void anAccountIsExhaustedOnlyByWhatIsSpentForSure() {
+        PrepaidRow held = row.withHolding("entry-2.b", new Holding(LIMIT, 90_000));
+        assertThat(PrepaidBook.exhausted(held, 10_000)).isFalse();
+        assertThat(PrepaidBook.exhausted(held, 10_001)).isTrue();
+    }
+
+    private Proposal propose(long tokens) {
+        book.addWaiting(ACCOUNT, tokens);
+        Proposal planned = book.plan(ACCOUNT, row, 1);
+        Proposal proposal = new Proposal(ACCOUNT, planned.row(), planned.granted(), planned.granted());
+        book.proposed(proposal);
+        row = proposal.row().orElseThrow();
+        return proposal;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -0,0 +1,89 @@
+package org.streamring.kernel.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class BackendRegistryTest {
+    private static final long KEEP_MILLIS = 2_200;
+
+    private BackendRegistry registry;
+
+    @BeforeMethod
+    public void setUp() {
+        registry = new BackendRegistry(KEEP_MILLIS);
+        registry.put(backend("i-1", true));
+        registry.put(backend("i-2", true));
+    }
+
+    @Test
+    public void aLeavingServerTakesNoNewRequests() {
+        registry.put(backend("i-1", false));
+        assertThat(ids()).containsExactly("i-2");
+    }
+
+    @Test
+    public void aServerOnceSeenLeavingNeverComesBack() {
+        registry.put(backend("i-1", false));
+        registry.remove("i-1", 100);
+        registry.put(backend("i-1", true));
+        assertThat(ids()).containsExactly("i-2");
+    }
+
+    @Test
+    public void aRemovedServerIsGoneAtOnceWhileTheListAnswers() {
+        registry.remove("i-1", 10_000);
+        assertThat(ids()).containsExactly("i-2");
+    }
+
+    @Test
+    public void anEntryThatLapsedDuringAnOutageIsKeptForAWhile() {
+        registry.listLost();
+        registry.listBack(10_000);
+        registry.replaceAll(List.of(backend("i-2", true)), 10_000);
+
+        assertThat(ids()).containsExactlyInAnyOrder("i-1", "i-2");
+        registry.expire(10_000 + KEEP_MILLIS - 1);
+        assertThat(ids()).contains("i-1");
+        assertThat(registry.expire(10_000 + KEEP_MILLIS)).containsExactly("i-1");
+        assertThat(ids()).containsExactly("i-2");
+    }
+
+    @Test
+    public void anEntryThatIsBackInTimeStays() {
+        registry.listLost();
+        registry.listBack(10_000);
+        registry.replaceAll(List.of(), 10_000);
+        registry.put(backend("i-1", true));
+        registry.expire(20_000);
+        assertThat(ids()).containsExactly("i-1");
+    }
+
+    @Test
+    public void aLeavingServerIsNotKeptThroughAnOutage() {
+        registry.put(backend("i-1", false));
+        registry.listLost();
+        registry.listBack(10_000);
+        registry.replaceAll(List.of(backend("i-2", true)), 10_000);
+        assertThat(ids()).containsExactly("i-2");
+        assertThat(registry.all()).extracting(BackendInstance::id).containsExactly("i-2");
+    }
+
+    @Test
+    public void removalsLongAfterAnOutageCountAtOnce() {
+        registry.listLost();
+        registry.listBack(10_000);
+        registry.remove("i-1", 10_000 + KEEP_MILLIS);
+        assertThat(ids()).containsExactly("i-2");
+    }
+
+    private List<String> ids() {
+        return registry.ready("assist").stream().map(BackendInstance::id).toList();
+    }
+
+    private static BackendInstance backend(String id, boolean ready) {
+        return new BackendInstance(id, "assist", "10.0.0.1", 8_080, "hall-1", 64, ready);
+    }
+}
