Count given-up requests by what they can have used, and lend in parts

Change: given-up requests count what was handed out and thirty events more; lenders give what they have; waits are 60 ms; marks are smaller; no calls are taken in the last two seconds of a stop.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -9,6 +9,9 @@
  * mark, so that a successor may take back what lies between the two. Confined to one thread.
  */
 final class AccountLease {
+    /** Demand may rise while the store is silent. */
+    private static final double MARK_FACTOR = 1.3;
+
     private final DurableAmount granted = new DurableAmount();
     private final DurableAmount mark = new DurableAmount();
     private long spent;
@@ -114,7 +117,7 @@
 
     /** Tokens of those at hand that may be used while the store answers. */
     long wantedBelowMark(long wanted, PrepaidSettings settings) {
-        double demand = tokensPerMilli * settings.patience().toMillis() * 2;
+        double demand = tokensPerMilli * settings.patience().toMillis() * MARK_FACTOR;
         double part = wanted * settings.markShare();
         long needed = Math.max((long) Math.max(demand, part), Math.max(waiting, 0));
         return Math.min(wanted, needed);
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -80,16 +80,13 @@
     /**
      * Lends tokens to another entry, for good: they count as used here.
      *
-     * @param least the smallest amount that helps
-     * @return tokens lent; 0 if not even the least is at hand
+     * @param asked tokens that the other lacks
+     * @return tokens lent; fewer than asked if there are not so many
      */
-    public long lend(String account, long least) {
+    public long lend(String account, long asked) {
         AccountLease lease = lease(account);
-        long available = lease.available(beyondMark);
-        if (available < least) {
-            return 0;
-        }
-        long amount = Math.max(least, available / 2);
+        long available = Math.max(0, lease.available(beyondMark));
+        long amount = Math.min(available, Math.max(asked, available / 2));
         lease.lend(amount);
         return amount;
     }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -23,6 +23,7 @@
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.CallerLimits;
+import org.streamring.model.route.Route;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.peer.PeerIdentity;
 import org.streamring.net.settings.SettingsException;
@@ -38,6 +39,7 @@
     private static final long TIDY_MILLIS = 250;
     private static final long RELOAD_MILLIS = 5_000;
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+    private static final Duration LAST_CALLS = Duration.ofSeconds(2);
     /** The balancer asks each second and takes an entry out after two misses. */
     private static final Duration BALANCER_NOTICES = Duration.ofMillis(2_500);
 
@@ -57,6 +59,7 @@
     private final TableWatch backendWatch;
     private final CallerServer callers;
     private boolean stopping;
+    private boolean ending;
     private long stopBegan;
 
     DirectEntry(EventLoopGroup loops, EventLoop loop, NodePlatform platform, NodeSettings settings, LongSupplier clock, DecisionLog log)
@@ -107,7 +110,7 @@
                 configuration::inForce,
                 fleet,
                 tokens,
-                this::takesStreams,
+                this::takes,
                 log));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
@@ -163,6 +166,7 @@
             loop.schedule(() -> waitForRequests(stopped), 50, TimeUnit.MILLISECONDS);
             return;
         }
+        ending = true;
         callers.closeUnused();
         log.line("stopped", "requests", callers.busy(), "ms", elapsed);
         CompletableFuture<Void> returned = tokens.close();
@@ -170,9 +174,15 @@
         loop.schedule(() -> stopped.complete(null), 400, TimeUnit.MILLISECONDS);
     }
 
-    /** A stream that begins late in a planned stop could not end in time. */
-    private boolean takesStreams() {
-        return !stopping || clock.getAsLong() - stopBegan < BALANCER_NOTICES.toMillis();
+    /** A request that begins late in a planned stop could not end in time. */
+    private boolean takes(Route route) {
+        if (!stopping) {
+            return true;
+        }
+        long elapsed = clock.getAsLong() - stopBegan;
+        long longest = settings.grace().minus(STOP_MARGIN).toMillis() - elapsed;
+        boolean soonEnough = route.stream() ? elapsed < BALANCER_NOTICES.toMillis() : longest > LAST_CALLS.toMillis();
+        return soonEnough && !ending;
     }
 
     private boolean ready() {
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -22,8 +22,8 @@
  * what another entry lends. Confined to the event loop.
  */
 public final class TokenDesk implements TokenSource, LeaseRenewer.Listener {
-    private static final long LONGEST_WAIT_MILLIS = 250;
-    private static final long EXPIRY_MILLIS = 50;
+    private static final long LONGEST_WAIT_MILLIS = 60;
+    private static final long EXPIRY_MILLIS = 20;
 
     private final EventLoop loop;
     private final PrepaidBook book;
@@ -157,18 +157,23 @@
                 return;
             }
             asked = true;
-            lenders.ask(account, tokens, lent -> {
-                if (lent > 0) {
-                    book.borrow(account, lent);
-                    log.line("tokens_borrowed", "account", account, "tokens", lent);
-                    serveWaiters();
-                }
+            lenders.ask(account, this::lacking, this::lent, () -> {
                 if (waiters.contains(this)) {
                     end(Outcome.UNAVAILABLE, renewer.away() ? "store_away" : "lease_not_in_time");
                 }
             });
         }
 
+        private long lacking() {
+            return waiters.contains(this) ? tokens - book.available(account) : 0;
+        }
+
+        private void lent(long amount) {
+            book.borrow(account, amount);
+            log.line("tokens_borrowed", "account", account, "tokens", amount);
+            serveWaiters();
+        }
+
         private void end(Outcome outcome, String reason) {
             cancel();
             if (outcome != Outcome.RESERVED) {
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.ledger.Lenders;
 import org.streamring.direct.log.DecisionLog;
@@ -38,7 +39,7 @@
 public final class EntryPeers implements Lenders {
     private static final int MOST_PEERS = 8;
     private static final int MOST_ASKED = 4;
-    private static final long ANSWER_MILLIS = 80;
+    private static final long ANSWER_MILLIS = 40;
 
     private final EventLoopGroup loops;
     private final EventLoop loop;
@@ -136,26 +137,27 @@
     }
 
     @Override
-    public void ask(String account, long tokens, LongConsumer then) {
+    public void ask(String account, LongSupplier lacking, LongConsumer then, Runnable atEnd) {
         List<PeerConnection> order = new ArrayList<>(connections.values());
         Collections.shuffle(order, random);
         Deque<PeerConnection> left = new ArrayDeque<>(order.subList(0, Math.min(MOST_ASKED, order.size())));
-        askNext(account, tokens, left, then);
+        askNext(account, lacking, left, then, atEnd);
     }
 
-    private void askNext(String account, long tokens, Deque<PeerConnection> left, LongConsumer then) {
-        PeerConnection next = left.pollFirst();
+    private void askNext(
+            String account, LongSupplier lacking, Deque<PeerConnection> left, LongConsumer then, Runnable atEnd) {
+        long tokens = lacking.getAsLong();
+        PeerConnection next = tokens > 0 ? left.pollFirst() : null;
         if (next == null) {
-            then.accept(0);
+            atEnd.run();
             return;
         }
         long query = nextQuery++;
         LongConsumer onAnswer = lent -> {
             if (lent > 0) {
                 then.accept(lent);
-            } else {
-                askNext(account, tokens, left, then);
             }
+            askNext(account, lacking, left, then, atEnd);
         };
         asked.put(query, onAnswer);
         loop.schedule(() -> answered(query, 0), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -28,6 +28,8 @@
     private static final int WAIT_PARTS = 5;
     private static final long LEAST_TIME_MILLIS = 30;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
+    /** More than a replica makes in the half second in which it must notice. */
+    private static final int EVENTS_UNTIL_NOTICED = 30;
 
     private final RequestServices services;
     private final PlaceQueue places;
@@ -240,8 +242,7 @@
         AttemptRun running = run;
         if (running != null) {
             mayHaveRun |= running.sent();
-            running.cancel();
-            reservation.ifPresent(Reservation::useUnknown);
+            giveUp(running);
         }
         if (relay.begun()) {
             settle();
@@ -259,13 +260,18 @@
         }
         AttemptRun running = run;
         if (running != null) {
-            running.cancel();
-            reservation.ifPresent(Reservation::useUnknown);
+            giveUp(running);
         }
         settle();
         over("caller_gone", 0);
     }
 
+    private void giveUp(AttemptRun running) {
+        running.cancel();
+        reservation.ifPresent(
+                each -> each.givenUp(EVENTS_UNTIL_NOTICED, plan.service().tokensPerEvent()));
+    }
+
     @Override
     public void writabilityChanged(boolean writable) {
         if (run != null) {
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -49,7 +49,7 @@
                 return refuse(request, writer, OwnAnswer.refusal(401, "unknown_key"));
             }
         }
-        if (route.stream() && !services.takesStreams().getAsBoolean()) {
+        if (!services.takes().test(route)) {
             return refuse(request, writer, OwnAnswer.later("entry_stops", ELSEWHERE));
         }
         String service = RouteTable.pickService(route, services.random().nextDouble());
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -3,11 +3,12 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.route.RouteTable;
+import org.streamring.model.route.Route;
 import org.streamring.platform.node.ForwardingHeaders;
 
 /**
@@ -21,7 +22,7 @@
  * @param routes configuration in force; empty until one is known
  * @param fleet backend servers
  * @param tokens prepaid tokens
- * @param takesStreams whether a stream that begins now could end in time
+ * @param takes whether a request on a route that begins now could end before a planned stop
  * @param log decisions
  */
 public record RequestServices(
@@ -33,5 +34,5 @@
         Supplier<Optional<RouteTable>> routes,
         Fleet fleet,
         TokenSource tokens,
-        BooleanSupplier takesStreams,
+        Predicate<Route> takes,
         DecisionLog log) {}
--- a/direct/src/main/java/org/streamring/direct/request/Reservation.java
+++ b/direct/src/main/java/org/streamring/direct/request/Reservation.java
@@ -45,6 +45,11 @@
         answerTokens += more;
     }
 
+    /** Notes an attempt that was given up here: what it handed out until it noticed is not known. */
+    void givenUp(int moreEvents, int tokensPerEvent) {
+        handedOut((long) moreEvents * tokensPerEvent);
+    }
+
     /** Notes an attempt of which nobody knows how much it handed out. */
     void useUnknown() {
         unknownUse = true;
