Give unused borrowed tokens back, and let lenders fetch a larger lease first

Cause: accounts ran out while a tenth of them lay unused: half of a lender's lease moved with each question and was lost with the borrower; at the start leases were small and answers of the store came after the wait had ended. Change: what was borrowed and not used lowers the borrower's holding, which may be negative; lenders give little more than asked, and renew first while the store answers; a quarter of the even share is held idle; waits are 130 ms.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -29,9 +29,9 @@
         return (beyondMark ? granted.usable() : mark.usable()) + borrowed - lent - spent - reserved;
     }
 
-    /** Tokens of the grant that are used, at least; what was borrowed is used first. */
+    /** Tokens of the grant that are used; negative while less is used than was borrowed. */
     long used() {
-        return Math.max(0, spent + reserved + lent - borrowed);
+        return spent + reserved + lent - borrowed;
     }
 
     long waiting() {
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -16,6 +16,8 @@
 public final class PrepaidBook {
     private static final double LOW_PART = 0.7;
     private static final double HIGH_PART = 1.4;
+    /** Besides what is asked for, at most one part in this many is lent, to save further questions. */
+    private static final int SPARE_PARTS = 4;
     private static final int SMALL_CHANGE_TOKENS = 500;
 
     private final String incarnation;
@@ -86,7 +88,7 @@
     public long lend(String account, long asked) {
         AccountLease lease = lease(account);
         long available = Math.max(0, lease.available(beyondMark));
-        long amount = Math.min(available, Math.max(asked, available / 2));
+        long amount = Math.min(available, asked + Math.min(asked, available / SPARE_PARTS));
         lease.lend(amount);
         return amount;
     }
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
@@ -16,5 +16,5 @@
         Duration cover, Duration rateWindow, double idleShare, Duration patience, double markShare) {
     /** Rides out an absence of the store of some eight seconds. */
     public static final PrepaidSettings DEFAULT = new PrepaidSettings(
-            Duration.ofSeconds(10), Duration.ofSeconds(4), 0.05, Duration.ofMillis(3_200), 0.15);
+            Duration.ofSeconds(10), Duration.ofSeconds(4), 0.25, Duration.ofMillis(3_200), 0.15);
 }
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -150,6 +150,15 @@
         assertThat(closing.granted()).isZero();
     }
 
+    @Test
+    public void borrowedTokensThatWereNotUsedGoBackToTheRow() {
+        PrepaidRow lenders = row.withHolding("entry-2.b", new Holding(20_000, 20_000));
+        book.borrow(ACCOUNT, 5_000);
+        book.reserve(ACCOUNT, 2_000);
+        PrepaidRow closed = book.planClose(ACCOUNT, lenders).row().orElseThrow();
+        assertThat(closed.used()).isEqualTo(17_000);
+    }
+
     @Test
     public void closingKeepsWhatIsUsedAndFreesTheRest() {
         Proposal proposal = propose(10_000);
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -76,7 +76,7 @@
         Random random = new Random();
         PrepaidBook book = new PrepaidBook(incarnation, PrepaidSettings.DEFAULT);
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
-        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, book, random, log);
+        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, random, log);
         this.members = new MemberRegister(
                 loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, peers::members);
         this.tokens = new TokenDesk(
@@ -122,7 +122,7 @@
         configurationWatch.start();
         backendWatch.start();
         members.start();
-        peers.start();
+        peers.start(tokens::lend);
         tokens.start();
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(() -> reload("look"), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
@@ -22,7 +23,8 @@
  * what another entry lends. Confined to the event loop.
  */
 public final class TokenDesk implements TokenSource, LeaseRenewer.Listener {
-    private static final long LONGEST_WAIT_MILLIS = 60;
+    private static final long LONGEST_WAIT_MILLIS = 130;
+    private static final long LEND_AFTER_MILLIS = 25;
     private static final long EXPIRY_MILLIS = 20;
 
     private final EventLoop loop;
@@ -87,6 +89,27 @@
         return waiter::cancel;
     }
 
+    /**
+     * Lends tokens to another entry; while the store answers, a larger lease is fetched first where needed.
+     *
+     * @param then told once how many were lent
+     */
+    public void lend(String account, long asked, LongConsumer then) {
+        if (renewer.away() || book.available(account) >= asked) {
+            then.accept(book.lend(account, asked));
+            return;
+        }
+        book.addWaiting(account, asked);
+        renewer.renewSoon();
+        loop.schedule(
+                () -> {
+                    book.addWaiting(account, -asked);
+                    then.accept(book.lend(account, asked));
+                },
+                LEND_AFTER_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void settle(String account, long reserved, long used) {
         book.settle(account, reserved, used);
@@ -198,6 +221,10 @@
                     row.limit(),
                     "used",
                     row.used(),
+                    "closed",
+                    row.closed(),
+                    "holders",
+                    row.holdings().size(),
                     "spent_at_least",
                     row.spentAtLeast(),
                     "patience_left_ms",
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -18,7 +18,6 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.ledger.Lenders;
 import org.streamring.direct.log.DecisionLog;
-import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.routing.RendezvousHash;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.net.generated.Wire.Frame;
@@ -39,13 +38,12 @@
 public final class EntryPeers implements Lenders {
     private static final int MOST_PEERS = 8;
     private static final int MOST_ASKED = 4;
-    private static final long ANSWER_MILLIS = 40;
+    private static final long ANSWER_MILLIS = 60;
 
     private final EventLoopGroup loops;
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final PeerIdentity own;
-    private final PrepaidBook book;
     private final Random random;
     private final DecisionLog log;
     private final FleetKeyRow keyRow;
@@ -53,6 +51,7 @@
     private final Map<InetSocketAddress, PeerConnection> connections = new HashMap<>();
     private final Map<Long, LongConsumer> asked = new HashMap<>();
     private @Nullable FleetKey key;
+    private @Nullable Lender lender;
     private List<InetSocketAddress> members = List.of();
     private long nextQuery;
 
@@ -61,7 +60,6 @@
      *
      * @param address where this entry listens for others
      * @param own who this entry is
-     * @param book leases to lend from
      */
     public EntryPeers(
             EventLoopGroup loops,
@@ -69,21 +67,26 @@
             RowStore store,
             InetSocketAddress address,
             PeerIdentity own,
-            PrepaidBook book,
             Random random,
             DecisionLog log) {
         this.loops = loops;
         this.loop = loop;
         this.address = address;
         this.own = own;
-        this.book = book;
         this.random = random;
         this.log = log;
         this.keyRow = new FleetKeyRow(loop, store);
     }
 
+    /** Lends from this entry's leases. */
+    public interface Lender {
+        /** Lends tokens, fewer than asked if there are not so many; tells once how many. */
+        void lend(String account, long asked, LongConsumer then);
+    }
+
     /** Starts to listen and to connect, once the fleet's key is known. */
-    public void start() {
+    public void start(Lender ownLender) {
+        lender = ownLender;
         keyRow.fetch(fetched -> {
             key = fetched;
             listen(fetched);
@@ -218,16 +221,18 @@
         }
 
         private void lend(PeerConnection connection, LendAsk ask) {
-            long tokens = ask.getTokens() > 0 ? book.lend(ask.getAccount(), ask.getTokens()) : 0;
+            Lender lending = lender;
+            if (lending == null || ask.getTokens() <= 0) {
+                answer(connection, ask, 0);
+            } else {
+                lending.lend(ask.getAccount(), ask.getTokens(), tokens -> answer(connection, ask, tokens));
+            }
+        }
+
+        private void answer(PeerConnection connection, LendAsk ask, long tokens) {
             if (tokens > 0) {
-                log.line(
-                        "tokens_lent",
-                        "account",
-                        ask.getAccount(),
-                        "tokens",
-                        tokens,
-                        "to",
-                        connection.remote().name());
+                String to = connection.remote().name();
+                log.line("tokens_lent", "account", ask.getAccount(), "tokens", tokens, "to", to);
             }
             LendAnswer answer = LendAnswer.newBuilder()
                     .setQuery(ask.getQuery())
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -47,7 +47,6 @@
     private int sent;
     private int unsent;
     private boolean mayHaveRun;
-    private boolean paid;
     private boolean over;
 
     DirectRequest(
@@ -87,7 +86,6 @@
             settle();
             return;
         }
-        paid = true;
         switch (outcome) {
             case RESERVED -> place();
             case EXHAUSTED -> end(OwnAnswer.refusal(402, "prepaid_used_up"));
@@ -323,8 +321,10 @@
                         sent,
                         "unsent",
                         unsent,
-                        "paid",
-                        paid,
+                        "tokens_used",
+                        reservation.map(Reservation::used).orElse(0L),
+                        "tokens_at_most",
+                        plan.tokens().map(TokenUse::most).orElse(0L),
                         "ms",
                         now() - request.arrivedMillis());
         places.poke();
--- a/direct/src/main/java/org/streamring/direct/request/Reservation.java
+++ b/direct/src/main/java/org/streamring/direct/request/Reservation.java
@@ -55,6 +55,11 @@
         unknownUse = true;
     }
 
+    /** Tokens reserved, as long as they are held. */
+    long reserved() {
+        return held ? tokens.most() : 0;
+    }
+
     /** Books the use; further calls have no effect. */
     void settle() {
         if (!held) {
@@ -64,7 +69,8 @@
         source.settle(account, tokens.most(), used());
     }
 
-    private long used() {
+    /** Tokens used so far, as far as that can be known. */
+    long used() {
         if (!ran) {
             return 0;
         }
