--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -41,7 +41,6 @@
     @Test
     public void aSmallerLeaseCountsFromItsProposal() {
         book.confirmed(propose(50_000));
-        book.addWaiting(ACCOUNT, -50_000);
         Proposal smaller = book.plan(ACCOUNT, row, 1);
         assertThat(smaller.granted()).isLessThan(50_000);
 
@@ -52,7 +51,6 @@
     @Test
     public void withoutAnAnswerTheSmallerOutcomeCounts() {
         book.confirmed(propose(50_000));
-        book.addWaiting(ACCOUNT, -50_000);
         Proposal smaller = book.plan(ACCOUNT, row, 1);
         book.proposed(smaller);
         book.unanswered(smaller);
@@ -67,7 +65,6 @@
     public void aLeaseWhoseWriteHasNoAnswerIsPlannedAnew() {
         Proposal proposal = propose(10_000);
         book.unanswered(proposal);
-        book.addWaiting(ACCOUNT, -10_000);
         assertThat(book.plan(ACCOUNT, row, 1).row()).isPresent();
     }
 
@@ -82,7 +79,6 @@
     @Test
     public void aLoweredLimitLeavesOnlyWhatIsUsed() {
         book.confirmed(propose(50_000));
-        book.addWaiting(ACCOUNT, -50_000);
         book.reserve(ACCOUNT, 5_000);
         Proposal proposal = book.plan(ACCOUNT, row.withLimit(1_000, 2), 1);
         assertThat(proposal.granted()).isEqualTo(5_000);
@@ -202,11 +198,10 @@
     }
 
     private Proposal propose(long tokens) {
-        book.addWaiting(ACCOUNT, tokens);
-        Proposal planned = book.plan(ACCOUNT, row, 1);
-        Proposal proposal = new Proposal(ACCOUNT, planned.row(), planned.granted(), planned.granted());
+        PrepaidRow changed = row.withHolding("entry-1.a", new Holding(tokens, 0));
+        Proposal proposal = new Proposal(ACCOUNT, Optional.of(changed), tokens, tokens);
         book.proposed(proposal);
-        row = proposal.row().orElseThrow();
+        row = changed;
         return proposal;
     }
 }
