--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -5,8 +5,8 @@
 /**
  * What this incarnation holds of one account, what it used of it, and what it lent to or borrowed from other entries.
  *
- * <p>Two amounts are durable: all that is granted, and a mark below it. While the store answers, no more is used than the
- * mark, so that a successor may take back what lies between the two. Confined to one thread.
+ * <p>Two amounts are durable: all that is granted, and a mark below it. While the store answers, no more is used
+ * than the mark, so that a successor may take back what lies between the two. Confined to one thread.
  */
 final class AccountLease {
     /** Demand may rise while the store is silent. */
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -10,14 +10,16 @@
  * This incarnation's leases of prepaid tokens, and the plan for their renewal.
  *
  * <p>A request reserves its worst case before it runs; afterwards it settles what it used. The book spends only what is
- * durably leased to this incarnation, or was lent by another entry out of its own lease. A lease that grows is usable once
- * its write is confirmed, one that shrinks is smaller from the moment its write is proposed. Confined to one thread.
+ * durably leased to this incarnation, or was lent by another entry out of its own lease. A lease that grows is
+ * usable once its write is confirmed, one that shrinks is smaller from the moment its write is proposed. Confined to
+ * one thread.
  */
 public final class PrepaidBook {
     private static final double LOW_PART = 0.7;
     private static final double HIGH_PART = 1.4;
     /** Besides what is asked for, at most one part in this many is lent, to save further questions. */
     private static final int SPARE_PARTS = 4;
+
     private static final int SMALL_CHANGE_TOKENS = 500;
 
     private final String incarnation;
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
@@ -15,6 +15,6 @@
 public record PrepaidSettings(
         Duration cover, Duration rateWindow, double idleShare, Duration patience, double markShare) {
     /** Rides out an absence of the store of some eight seconds. */
-    public static final PrepaidSettings DEFAULT = new PrepaidSettings(
-            Duration.ofSeconds(10), Duration.ofSeconds(4), 0.25, Duration.ofMillis(3_200), 0.15);
+    public static final PrepaidSettings DEFAULT =
+            new PrepaidSettings(Duration.ofSeconds(10), Duration.ofSeconds(4), 0.25, Duration.ofMillis(3_200), 0.15);
 }
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
@@ -22,7 +22,8 @@
     private static final int ENTRIES = 3;
     private static final int STEPS = 4_000;
     private static final long STEP_MILLIS = 100;
-    private static final long PATIENCE_MILLIS = PrepaidSettings.DEFAULT.patience().toMillis();
+    private static final long PATIENCE_MILLIS =
+            PrepaidSettings.DEFAULT.patience().toMillis();
     private static final long MARGIN_MILLIS = 200;
     private static final int SEEDS = 150;
 
@@ -118,8 +119,7 @@
 
         private void act(Entry entry) {
             entry.book.sample(nowMillis);
-            entry.book.useBeyondMark(
-                    entry.reclaimed && nowMillis - entry.confirmedSentMillis >= PATIENCE_MILLIS);
+            entry.book.useBeyondMark(entry.reclaimed && nowMillis - entry.confirmedSentMillis >= PATIENCE_MILLIS);
             serve(entry);
             int draw = random.nextInt(1_000);
             if (draw < 4) {
@@ -161,8 +161,7 @@
             int fate = random.nextInt(10);
             if (fate == 0) {
                 long due = nowMillis + random.nextInt(6_000);
-                late.add(new LateWrite(
-                        due, rowVersion, marksVersion(entry.box), entry, proposal.row(), newMarks));
+                late.add(new LateWrite(due, rowVersion, marksVersion(entry.box), entry, proposal.row(), newMarks));
                 entry.book.unanswered(proposal);
             } else if (fate == 1) {
                 commit(entry.box, proposal.row(), newMarks);
--- a/core/src/test/java/org/streamring/kernel/route/RouteTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/route/RouteTableTest.java
@@ -19,8 +19,8 @@
     private final Route inner = route("inner", "/a/b/", true, new RouteTarget("s1", 90), new RouteTarget("s2", 10));
     private final PrepaidAccount account =
             new PrepaidAccount("hotel", List.of("key-1"), OptionalInt.empty(), OptionalLong.of(10));
-    private final RouteTable table = new RouteTable(new RoutingConfiguration(
-            7, List.of(outer, inner), List.of(), List.of(account), CallerLimits.DEFAULT));
+    private final RouteTable table = new RouteTable(
+            new RoutingConfiguration(7, List.of(outer, inner), List.of(), List.of(account), CallerLimits.DEFAULT));
 
     @Test
     public void theLongestPrefixWins() {
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -62,7 +62,13 @@
     private boolean ending;
     private long stopBegan;
 
-    DirectEntry(EventLoopGroup loops, EventLoop loop, NodePlatform platform, NodeSettings settings, LongSupplier clock, DecisionLog log)
+    DirectEntry(
+            EventLoopGroup loops,
+            EventLoop loop,
+            NodePlatform platform,
+            NodeSettings settings,
+            LongSupplier clock,
+            DecisionLog log)
             throws PeerException {
         this.loop = loop;
         this.platform = platform;
@@ -128,7 +134,10 @@
         loop.scheduleAtFixedRate(() -> reload("look"), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Reads the settings anew; those that can't be read leave the old ones in force. To be called on the event loop. */
+    /**
+     * Reads the settings anew; those that can't be read leave the old ones in force.
+     * To be called on the event loop.
+     */
     void reload(String cause) {
         try {
             NodeSettings read = platform.readSettings();
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -19,8 +19,8 @@
 /**
  * One connection to a backend server; it serves one request at a time.
  *
- * <p>An answer that does not carry the identifier of the request in progress is a surplus one and is skipped; bytes while
- * no request is in progress close the connection. Confined to the channel's event loop.
+ * <p>An answer that does not carry the identifier of the request in progress is a surplus one and is skipped; bytes
+ * while no request is in progress close the connection. Confined to the channel's event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     private final BackendPool pool;
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -103,9 +103,7 @@
             }
             Seen before = seen.get(row.key().key());
             if (before == null || before.version() != row.version()) {
-                seen.put(
-                        row.key().key(),
-                        new Seen(row.version(), now, row.value()));
+                seen.put(row.key().key(), new Seen(row.version(), now, row.value()));
             }
         }
         long oldest = now - interval() * MISSED_BEATS;
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -13,8 +13,8 @@
 /**
  * Follows a table: lists it, then waits for changes, and lists it anew when changes were missed.
  *
- * <p>Never goes back: a list older than what is known is asked for again, and a row older than its last version is passed
- * over. Confined to the event loop.
+ * <p>Never goes back: a list older than what is known is asked for again, and a row older than its last version is
+ * passed over. Confined to the event loop.
  */
 public final class TableWatch {
     private static final Duration WAIT = Duration.ofSeconds(2);
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -24,8 +24,8 @@
 import org.streamring.model.route.PrepaidAccount;
 
 /**
- * Keeps the leases of prepaid tokens in the store: all accounts of this entry in one transaction at a time, each with this
- * box's marks. Confined to the event loop.
+ * Keeps the leases of prepaid tokens in the store: all accounts of this entry in one transaction at a time, each
+ * with this box's marks. Confined to the event loop.
  */
 final class LeaseRenewer {
     private static final long BASE_INTERVAL_MILLIS = 400;
@@ -134,7 +134,8 @@
             return;
         }
         List<PrepaidBook.Proposal> proposals = book.accounts().stream()
-                .filter(account -> rows.account(account).holding(book.incarnation()).isPresent())
+                .filter(account ->
+                        rows.account(account).holding(book.incarnation()).isPresent())
                 .map(account -> book.planClose(account, rows.account(account)))
                 .toList();
         if (proposals.isEmpty() || !listed) {
@@ -220,12 +221,12 @@
 
     /** Takes back what a predecessor on this box left, if it can't have used it; then this box's row is ours. */
     private void reclaim() {
-        Optional<MarkRow> left = rows.marks().filter(marks -> !marks.incarnation().equals(book.incarnation()));
+        Optional<MarkRow> left =
+                rows.marks().filter(marks -> !marks.incarnation().equals(book.incarnation()));
         Map<String, PrepaidRow> changed = new HashMap<>();
         left.filter(this::heldItsMarks).ifPresent(marks -> {
             for (String account : rows.accounts()) {
-                PrepaidBook.reclaim(account, rows.account(account), marks)
-                        .ifPresent(row -> changed.put(account, row));
+                PrepaidBook.reclaim(account, rows.account(account), marks).ifPresent(row -> changed.put(account, row));
             }
         });
         left.ifPresent(marks -> log.line(
@@ -346,8 +347,8 @@
         if (writing && now - writeSentMillis > STORE_SILENT_MILLIS) {
             noAnswer(new StoreException("renew leases", "no answer for long", false));
         }
-        boolean outOfPatience = now - confirmedSentMillis
-                >= book.settings().patience().toMillis();
+        boolean outOfPatience =
+                now - confirmedSentMillis >= book.settings().patience().toMillis();
         if (reclaimed && outOfPatience) {
             book.useBeyondMark(true);
         }
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -15,8 +15,8 @@
 import org.streamring.kernel.prepaid.PrepaidRow;
 
 /**
- * Text form of an account's row: {@code [closed, limit, limit version, holder, granted, spent, holder, …]}, short as the
- * store's bytes are paid for.
+ * Text form of an account's row: {@code [closed, limit, limit version, holder, granted, spent, holder, …]}, short as
+ * the store's bytes are paid for.
  */
 final class PrepaidRowCodec {
     private static final JsonFactory JSON = new JsonFactory();
--- a/direct/src/main/java/org/streamring/direct/log/DecisionLog.java
+++ b/direct/src/main/java/org/streamring/direct/log/DecisionLog.java
@@ -13,8 +13,8 @@
 /**
  * Writes JSON lines to an output, without ever blocking the caller.
  *
- * <p>Lines wait in a bounded queue for a writer thread; those that find it full are dropped and counted, and the count is
- * told in a line of its own.
+ * <p>Lines wait in a bounded queue for a writer thread; those that find it full are dropped and counted, and the
+ * count is told in a line of its own.
  */
 public final class DecisionLog implements AutoCloseable {
     private static final int CAPACITY = 4_096;
--- a/direct/src/main/java/org/streamring/direct/peer/FleetKeyRow.java
+++ b/direct/src/main/java/org/streamring/direct/peer/FleetKeyRow.java
@@ -53,8 +53,10 @@
     }
 
     private void found(List<StoredRow> rows, Consumer<FleetKey> then) {
-        rows.stream().filter(row -> row.key().equals(KEY)).findFirst().ifPresentOrElse(
-                row -> then.accept(new FleetKey(row.value())), () -> later(then));
+        rows.stream()
+                .filter(row -> row.key().equals(KEY))
+                .findFirst()
+                .ifPresentOrElse(row -> then.accept(new FleetKey(row.value())), () -> later(then));
     }
 
     private void later(Consumer<FleetKey> then) {
--- a/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
+++ b/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
@@ -9,8 +9,8 @@
 /**
  * Passes the answer on: whole answers when they are complete, streams event by event.
  *
- * <p>A stream begins with its first event and keeps the head of its first replica; a part of an event that a replica left
- * behind is dropped. Confined to the event loop.
+ * <p>A stream begins with its first event and keeps the head of its first replica; a part of an event that a replica
+ * left behind is dropped. Confined to the event loop.
  */
 final class AnswerRelay {
     private final boolean stream;
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -31,8 +31,8 @@
 /**
  * Calls one HTTP service.
  *
- * <p>A call without an answer in time closes its connection, as an answer that comes later belongs to no call. Confined to
- * its event loop.
+ * <p>A call without an answer in time closes its connection, as an answer that comes later belongs to no call.
+ * Confined to its event loop.
  */
 public final class HttpCaller {
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
--- a/net/src/main/java/org/streamring/net/peer/PeerServer.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerServer.java
@@ -23,7 +23,11 @@
 
     /** Starts to listen without waiting, for callers on an event loop. */
     public static Future<Void> open(
-            EventLoopGroup loops, InetSocketAddress address, FleetKey fleetKey, PeerIdentity own, PeerListener listener) {
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            FleetKey fleetKey,
+            PeerIdentity own,
+            PeerListener listener) {
         return Listening.open(
                 loops,
                 address,
--- a/net/src/main/java/org/streamring/net/process/Listening.java
+++ b/net/src/main/java/org/streamring/net/process/Listening.java
@@ -30,8 +30,7 @@
     }
 
     /** Starts to listen without waiting, for callers on an event loop. */
-    public static ChannelFuture open(
-            EventLoopGroup loops, InetSocketAddress address, Consumer<SocketChannel> prepare) {
+    public static ChannelFuture open(EventLoopGroup loops, InetSocketAddress address, Consumer<SocketChannel> prepare) {
         return new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
