Renew at once when a request waits, also where a later write is planned

Cause: a planned later write kept an urgent one from being scheduled, so requests waited 130 ms and were refused although tokens were unheld (two tests through the real entry failed on it: a large request soon after the start, and a successor's). Change: an urgent write replaces a later one; what is at hand counts besides what is unheld; an entry is ready when its leases were written once, or after 4 s.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -39,6 +39,7 @@
     private static final long TIDY_MILLIS = 250;
     private static final long RELOAD_MILLIS = 5_000;
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+    private static final Duration LEASES_WAITED_FOR = Duration.ofSeconds(4);
     private static final Duration LAST_CALLS = Duration.ofSeconds(2);
     /** The balancer asks each second and takes an entry out after two misses. */
     private static final Duration BALANCER_NOTICES = Duration.ofMillis(2_500);
@@ -194,8 +195,10 @@
         return soonEnough && !ending;
     }
 
+    /** Leases are waited for a while only: without them what needs none is served. */
     private boolean ready() {
-        return !stopping && configuration.inForce().isPresent() && backends.known();
+        boolean leased = tokens.renewedOnce() || clock.getAsLong() > LEASES_WAITED_FOR.toMillis();
+        return !stopping && leased && configuration.inForce().isPresent() && backends.known();
     }
 
     private CallerLimits limits() {
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.ledger;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -48,10 +50,12 @@
     private final Listener listener;
     private boolean listed;
     private boolean writing;
-    private boolean tickScheduled;
+    private @Nullable Future<?> nextTick;
+    private long nextTickMillis;
     private boolean stopping;
     private boolean away;
     private boolean reclaimed;
+    private boolean renewedOnce;
     private long writeSentMillis;
     private long confirmedSentMillis;
     private long confirmedStoreMillis;
@@ -99,6 +103,11 @@
         loop.scheduleAtFixedRate(this::watchStore, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Whether leases were written once since the start. */
+    boolean renewedOnce() {
+        return renewedOnce;
+    }
+
     /** Whether the store does not answer at the moment. */
     boolean away() {
         return away;
@@ -109,12 +118,9 @@
         return Math.max(0, book.settings().patience().toMillis() - (clock.getAsLong() - confirmedSentMillis));
     }
 
-    /** Writes as soon as possible. */
+    /** Writes as soon as possible, also where a later write is planned already. */
     void renewSoon() {
-        if (!tickScheduled) {
-            tickScheduled = true;
-            loop.schedule(this::tick, URGENT_MILLIS, TimeUnit.MILLISECONDS);
-        }
+        schedule(URGENT_MILLIS);
     }
 
     /** Gives back all that is not spent; complete when the store said so or did not answer. */
@@ -174,15 +180,23 @@
     }
 
     private void renewLater() {
-        if (!tickScheduled) {
-            tickScheduled = true;
-            long interval = BASE_INTERVAL_MILLIS + INTERVAL_PER_ENTRY_MILLIS * entries.getAsInt();
-            loop.schedule(this::tick, interval, TimeUnit.MILLISECONDS);
+        schedule(BASE_INTERVAL_MILLIS + INTERVAL_PER_ENTRY_MILLIS * entries.getAsInt());
+    }
+
+    private void schedule(long delayMillis) {
+        long dueMillis = clock.getAsLong() + delayMillis;
+        if (nextTick != null && nextTickMillis <= dueMillis) {
+            return;
+        }
+        if (nextTick != null) {
+            nextTick.cancel(false);
         }
+        nextTickMillis = dueMillis;
+        nextTick = loop.schedule(this::tick, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
-        tickScheduled = false;
+        nextTick = null;
         if (writing || stopping) {
             return;
         }
@@ -267,6 +281,7 @@
                 proposals.forEach(nothingDone ? book::refused : book::unanswered);
             } else {
                 proposals.forEach(committed ? book::confirmed : book::refused);
+                renewedOnce |= committed;
                 listener.renewed();
                 scheduleNext(committed);
             }
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -67,6 +67,11 @@
         loop.scheduleAtFixedRate(this::expireWaiters, EXPIRY_MILLIS, EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Whether leases were written once since the start. */
+    public boolean renewedOnce() {
+        return renewer.renewedOnce();
+    }
+
     /** Gives back all that is not spent; complete when the store said so or did not answer. */
     public CompletableFuture<Void> close() {
         return renewer.close();
@@ -123,7 +128,7 @@
             PrepaidRow row = rows.account(waiter.account);
             if (PrepaidBook.exhausted(row, waiter.tokens)) {
                 waiter.end(Outcome.EXHAUSTED, "rest_too_small");
-            } else if (row.unheld() < waiter.tokens) {
+            } else if (row.unheld() + book.available(waiter.account) < waiter.tokens) {
                 waiter.borrow();
             }
         }
