--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -14,6 +14,7 @@
 import org.streamring.direct.feed.TableWatch;
 import org.streamring.direct.ledger.TokenDesk;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.request.Fleet;
 import org.streamring.direct.request.RequestRouter;
@@ -26,6 +27,7 @@
 import org.streamring.model.route.Route;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.peer.PeerIdentity;
+import org.streamring.net.process.AdminServer;
 import org.streamring.net.settings.SettingsException;
 import org.streamring.platform.node.NodePlatform;
 import org.streamring.platform.node.NodeSettings;
@@ -80,6 +82,7 @@
         this.registry = new BackendRegistry(settings.keepLapsed().toMillis());
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
         this.backends = new BackendFeed(platform.operatorRows(), registry, clock, log);
+        EntryMetrics metrics = new EntryMetrics();
         Random random = new Random();
         PrepaidBook book = new PrepaidBook(incarnation, PrepaidSettings.DEFAULT);
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
@@ -95,6 +98,7 @@
                 members::live,
                 peers,
                 clock,
+                metrics,
                 log);
         this.fleet = new Fleet(
                 loop,
@@ -118,9 +122,15 @@
                 fleet,
                 tokens,
                 this::takes,
+                metrics,
                 log));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
+        metrics.gauge("requests.running", callers::busy);
+        metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
+        metrics.gauge("entries.live", members::live);
+        metrics.gauge("log.lines.dropped", log::dropped);
+        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -69,7 +69,7 @@
         void renewed();
 
         /** The store does not answer. */
-        void storeAway();
+        void storeLost();
     }
 
     /**
@@ -353,7 +353,7 @@
         if (!away) {
             away = true;
             log.line("store_lost", "by", "ledger", "reason", String.valueOf(failure.getMessage()));
-            listener.storeAway();
+            listener.storeLost();
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.request.TokenSource;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidRow;
@@ -33,6 +34,7 @@
     private final LeaseRenewer renewer;
     private final Lenders lenders;
     private final LongSupplier clock;
+    private final EntryMetrics metrics;
     private final DecisionLog log;
     private final List<Waiter> waiters = new ArrayList<>();
 
@@ -51,12 +53,14 @@
             IntSupplier entries,
             Lenders lenders,
             LongSupplier clock,
+            EntryMetrics metrics,
             DecisionLog log) {
         this.loop = loop;
         this.book = book;
         this.rows = new LeaseRows(log, box);
         this.lenders = lenders;
         this.clock = clock;
+        this.metrics = metrics;
         this.log = log;
         this.renewer = new LeaseRenewer(loop, store, book, rows, routes, entries, clock, log, this);
     }
@@ -67,6 +71,11 @@
         loop.scheduleAtFixedRate(this::expireWaiters, EXPIRY_MILLIS, EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Whether the store does not answer at the moment. */
+    public boolean storeAway() {
+        return renewer.away();
+    }
+
     /** Whether leases were written once since the start. */
     public boolean renewedOnce() {
         return renewer.renewedOnce();
@@ -135,7 +144,7 @@
     }
 
     @Override
-    public void storeAway() {
+    public void storeLost() {
         List.copyOf(waiters).forEach(Waiter::borrow);
     }
 
@@ -211,6 +220,7 @@
         }
 
         private void logRefusal(String reason) {
+            metrics.tokensRefused(reason);
             PrepaidRow row = rows.account(account);
             log.line(
                     "tokens_refused",
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -0,0 +1,60 @@
+package org.streamring.direct.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.function.Supplier;
+
+/** What a direct entry counts; the names are those of the metrics address. */
+public final class EntryMetrics {
+    private static final Duration[] LATENCY_BUCKETS = {
+        Duration.ofMillis(10),
+        Duration.ofMillis(30),
+        Duration.ofMillis(100),
+        Duration.ofMillis(300),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(3),
+        Duration.ofSeconds(10)
+    };
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /** Where the meters are kept. */
+    public PrometheusMeterRegistry registry() {
+        return registry;
+    }
+
+    /** Counts a final answer and its time from arrival to end, by outcome and rank. */
+    public void requestEnded(String outcome, int rank, long millis) {
+        Timer.builder("streamring.direct.request")
+                .tag("outcome", outcome)
+                .tag("rank", String.valueOf(rank))
+                .serviceLevelObjectives(LATENCY_BUCKETS)
+                .register(registry)
+                .record(Duration.ofMillis(millis));
+    }
+
+    /** Counts an attempt without a success, by its kind. */
+    public void attemptFailed(String kind) {
+        Counter.builder("streamring.direct.attempt.failed")
+                .tag("kind", kind)
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts a request that got no prepaid tokens, by reason. */
+    public void tokensRefused(String reason) {
+        Counter.builder("streamring.direct.tokens.refused")
+                .tag("reason", reason)
+                .register(registry)
+                .increment();
+    }
+
+    /** Shows a number that is read when the metrics are. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder("streamring.direct." + name, value).register(registry);
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -302,6 +302,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
+        services.metrics().requestEnded(outcome, plan.rank(), now() - request.arrivedMillis());
         services.log()
                 .line(
                         "request_ended",
@@ -334,6 +335,7 @@
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
             return;
         }
+        services.metrics().attemptFailed(end.kind().name());
         services.log()
                 .line(
                         "attempt_failed",
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -79,6 +79,7 @@
                         answer.reason(),
                         "config",
                         services.routes().get().map(RouteTable::version).orElse(-1L));
+        services.metrics().requestEnded(answer.reason(), 0, services.clock().getAsLong() - request.arrivedMillis());
         answer.write(writer, services.names(), id);
         return NOTHING;
     }
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.Route;
 import org.streamring.platform.node.ForwardingHeaders;
@@ -23,6 +24,7 @@
  * @param fleet backend servers
  * @param tokens prepaid tokens
  * @param takes whether a request on a route that begins now could end before a planned stop
+ * @param metrics counters
  * @param log decisions
  */
 public record RequestServices(
@@ -35,4 +37,5 @@
         Fleet fleet,
         TokenSource tokens,
         Predicate<Route> takes,
+        EntryMetrics metrics,
         DecisionLog log) {}
--- a/net/src/main/java/org/streamring/platform/node/NodeSettings.java
+++ b/net/src/main/java/org/streamring/platform/node/NodeSettings.java
@@ -11,6 +11,7 @@
  * @param callers address where callers connect
  * @param readiness address where the balancer asks whether the process is ready
  * @param peers address where other entries connect
+ * @param metrics address where metrics are served
  * @param grace time from the signal to stop to the forced end
  * @param keepLapsed how long a backend server's lapsed entry is kept after the store is back
  * @param retries limit on retries that all entries share
@@ -21,6 +22,7 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress peers,
+        InetSocketAddress metrics,
         Duration grace,
         Duration keepLapsed,
         RetryLimit retries) {
