--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -126,12 +126,16 @@
                 log));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
+        showState(metrics);
+        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
+        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
+    }
+
+    private void showState(EntryMetrics metrics) {
         metrics.gauge("requests.running", callers::busy);
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
         metrics.gauge("entries.live", members::live);
         metrics.gauge("log.lines.dropped", log::dropped);
-        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
-        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
     /** Starts to read the store; to be called on the event loop. */
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -86,10 +86,12 @@
             settle();
             return;
         }
-        switch (outcome) {
-            case RESERVED -> place();
-            case EXHAUSTED -> end(OwnAnswer.refusal(402, "prepaid_used_up"));
-            case UNAVAILABLE -> end(OwnAnswer.later("no_tokens_leased", RETRY_FOR_TOKENS));
+        if (outcome == TokenSource.Outcome.RESERVED) {
+            place();
+        } else if (outcome == TokenSource.Outcome.EXHAUSTED) {
+            end(OwnAnswer.refusal(402, "prepaid_used_up"));
+        } else {
+            end(OwnAnswer.later("no_tokens_leased", RETRY_FOR_TOKENS));
         }
     }
 
@@ -178,25 +180,32 @@
         lastEnd = end;
         run = null;
         logAttempt(end);
-        switch (end.kind()) {
-            case WHOLE -> finish("answered", 200);
-            case NOT_SENT -> {
-                unsent++;
-                if (unsent <= MAX_UNSENT && timeLeft()) {
-                    place();
-                } else {
-                    conclude(end);
-                }
-            }
-            case NOT_RUN -> retryOrConclude(end, true);
-            case FAILED, BROKEN -> {
-                mayHaveRun = true;
-                if (end.kind() == AttemptEnd.Kind.BROKEN) {
-                    reservation.ifPresent(Reservation::useUnknown);
-                }
-                retryOrConclude(end, plan.route().repeatable());
-            }
+        if (end.kind() == AttemptEnd.Kind.WHOLE) {
+            finish("answered", 200);
+        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
+            findAnotherOrConclude(end);
+        } else if (end.kind() == AttemptEnd.Kind.NOT_RUN) {
+            retryOrConclude(end, true);
+        } else {
+            afterPossibleRun(end);
+        }
+    }
+
+    private void findAnotherOrConclude(AttemptEnd end) {
+        unsent++;
+        if (unsent <= MAX_UNSENT && timeLeft()) {
+            place();
+        } else {
+            conclude(end);
+        }
+    }
+
+    private void afterPossibleRun(AttemptEnd end) {
+        mayHaveRun = true;
+        if (end.kind() == AttemptEnd.Kind.BROKEN) {
+            reservation.ifPresent(Reservation::useUnknown);
         }
+        retryOrConclude(end, plan.route().repeatable());
     }
 
     private void retryOrConclude(AttemptEnd end, boolean allowed) {
--- a/integration/src/test/java/org/streamring/architecture/ArchitectureTest.java
+++ b/integration/src/test/java/org/streamring/architecture/ArchitectureTest.java
@@ -26,7 +26,11 @@
                 .layer("adapters")
                 .definedBy("org.streamring.net..", "org.streamring.platform..", "org.streamring.policy..")
                 .layer("programs")
-                .definedBy("org.streamring.entry..", "org.streamring.sidecar..", "org.streamring.cli..")
+                .definedBy(
+                        "org.streamring.entry..",
+                        "org.streamring.sidecar..",
+                        "org.streamring.cli..",
+                        "org.streamring.direct..")
                 .layer("standin")
                 .definedBy("org.streamring.standin..")
                 .whereLayer("standin")
@@ -42,7 +46,7 @@
 
     @Test
     public void programsDoNotKnowEachOther() {
-        slices().matching("org.streamring.(entry|sidecar|cli|standin)..")
+        slices().matching("org.streamring.(entry|sidecar|cli|standin|direct)..")
                 .should()
                 .notDependOnEachOther()
                 .check(classes);
@@ -66,6 +70,24 @@
                 .check(classes);
     }
 
+    @Test
+    public void onlyTheAdapterKnowsTheUsersPlatform() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackage("org.streamring.platform.rows..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.streamring.platform.rows..")
+                .check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("org.streamring.platform.rows..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.streamring.direct..")
+                .check(classes);
+    }
+
     @Test
     public void sidecarsCarryNoPolicyCompiler() {
         noClasses()
