End a planned stop when its streams have ended

Change: once the balancer has noticed and no stream runs, no call is taken and the process ends with the last one in progress.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -60,6 +60,7 @@
     private final Fleet fleet;
     private final TableWatch configurationWatch;
     private final TableWatch backendWatch;
+    private final RequestRouter router;
     private final CallerServer callers;
     private boolean stopping;
     private boolean ending;
@@ -112,7 +113,7 @@
                 new TableWatch(loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
         this.backendWatch =
                 new TableWatch(loop, platform.store(), platform.operatorRows().backendTable(), backends);
-        RequestRouter router = new RequestRouter(new RequestServices(
+        this.router = new RequestRouter(new RequestServices(
                 loop,
                 clock,
                 random,
@@ -184,7 +185,8 @@
 
     private void waitForRequests(CompletableFuture<Void> stopped) {
         long elapsed = clock.getAsLong() - stopBegan;
-        boolean quiet = callers.busy() == 0 && elapsed >= BALANCER_NOTICES.toMillis();
+        ending |= router.runningStreams() == 0 && elapsed >= BALANCER_NOTICES.toMillis();
+        boolean quiet = ending && callers.busy() == 0;
         boolean late = elapsed >= settings.grace().minus(STOP_MARGIN).toMillis();
         if (!quiet && !late) {
             loop.schedule(() -> waitForRequests(stopped), 50, TimeUnit.MILLISECONDS);
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -37,6 +37,7 @@
     private final RequestPlan plan;
     private final CallerRequest request;
     private final AnswerWriter writer;
+    private final Runnable onOver;
     private final AnswerRelay relay;
     private final Optional<Reservation> reservation;
     private final Set<String> tried = new HashSet<>();
@@ -55,13 +56,15 @@
             HeaderFilter filter,
             RequestPlan plan,
             CallerRequest request,
-            AnswerWriter writer) {
+            AnswerWriter writer,
+            Runnable onOver) {
         this.services = services;
         this.places = places;
         this.filter = filter;
         this.plan = plan;
         this.request = request;
         this.writer = writer;
+        this.onOver = onOver;
         this.relay = new AnswerRelay(
                 plan.route().stream(),
                 filter,
@@ -304,6 +307,7 @@
 
     private void over(String outcome, int status) {
         over = true;
+        onOver.run();
         places.remove(this);
         if (pendingTokens != null) {
             pendingTokens.cancel();
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -20,6 +20,7 @@
     private final RequestServices services;
     private final HeaderFilter filter;
     private final PlaceQueue places;
+    private int runningStreams;
 
     /** Creates one. */
     public RequestRouter(RequestServices services) {
@@ -54,11 +55,18 @@
         }
         String service = RouteTable.pickService(route, services.random().nextDouble());
         RequestPlan plan = RequestPlan.of(request, route, table.service(service), account, services.names());
-        DirectRequest started = new DirectRequest(services, places, filter, plan, request, writer);
+        Runnable onOver = route.stream() ? () -> runningStreams-- : () -> {};
+        runningStreams += route.stream() ? 1 : 0;
+        DirectRequest started = new DirectRequest(services, places, filter, plan, request, writer, onOver);
         started.start();
         return started;
     }
 
+    /** Streams in progress. */
+    public int runningStreams() {
+        return runningStreams;
+    }
+
     private static Optional<String> keyOf(CallerRequest request) {
         return Optional.ofNullable(request.headers().get(HttpHeaderNames.AUTHORIZATION))
                 .filter(value -> value.regionMatches(true, 0, KEY_SCHEME, 0, KEY_SCHEME.length()))
