Refuse chats without messages, end a stop without the store, keep the audit narrow

Cause: a chat without messages was run and billed; a stop waited up to 60 s for leases to be settled while the store was away; the audit's items column was as wide as the change. Change: 400 for a body without a prompt; stop.settle_wait (5 s); cells of the audit's table end after 60 signs, JSON is whole. Entries shown at port 0 are not mended.

--- a/cli/src/main/java/org/streamring/cli/Report.java
+++ b/cli/src/main/java/org/streamring/cli/Report.java
@@ -11,6 +11,7 @@
 
     private final List<String> columns;
     private final List<List<String>> rows = new ArrayList<>();
+    private int maxCell = Integer.MAX_VALUE;
 
     Report(String... columns) {
         this.columns = List.of(columns);
@@ -25,6 +26,12 @@
         return this;
     }
 
+    /** Shortens longer cells of the table; JSON keeps them whole. */
+    Report withCellsUpTo(int characters) {
+        maxCell = characters;
+        return this;
+    }
+
     String text(boolean json) {
         return json ? json() : table();
     }
@@ -40,11 +47,15 @@
         return array.toPrettyString();
     }
 
+    private String shortened(String cell) {
+        return cell.length() <= maxCell ? cell : cell.substring(0, maxCell - 1) + "…";
+    }
+
     private String table() {
         int[] widths = new int[columns.size()];
         List<List<String>> all = new ArrayList<>();
         all.add(columns);
-        all.addAll(rows);
+        rows.forEach(row -> all.add(row.stream().map(this::shortened).toList()));
         for (List<String> row : all) {
             for (int i = 0; i < widths.length; i++) {
                 widths[i] = Math.max(widths[i], row.get(i).length());
--- a/cli/src/main/java/org/streamring/cli/ViewCommands.java
+++ b/cli/src/main/java/org/streamring/cli/ViewCommands.java
@@ -54,6 +54,9 @@
     /** Shows the audit trail. */
     @Command(name = "audit", description = "Show accepted changes: who, when, what")
     public static final class Audit extends OperatorCommand {
+        /** Changes of many items would make a table too wide to read. */
+        private static final int MAX_CELL = 60;
+
         @Option(name = "--after", description = "Only changes after this version")
         private long after;
 
@@ -75,7 +78,7 @@
                                     .map(grant -> grant.budget() + ":" + grant.tokens())
                                     .toList());
                 }
-                print(report);
+                print(report.withCellsUpTo(MAX_CELL));
             });
         }
     }
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -255,7 +255,9 @@
         ledgers.current().drainAll();
         ledgerRunner.kick();
         // Also while the table does not answer: one lost answer must not leave leases to be closed by another entry.
-        waitUntil(until, () -> ledgers.current().isSettled());
+        long settledUntil = System.currentTimeMillis()
+                + settings.get(EntrySettings.SETTLE_WAIT).toMillis();
+        waitUntil(Math.min(until, settledUntil), () -> ledgers.current().isSettled());
         LOGGER.info(
                 "entry_stopped open_requests={} leases={}",
                 coordinator.open(),
--- a/entry/src/main/java/org/streamring/entry/EntrySettings.java
+++ b/entry/src/main/java/org/streamring/entry/EntrySettings.java
@@ -70,6 +70,14 @@
             SCHEMA.integer("limits.body_bytes", "1048576", 1024, 4 << 20, "Largest request body.");
     public static final Setting<Duration> CALL_WAIT =
             SCHEMA.duration("limits.call_wait", "30s", "Longest time that a call may take to arrive whole.");
+
+    /** Longest wait for the table at a planned stop. */
+    public static final Setting<Duration> SETTLE_WAIT = SCHEMA.duration(
+            "stop.settle_wait",
+            "5s",
+            "Longest wait for leases to be settled when open requests have ended at a stop; what is left is closed by "
+                    + "another entry.");
+
     public static final Setting<Duration> STOP_WAIT =
             SCHEMA.duration("stop.wait", "60s", "Longest wait for open requests when the process is asked to stop.");
 
--- a/entry/src/main/java/org/streamring/entry/caller/ModelCall.java
+++ b/entry/src/main/java/org/streamring/entry/caller/ModelCall.java
@@ -30,10 +30,13 @@
     public static ModelCall parse(byte[] bytes) throws RefusedException {
         try {
             JsonNode node = MAPPER.readTree(bytes);
-            if (node instanceof ObjectNode object && object.path("model").isTextual()) {
-                return new ModelCall(object, bytes.length);
+            if (!(node instanceof ObjectNode object) || !object.path("model").isTextual()) {
+                throw bad("the body must be a JSON object with a text field \"model\"");
             }
-            throw bad("the body must be a JSON object with a text field \"model\"");
+            if (!hasPrompt(object)) {
+                throw bad("the body must have a list \"messages\" that is not empty, or a \"prompt\"");
+            }
+            return new ModelCall(object, bytes.length);
         } catch (JsonProcessingException e) {
             throw bad("the body is not JSON: " + e.getOriginalMessage());
         } catch (java.io.IOException e) {
@@ -41,6 +44,15 @@
         }
     }
 
+    private static boolean hasPrompt(ObjectNode object) {
+        JsonNode messages = object.path("messages");
+        if (!messages.isMissingNode()) {
+            return messages.isArray() && !messages.isEmpty();
+        }
+        JsonNode prompt = object.path("prompt");
+        return prompt.isTextual() || (prompt.isArray() && !prompt.isEmpty());
+    }
+
     private static RefusedException bad(String message) {
         return new RefusedException(Refusal.of(RefusalReason.BAD_REQUEST, message));
     }
