--- a/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
+++ b/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
@@ -57,6 +57,15 @@
         assertBilledIsWhatRan();
     }
 
+    @Test
+    public void aStopEndsSoonWhileTheStoreIsAway() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.chat("entry-1", Fleet.HOSPITAL, 20, false, "");
+        fleet.platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
+        fleet.entries.get("entry-1").askToStop();
+        eventually("the entry has ended").until(() -> !fleet.entries.get("entry-1").isAlive());
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
