--- a/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
+++ b/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import org.streamring.fleet.Fleet;
 import org.streamring.kernel.table.RowKeys;
 import org.streamring.standin.platform.PlatformFaults;
@@ -63,7 +64,9 @@
         fleet.chat("entry-1", Fleet.HOSPITAL, 20, false, "");
         fleet.platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
         fleet.entries.get("entry-1").askToStop();
-        eventually("the entry has ended").until(() -> !fleet.entries.get("entry-1").isAlive());
+        eventually("the entry has ended")
+                .atMost(Duration.ofSeconds(25))
+                .until(() -> !fleet.entries.get("entry-1").isAlive());
     }
 
     @DataProvider
