Give the tests of bad calls a prompt, so that each holds what it names

Four other rows would have passed for the wrong reason (no messages instead of a bad limit). Change: these bodies have a message; a row for a chat without messages is new. All statuses, codes and outcomes asserted are as before.

--- a/integration/src/test/java/org/streamring/integration/WholePathTest.java
+++ b/integration/src/test/java/org/streamring/integration/WholePathTest.java
@@ -41,7 +41,7 @@
     public void usageIsShownInAStreamIfTheCallerAskedForIt() {
         HttpResponse<String> response = fleet.send(fleet.request("entry-1", "/v1/chat/completions", Fleet.HOSPITAL)
                 .POST(HttpRequest.BodyPublishers.ofString("""
-                        {"model":"assist","messages":[],"max_tokens":3,"stream":true,\
+                        {"model":"assist","messages":[{"role":"user","content":"hi"}],"max_tokens":3,"stream":true,\
                         "stream_options":{"include_usage":true},"unknown_field":{"a":1}}"""))
                 .build());
         assertThat(response.body()).contains("\"completion_tokens\":3");
@@ -66,15 +66,17 @@
     public Object[][] badCalls() {
         String chat = "/v1/chat/completions";
         String good = Fleet.chatBody(5, false);
+        String prompt = "\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]";
         return new Object[][] {
             {chat, "nobody", good, 401, "unknown_key"},
             {chat, "quickstart-trial-user", Fleet.chatBody(400, false), 402, "budget_used_up"},
             {chat, Fleet.HOSPITAL, "{not json", 400, "bad_request"},
             {chat, Fleet.HOSPITAL, "[]", 400, "bad_request"},
-            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\",\"max_tokens\":-4}", 400, "bad_request"},
-            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\",\"max_tokens\":\"many\"}", 400, "bad_request"},
-            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\",\"n\":1000}", 400, "bad_request"},
-            {chat, Fleet.HOSPITAL, "{\"model\":\"other\"}", 404, "unknown_service"},
+            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\"}", 400, "bad_request"},
+            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\"," + prompt + ",\"max_tokens\":-4}", 400, "bad_request"},
+            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\"," + prompt + ",\"max_tokens\":\"many\"}", 400, "bad_request"},
+            {chat, Fleet.HOSPITAL, "{\"model\":\"assist\"," + prompt + ",\"n\":1000}", 400, "bad_request"},
+            {chat, Fleet.HOSPITAL, "{\"model\":\"other\"," + prompt + "}", 404, "unknown_service"},
             {"/nowhere", Fleet.HOSPITAL, good, 404, "unknown_service"},
             {"/services/nothing/x", Fleet.HOSPITAL, good, 404, "unknown_service"},
             {"/services/assist-llm/x", Fleet.HOSPITAL, good, 404, "unknown_service"},
