Keep the addresses of entries that stopped, and ask on every connection

Change: a stopping entry's row keeps its address; absent entries are connected to behind live ones; both ends of a connection ask and answer. Test: MemberRegisterTest (3), which the old class can't pass (its rows had no address once stopped; the list had no absent part).

--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowPage;
@@ -18,11 +19,12 @@
 /**
  * Counts the live entries: each writes a row from time to time, and reads whose row still changes.
  *
- * <p>While the store is away the last count stands. Confined to the event loop.
+ * <p>While the store is away the last count stands. An entry that stopped or fell silent keeps its row, as its box may
+ * start another at the same address at any time. Confined to the event loop.
  */
 public final class MemberRegister {
     private static final String TABLE = "streamring-members";
-    private static final String STOPPED = "stopped";
+    private static final String STOPPED = "stopped ";
     private static final long BASE_MILLIS = 2_000;
     private static final long MILLIS_PER_ENTRY = 20;
     private static final int MISSED_BEATS = 3;
@@ -30,21 +32,40 @@
     private final EventLoop loop;
     private final RowStore store;
     private final RowKey ownKey;
-    private final String ownValue;
-    private final Consumer<List<InetSocketAddress>> onChange;
+    private final String incarnation;
+    private final String ownAddress;
+    private final Consumer<Others> onChange;
     private final LongSupplier clock;
     private final Map<String, Seen> seen = new HashMap<>();
     private long ownVersion;
     private int live = 1;
     private boolean stopping;
 
-    private record Seen(long version, long changedMillis, String value) {}
+    private record Seen(long version, long changedMillis, String value) {
+        boolean live(long oldestMillis) {
+            return !value.startsWith(STOPPED) && changedMillis >= oldestMillis;
+        }
+    }
+
+    /**
+     * Where the other entries listen.
+     *
+     * @param live those that are alive
+     * @param absent those that stopped or fell silent
+     */
+    public record Others(List<InetSocketAddress> live, List<InetSocketAddress> absent) {
+        /** Copies the lists. */
+        public Others {
+            live = List.copyOf(live);
+            absent = List.copyOf(absent);
+        }
+    }
 
     /**
      * Creates one; nothing happens before {@link #start}.
      *
      * @param peers where this entry listens for others
-     * @param onChange told the addresses of the other live entries after each reading
+     * @param onChange told the addresses of the other entries after each reading
      */
     public MemberRegister(
             EventLoop loop,
@@ -53,11 +74,12 @@
             String incarnation,
             InetSocketAddress peers,
             LongSupplier clock,
-            Consumer<List<InetSocketAddress>> onChange) {
+            Consumer<Others> onChange) {
         this.loop = loop;
         this.store = store;
         this.ownKey = new RowKey(TABLE, "", nodeName);
-        this.ownValue = incarnation + " " + peers.getAddress().getHostAddress() + ":" + peers.getPort();
+        this.incarnation = incarnation;
+        this.ownAddress = peers.getAddress().getHostAddress() + ":" + peers.getPort();
         this.onChange = onChange;
         this.clock = clock;
     }
@@ -75,7 +97,7 @@
     /** Tells the others that this entry stops. */
     public void stop() {
         stopping = true;
-        write(STOPPED);
+        write(STOPPED + ownAddress);
     }
 
     private void refresh() {
@@ -83,7 +105,7 @@
             if (failure == null) {
                 take(page);
                 if (!stopping) {
-                    write(ownValue);
+                    write(incarnation + " " + ownAddress);
                 }
             }
             loop.schedule(this::refresh, interval(), TimeUnit.MILLISECONDS);
@@ -107,12 +129,16 @@
             }
         }
         long oldest = now - interval() * MISSED_BEATS;
-        List<InetSocketAddress> others = seen.values().stream()
-                .filter(each -> !each.value().equals(STOPPED) && each.changedMillis() >= oldest)
+        Others others = new Others(addresses(each -> each.live(oldest)), addresses(each -> !each.live(oldest)));
+        live = 1 + others.live().size();
+        onChange.accept(others);
+    }
+
+    private List<InetSocketAddress> addresses(Predicate<Seen> which) {
+        return seen.values().stream()
+                .filter(which)
                 .flatMap(each -> addressIn(each.value()).stream())
                 .toList();
-        live = 1 + others.size();
-        onChange.accept(others);
     }
 
     private static Optional<InetSocketAddress> addressIn(String value) {
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -8,14 +8,18 @@
 import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.ledger.Lenders;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.routing.RendezvousHash;
@@ -48,11 +52,11 @@
     private final DecisionLog log;
     private final FleetKeyRow keyRow;
     private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
-    private final Map<InetSocketAddress, PeerConnection> connections = new HashMap<>();
+    private final Set<PeerConnection> connections = new HashSet<>();
     private final Map<Long, LongConsumer> asked = new HashMap<>();
     private @Nullable FleetKey key;
     private @Nullable Lender lender;
-    private List<InetSocketAddress> members = List.of();
+    private MemberRegister.Others members = new MemberRegister.Others(List.of(), List.of());
     private long nextQuery;
 
     /**
@@ -95,16 +99,16 @@
     }
 
     private void listen(FleetKey fetched) {
-        PeerServer.open(loops, address, fetched, own, new Answering()).addListener(done -> {
+        PeerServer.open(loops, address, fetched, own, new Lending()).addListener(done -> {
             if (!done.isSuccess()) {
                 log.line("peers_not_listening", "address", address, "reason", String.valueOf(done.cause()));
             }
         });
     }
 
-    /** Takes the addresses of the other live entries. */
-    public void members(List<InetSocketAddress> others) {
-        members = List.copyOf(others);
+    /** Takes the addresses of the other entries; absent ones are tried too, as they may be back unheard of. */
+    public void members(MemberRegister.Others others) {
+        members = others;
         connect();
     }
 
@@ -123,7 +127,7 @@
         });
         for (InetSocketAddress peer : wanted) {
             connectors.computeIfAbsent(peer, to -> {
-                PeerConnector connector = new PeerConnector(loops, to, known, own, new Asking(to));
+                PeerConnector connector = new PeerConnector(loops, to, known, own, new Lending());
                 connector.start();
                 return connector;
             });
@@ -131,17 +135,22 @@
     }
 
     private List<InetSocketAddress> chosen() {
-        Map<String, InetSocketAddress> byName = new HashMap<>();
-        members.forEach(member -> byName.put(member.toString(), member));
-        return RendezvousHash.order(own.name(), byName.keySet()).stream()
+        return Stream.concat(ordered(members.live()), ordered(members.absent()))
                 .limit(MOST_PEERS)
-                .map(byName::get)
                 .toList();
     }
 
+    private Stream<InetSocketAddress> ordered(List<InetSocketAddress> addresses) {
+        Map<String, InetSocketAddress> byName = new HashMap<>();
+        addresses.forEach(each -> byName.put(each.toString(), each));
+        return RendezvousHash.order(own.name(), byName.keySet()).stream().map(byName::get);
+    }
+
     @Override
     public void ask(String account, LongSupplier lacking, LongConsumer then, Runnable atEnd) {
-        List<PeerConnection> order = new ArrayList<>(connections.values());
+        Map<String, PeerConnection> byEntry = new HashMap<>();
+        connections.forEach(each -> byEntry.put(each.remote().name(), each));
+        List<PeerConnection> order = new ArrayList<>(byEntry.values());
         Collections.shuffle(order, random);
         Deque<PeerConnection> left = new ArrayDeque<>(order.subList(0, Math.min(MOST_ASKED, order.size())));
         askNext(account, lacking, left, then, atEnd);
@@ -178,46 +187,22 @@
         Optional.ofNullable(asked.remove(query)).ifPresent(then -> then.accept(tokens));
     }
 
-    /** Connections that this entry made, on which it asks. */
-    private final class Asking implements PeerListener {
-        private final InetSocketAddress peer;
-
-        private Asking(InetSocketAddress peer) {
-            this.peer = peer;
-        }
-
+    /** Either side of a connection asks and answers on it, whoever made it. */
+    private final class Lending implements PeerListener {
         @Override
         public void connected(PeerConnection connection) {
-            connections.put(peer, connection);
+            connections.add(connection);
             log.line("peer_connected", "peer", connection.remote().name());
         }
 
-        @Override
-        public void received(PeerConnection connection, Frame frame) {
-            if (frame.hasLendAnswer()) {
-                answered(frame.getLendAnswer().getQuery(), frame.getLendAnswer().getTokens());
-            }
-        }
-
-        @Override
-        public void disconnected(PeerConnection connection) {
-            connections.remove(peer, connection);
-            log.line("peer_lost", "peer", connection.remote().name());
-        }
-    }
-
-    /** Connections that other entries made, on which this one answers. */
-    private final class Answering implements PeerListener {
-        @Override
-        public void connected(PeerConnection connection) {
-            log.line("peer_accepted", "peer", connection.remote().name());
-        }
-
         @Override
         public void received(PeerConnection connection, Frame frame) {
             if (frame.hasLendAsk()) {
                 lend(connection, frame.getLendAsk());
             }
+            if (frame.hasLendAnswer()) {
+                answered(frame.getLendAnswer().getQuery(), frame.getLendAnswer().getTokens());
+            }
         }
 
         private void lend(PeerConnection connection, LendAsk ask) {
@@ -243,7 +228,8 @@
 
         @Override
         public void disconnected(PeerConnection connection) {
-            log.line("peer_left", "peer", connection.remote().name());
+            connections.remove(connection);
+            log.line("peer_lost", "peer", connection.remote().name());
         }
     }
 }
--- /dev/null
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -0,0 +1,104 @@
+package org.streamring.direct.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.streamring.kernel.store.CommitResult;
+import org.streamring.kernel.store.RowChange;
+import org.streamring.kernel.store.RowKey;
+import org.streamring.kernel.store.RowPage;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StoredRow;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class MemberRegisterTest {
+    private static final InetSocketAddress OWN = new InetSocketAddress(InetAddress.getLoopbackAddress(), 7340);
+
+    private DefaultEventLoop loop;
+    private FakeRows rows;
+    private BlockingQueue<MemberRegister.Others> told;
+    private MemberRegister register;
+
+    @BeforeMethod
+    public void setUp() {
+        loop = new DefaultEventLoop();
+        rows = new FakeRows();
+        told = new LinkedBlockingQueue<>();
+        register = new MemberRegister(loop, rows, "entry-1", "entry-1.a", OWN, System::currentTimeMillis, told::add);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void tearDown() {
+        loop.shutdownGracefully();
+    }
+
+    @Test
+    public void anEntryThatIsStoppingIsAbsentButKeepsItsAddress() throws InterruptedException {
+        rows.has("entry-1", "entry-1.old 127.0.0.1:7340");
+        rows.has("entry-2", "entry-2.a 127.0.0.2:7340");
+        rows.has("entry-3", "stopped 127.0.0.3:7340");
+        loop.execute(register::start);
+
+        MemberRegister.Others others = told.poll(5, TimeUnit.SECONDS);
+        assertThat(others.live()).containsExactly(new InetSocketAddress("127.0.0.2", 7340));
+        assertThat(others.absent()).containsExactly(new InetSocketAddress("127.0.0.3", 7340));
+        assertThat(register.live()).isEqualTo(2);
+    }
+
+    @Test
+    public void aStopIsWrittenWithTheAddressOfTheBox() throws InterruptedException {
+        loop.execute(register::start);
+        told.poll(5, TimeUnit.SECONDS);
+        loop.execute(register::stop);
+
+        assertThat(rows.written.poll(5, TimeUnit.SECONDS)).isEqualTo("entry-1.a 127.0.0.1:7340");
+        assertThat(rows.written.poll(5, TimeUnit.SECONDS)).isEqualTo("stopped 127.0.0.1:7340");
+    }
+
+    @Test
+    public void rowsThatCannotBeReadNameNobody() throws InterruptedException {
+        rows.has("entry-2", "stopped");
+        rows.has("entry-3", "entry-3.a 127.0.0.3:port");
+        loop.execute(register::start);
+
+        MemberRegister.Others others = told.poll(5, TimeUnit.SECONDS);
+        assertThat(others.live()).isEmpty();
+        assertThat(others.absent()).isEmpty();
+    }
+
+    private static final class FakeRows implements RowStore {
+        private final List<StoredRow> rows = new ArrayList<>();
+        private final BlockingQueue<String> written = new LinkedBlockingQueue<>();
+
+        private void has(String key, String value) {
+            rows.add(new StoredRow(new RowKey("streamring-members", "", key), value, rows.size() + 1L, false));
+        }
+
+        @Override
+        public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
+            written.add(changes.get(0).value());
+            return CompletableFuture.completedFuture(new CommitResult(true, 100, 0, List.of()));
+        }
+
+        @Override
+        public CompletableFuture<RowPage> list(String table, String partition) {
+            return CompletableFuture.completedFuture(new RowPage(rows, 100, 0, false));
+        }
+
+        @Override
+        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+            return new CompletableFuture<>();
+        }
+    }
+}
