Back off where many write the same rows, and tell callers when the store may be back

Cause of the first: on the grown sites some thirty entries write the same rows; one that was too late tried again after 5 ms, and so did all others. In a model of one partition (one transaction of 5 ms after another, 6 ms there and back) thirty writers that begin together needed 465 transactions and 2.3 s until all had committed. Change: after a conflict the second try in a row follows at once, every further one after a random part of the time in which all could commit twice; up to eight writers try at once as before. The model needs 191 transactions and 1.3 s then. A window that doubles with each conflict was worse (313 transactions, 3.9 s), as the version is outdated after each wait. Cause of the second: a request without tokens while the store was away was told to come back after 1 s, in the same absence, and was refused again, which callers do not try a third time. Most absences seen last some 8 s. Change: 5 s while the store is away, else 1 s, and never more than a third of the time that the caller has left. Two changes in one commit, as both stand in the same files.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -99,6 +99,7 @@
                 members::live,
                 peers,
                 clock,
+                random,
                 metrics,
                 log);
         this.fleet = new Fleet(
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -14,6 +15,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.limit.ConflictBackoff;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidRow;
@@ -48,6 +50,7 @@
     private final LongSupplier clock;
     private final DecisionLog log;
     private final Listener listener;
+    private final ConflictBackoff backoff;
     private boolean listed;
     private boolean writing;
     private @Nullable Future<?> nextTick;
@@ -85,6 +88,7 @@
             Supplier<Optional<RouteTable>> routes,
             IntSupplier entries,
             LongSupplier clock,
+            Random random,
             DecisionLog log,
             Listener listener) {
         this.loop = loop;
@@ -96,6 +100,7 @@
         this.clock = clock;
         this.log = log;
         this.listener = listener;
+        this.backoff = new ConflictBackoff(random);
     }
 
     void start() {
@@ -301,9 +306,10 @@
 
     private void scheduleNext(boolean committed) {
         if (committed) {
+            backoff.committed();
             renewLater();
         } else {
-            renewSoon();
+            schedule(backoff.conflicted(entries.getAsInt()));
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -1,9 +1,11 @@
 package org.streamring.direct.ledger;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +30,10 @@
     /** The first lease of a process is on its way for longer, and it has nothing else to offer. */
     private static final long FIRST_LEASE_WAIT_MILLIS = 450;
 
+    /** An absence of the store mostly lasts some seconds; otherwise others give tokens back all the time. */
+    private static final Duration UNTIL_THE_STORE_IS_BACK = Duration.ofSeconds(5);
+
+    private static final Duration UNTIL_TOKENS_RETURN = Duration.ofSeconds(1);
     private static final long LEND_AFTER_MILLIS = 25;
     private static final long EXPIRY_MILLIS = 20;
 
@@ -56,6 +62,7 @@
             IntSupplier entries,
             Lenders lenders,
             LongSupplier clock,
+            Random random,
             EntryMetrics metrics,
             DecisionLog log) {
         this.loop = loop;
@@ -65,7 +72,7 @@
         this.clock = clock;
         this.metrics = metrics;
         this.log = log;
-        this.renewer = new LeaseRenewer(loop, store, book, rows, routes, entries, clock, log, this);
+        this.renewer = new LeaseRenewer(loop, store, book, rows, routes, entries, clock, random, log, this);
     }
 
     /** Starts to read and renew leases. */
@@ -111,6 +118,11 @@
         return waiter::cancel;
     }
 
+    @Override
+    public Duration untilAvailable() {
+        return renewer.away() ? UNTIL_THE_STORE_IS_BACK : UNTIL_TOKENS_RETURN;
+    }
+
     /**
      * Lends tokens to another entry; while the store answers, a larger lease is fetched first where needed.
      *
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -23,7 +23,9 @@
  */
 final class DirectRequest implements RequestSink.ActiveRequest, PlaceQueue.Waiting, AttemptRun.Owner {
     private static final Duration RETRY_SOON = Duration.ofMillis(250);
-    private static final Duration RETRY_FOR_TOKENS = Duration.ofSeconds(1);
+    /** Callers wait for this part of the time that they have left, at most. */
+    private static final int PARTS_OF_TIME_LEFT = 3;
+
     private static final int MAX_UNSENT = 8;
     private static final int WAIT_PARTS = 5;
     private static final long LEAST_TIME_MILLIS = 30;
@@ -94,10 +96,17 @@
         } else if (outcome == TokenSource.Outcome.EXHAUSTED) {
             end(OwnAnswer.refusal(402, "prepaid_used_up"));
         } else {
-            end(OwnAnswer.later("no_tokens_leased", RETRY_FOR_TOKENS));
+            end(OwnAnswer.later("no_tokens_leased", untilTokens()));
         }
     }
 
+    private Duration untilTokens() {
+        long left = plan.callerWaitMillis() - (now() - request.arrivedMillis());
+        long longest = Math.max(0, left) / PARTS_OF_TIME_LEFT;
+        return Duration.ofMillis(
+                Math.min(longest, services.tokens().untilAvailable().toMillis()));
+    }
+
     private void place() {
         if (!tryPlace()) {
             places.add(this);
--- a/direct/src/main/java/org/streamring/direct/request/TokenSource.java
+++ b/direct/src/main/java/org/streamring/direct/request/TokenSource.java
@@ -1,5 +1,6 @@
 package org.streamring.direct.request;
 
+import java.time.Duration;
 import java.util.function.Consumer;
 
 /** Gives prepaid tokens to requests. */
@@ -25,4 +26,7 @@
 
     /** Books what a request used, and frees the rest of its reservation. */
     void settle(String account, long reserved, long used);
+
+    /** When tokens may be there again after {@link Outcome#UNAVAILABLE}. */
+    Duration untilAvailable();
 }
