Outlive a hang-up during the start

Change: the signal is listened for first thing in main; until the entry stands it is passed over, as the settings are read anyway. What is left: the JVM's own start before main, some 0.1 s of a core, in which the signal still ends the process. Test: aHangUpDuringTheStartIsOutlived sends it while the process reads its settings from a pipe; on the code before it failed (the process was gone), now it passes.

--- a/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.net.peer.PeerException;
@@ -22,8 +23,10 @@
 
     private DirectEntryMain() {}
 
-    /** Runs the program until it is asked to stop. */
+    /** Runs the program until it is asked to stop. A hang-up must not end it at any time, so it is listened for first. */
     public static void main(String[] arguments) throws PeerException, InterruptedException {
+        AtomicReference<Runnable> onHangUp = new AtomicReference<>(() -> {});
+        HangUpSignal.listen(() -> onHangUp.get().run());
         long start = System.nanoTime();
         LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -42,7 +45,7 @@
         StopSignal signal = new StopSignal();
         DirectEntry entry = new DirectEntry(loops, loop, platform, settings, clock, log);
         loop.execute(entry::start);
-        HangUpSignal.listen(() -> loop.execute(() -> entry.reload("signal")));
+        onHangUp.set(() -> loop.execute(() -> entry.reload("signal")));
         signal.await();
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> entry.stop().whenComplete((done, failure) -> stopped.complete(null)));
