Show operators the port at which callers reach an entry

Cause: with `listen.port = 0` the entry wrote the setting into its row, not the port that it got, so `streamring status` showed entries at port 0. Change: the ledger's address is set once the caller's server is bound, and stands in the row with the next heartbeat. Test: operatorsSeeWhereCallersReachTheEntryOnceItsPortIsKnown (the method did not exist before).

--- a/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
+++ b/core/src/main/java/org/streamring/kernel/ledger/LeaseLedger.java
@@ -43,7 +43,7 @@
     private final Set<String> active = new LinkedHashSet<>();
 
     private final PeerRegister peers = new PeerRegister();
-    private final String address;
+    private String address;
 
     private long sequence;
     private long leaseCounter;
@@ -143,6 +143,11 @@
         configVersion = version;
     }
 
+    /** Tells operators where callers reach the entry, from the next heartbeat on. */
+    public synchronized void reportAddress(String newAddress) {
+        address = newAddress;
+    }
+
     /** Forgets that a budget was used up, after a top-up. */
     public synchronized void toppedUp(String budget) {
         BudgetLeases leases = budgets.get(budget);
--- a/core/src/test/java/org/streamring/kernel/ledger/LeaseLedgerTest.java
+++ b/core/src/test/java/org/streamring/kernel/ledger/LeaseLedgerTest.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import org.streamring.kernel.recovery.LeaseCloser;
 import org.streamring.kernel.table.FaultyTable.Fault;
+import org.streamring.kernel.table.Row;
 import org.streamring.kernel.table.RowKeys;
+import org.streamring.kernel.table.RowText;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -28,6 +30,15 @@
         driver.step(0);
     }
 
+    @Test
+    public void operatorsSeeWhereCallersReachTheEntryOnceItsPortIsKnown() {
+        driver.ledger.reportAddress("127.0.0.1:8080");
+        driver.settleDown(DAY);
+
+        Row row = bank.row(RowKeys.entry("entry-1~a")).orElseThrow();
+        assertThat(RowText.read(row.text(), EntryRecord.class).address()).isEqualTo("127.0.0.1:8080");
+    }
+
     @Test
     public void nothingIsSpendableBeforeALeaseIsTaken() {
         assertThat(driver.tryReserve(BUDGET, 100, 0)).isInstanceOf(ReserveResult.NeedsLease.class);
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -125,6 +125,7 @@
                 settings.get(EntrySettings.MAX_BODY),
                 settings.get(EntrySettings.CALL_WAIT),
                 coordinator);
+        ledgers.reachableAt(address + ":" + callers.port());
         admin = new AdminServer(
                 loops, new InetSocketAddress(address, settings.get(EntrySettings.ADMIN_PORT)), metrics, this::ready);
         LOGGER.info(
--- a/entry/src/main/java/org/streamring/entry/ledger/LedgerHolder.java
+++ b/entry/src/main/java/org/streamring/entry/ledger/LedgerHolder.java
@@ -13,7 +13,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(LedgerHolder.class);
 
     private final String boxName;
-    private final String address;
+    private volatile String address;
     private final LedgerSettings settings;
     private final AtomicReference<LeaseLedger> current;
     private volatile Consumer<LeaseLedger> onNew = ledger -> {};
@@ -35,6 +35,12 @@
         onNew = preparation;
     }
 
+    /** Sets where callers reach the entry, once its port is known. */
+    public void reachableAt(String newAddress) {
+        address = newAddress;
+        current().reportAddress(newAddress);
+    }
+
     /** The ledger in use. */
     public LeaseLedger current() {
         return current.get();
