Let a few home entries hold an account's leases in a large fleet

An even share of an account is less than one long prompt, and thirty writers of one row hold each other up. Change: in a fleet of more than eight entries four hold an account's leases (AccountHomes); the others borrow for each request, lease from the store only where nobody lends, and give back what they do not use. Loans count as the lender's demand. Home entries are asked in any order: at first all asked the first one, whose lease of a quarter ran out one second into a cut while the other three were idle. Whether an account is used up is judged by the newest limit, as a borrower's copy of the row may be old. The order of asking has no test of its own.

--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountHomes.java
@@ -0,0 +1,60 @@
+package org.streamring.kernel.prepaid;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.streamring.kernel.routing.RendezvousHash;
+
+/**
+ * Which entries hold the leases of an account. In a small fleet all do; in a larger one a few, its home entries, since
+ * the rests that many holders keep add up to more than the account has. The others borrow from them for each request.
+ *
+ * <p>Entries whose views of the fleet differ only ask the wrong ones. Confined to one thread.
+ */
+public final class AccountHomes {
+    /** Up to this many entries all hold leases. */
+    private static final int SMALL_FLEET = 8;
+
+    private static final int HOMES = 4;
+
+    private final String own;
+    private final Map<String, List<String>> homes = new HashMap<>();
+    private List<String> entries;
+
+    /**
+     * Creates one that knows of no other entry.
+     *
+     * @param own name of this entry
+     */
+    public AccountHomes(String own) {
+        this.own = own;
+        this.entries = List.of(own);
+    }
+
+    /** Takes the names of the other live entries. */
+    public void others(Collection<String> names) {
+        TreeSet<String> all = new TreeSet<>(names);
+        all.add(own);
+        if (!entries.equals(List.copyOf(all))) {
+            entries = List.copyOf(all);
+            homes.clear();
+        }
+    }
+
+    /** Names of the entries that hold leases of an account. */
+    public List<String> of(String account) {
+        return homes.computeIfAbsent(account, this::choose);
+    }
+
+    /** Whether this entry holds leases of an account. */
+    public boolean isHome(String account) {
+        return of(account).contains(own);
+    }
+
+    private List<String> choose(String account) {
+        int count = entries.size() <= SMALL_FLEET ? entries.size() : HOMES;
+        return RendezvousHash.order(account, entries).stream().limit(count).toList();
+    }
+}
--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -56,6 +56,11 @@
         spent += Math.min(usedTokens, reservedTokens);
     }
 
+    /** Notes what another entry asked for. */
+    void asked(long tokens) {
+        largest = Math.max(largest, tokens);
+    }
+
     void lend(long tokens) {
         lent += tokens;
     }
@@ -89,7 +94,7 @@
     }
 
     void sample(long nowMillis, Duration window) {
-        long use = spent + reserved;
+        long use = spent + reserved + lent;
         if (sampledMillis < 0) {
             sampledMillis = nowMillis;
             sampledUse = use;
@@ -107,8 +112,8 @@
     }
 
     /** Tokens that should be at hand, out of those that are at hand or unheld. */
-    long wanted(long pool, int entries, PrepaidSettings settings) {
-        long share = Math.max(0, pool / Math.max(1, entries));
+    long wanted(long pool, int holders, PrepaidSettings settings) {
+        long share = Math.max(0, pool / Math.max(1, holders));
         double demand = tokensPerMilli * settings.cover().toMillis();
         double idle = share * settings.idleShare();
         long target = (long) Math.max(demand + Math.min((double) largest, demand), idle);
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -21,6 +21,8 @@
     private static final int SPARE_PARTS = 4;
 
     private static final int SMALL_CHANGE_TOKENS = 500;
+    /** What an entry that holds no leases keeps of the tokens that it borrowed. */
+    private static final int KEPT_TOKENS = 2_000;
 
     private final String incarnation;
     private final PrepaidSettings settings;
@@ -95,6 +97,7 @@
      */
     public long lend(String account, long asked) {
         AccountLease lease = lease(account);
+        lease.asked(asked);
         long available = Math.max(0, lease.available(beyondMark));
         long amount = Math.min(available, asked + Math.min(asked, available / SPARE_PARTS));
         lease.lend(amount);
@@ -125,14 +128,14 @@
      * Plans the next write of an account.
      *
      * @param row the row as last read, with the limit in force
-     * @param entries live entries that share the account
+     * @param holders live entries that hold leases of the account, this one among them
      */
-    public Proposal plan(String account, PrepaidRow row, int entries) {
+    public Proposal plan(String account, PrepaidRow row, int holders) {
         AccountLease lease = lease(account);
         long held = heldIn(row);
         long used = lease.used();
         long pool = row.unheld() + held - used;
-        long wanted = releasing ? lease.wantedByWaiting(pool) : lease.wanted(pool, entries, settings);
+        long wanted = releasing ? lease.wantedByWaiting(pool) : lease.wanted(pool, holders, settings);
         if (!lease.uncertain() && settled(held - used, wanted, lease.waiting())) {
             long mark = used + lease.wantedBelowMark(Math.max(0, held - used), settings);
             return new Proposal(account, Optional.empty(), held, Math.min(held, mark));
@@ -143,6 +146,25 @@
         return new Proposal(account, Optional.of(changed), granted, mark);
     }
 
+    /**
+     * Plans the next write of an account whose leases others hold: only requests that could not borrow get a lease, and
+     * what was borrowed and not used goes back. All of it may be used, as no successor takes it back.
+     *
+     * @param row the row as last read, with the limit in force
+     */
+    public Proposal planBorrower(String account, PrepaidRow row) {
+        AccountLease lease = lease(account);
+        long held = heldIn(row);
+        long used = lease.used();
+        boolean enough = lease.waiting() == 0 && held - used <= KEPT_TOKENS;
+        if (enough && !lease.uncertain()) {
+            return new Proposal(account, Optional.empty(), held, held);
+        }
+        long granted = used + lease.wantedByWaiting(row.unheld() + held - used);
+        PrepaidRow changed = row.withHolding(incarnation, new Holding(granted, used));
+        return new Proposal(account, Optional.of(changed), granted, granted);
+    }
+
     /** Whether the rest that nobody has spent for sure can't hold a request at its most. */
     public static boolean exhausted(PrepaidRow row, long tokens) {
         return row.limit() - row.spentAtLeast() < tokens;
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/prepaid/AccountHomesTest.java
@@ -0,0 +1,61 @@
+package org.streamring.kernel.prepaid;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+public class AccountHomesTest {
+    private static final List<String> FLEET =
+            IntStream.range(0, 30).mapToObj(number -> "entry-" + number).toList();
+
+    @Test
+    public void anEntryThatKnowsNobodyIsHomeOfAll() {
+        assertThat(new AccountHomes("entry-1").isHome("hospitals")).isTrue();
+    }
+
+    @Test
+    public void inASmallFleetAllEntriesAreHomes() {
+        AccountHomes homes = homes("entry-1", FLEET.subList(0, 8));
+        assertThat(homes.of("hospitals")).containsExactlyInAnyOrderElementsOf(FLEET.subList(0, 8));
+        assertThat(homes.isHome("hospitals")).isTrue();
+    }
+
+    @Test
+    public void inALargeFleetAFewAreAndAllEntriesAgreeWhich() {
+        List<String> chosen = homes("entry-1", FLEET).of("hospitals");
+        assertThat(chosen).hasSize(4).doesNotHaveDuplicates();
+        assertThat(FLEET).allSatisfy(name -> {
+            AccountHomes homes = homes(name, FLEET);
+            assertThat(homes.of("hospitals")).isEqualTo(chosen);
+            assertThat(homes.isHome("hospitals")).isEqualTo(chosen.contains(name));
+        });
+    }
+
+    @Test
+    public void accountsAreSpreadOverTheEntries() {
+        AccountHomes homes = homes("entry-1", FLEET);
+        long different = IntStream.range(0, 24)
+                .mapToObj(number -> homes.of("account-" + number).get(0))
+                .distinct()
+                .count();
+        assertThat(different).isGreaterThan(12);
+    }
+
+    @Test
+    public void theHomesOfAnAccountStayButForThoseThatAreGone() {
+        List<String> before = homes("entry-1", FLEET).of("hospitals");
+        String gone = before.get(2);
+        List<String> left = FLEET.stream().filter(name -> !name.equals(gone)).toList();
+        assertThat(homes("entry-1", left).of("hospitals"))
+                .contains(before.get(0), before.get(1), before.get(3))
+                .doesNotContain(gone);
+    }
+
+    private static AccountHomes homes(String own, List<String> fleet) {
+        AccountHomes homes = new AccountHomes(own);
+        homes.others(fleet);
+        return homes;
+    }
+}
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -42,6 +42,47 @@
         assertThat(released.row()).isPresent();
     }
 
+    @Test
+    public void aBorrowerHoldsNoLeaseOfItsOwn() {
+        assertThat(book.planBorrower(ACCOUNT, row).row()).isEmpty();
+
+        book.borrow(ACCOUNT, 1_500);
+        assertThat(book.planBorrower(ACCOUNT, row).row()).isEmpty();
+        assertThat(book.available(ACCOUNT)).isEqualTo(1_500);
+    }
+
+    @Test
+    public void aBorrowerGivesBackWhatItDoesNotUse() {
+        row = row.withHolding("entry-2.a", new Holding(9_000, 9_000));
+        book.borrow(ACCOUNT, 9_000);
+        Proposal proposal = book.planBorrower(ACCOUNT, row);
+        book.proposed(proposal);
+
+        assertThat(proposal.row().orElseThrow().used()).isZero();
+        assertThat(book.available(ACCOUNT)).isZero();
+    }
+
+    @Test
+    public void aBorrowerToWhomNobodyLendsLeasesWhatARequestNeeds() {
+        book.addWaiting(ACCOUNT, 700);
+        Proposal proposal = book.planBorrower(ACCOUNT, row);
+        book.proposed(proposal);
+        book.confirmed(proposal);
+
+        assertThat(proposal.granted()).isEqualTo(700);
+        assertThat(book.reserve(ACCOUNT, 700)).isEqualTo(Outcome.RESERVED);
+    }
+
+    @Test
+    public void whatAHomeEntryLendsCountsAsItsDemand() {
+        book.confirmed(propose(50_000));
+        book.sample(0);
+        book.lend(ACCOUNT, 20_000);
+        book.sample(4_000);
+
+        assertThat(book.plan(ACCOUNT, row, 4).granted()).isGreaterThan(20_000 + LIMIT / 4 / 4);
+    }
+
     @Test
     public void aLeaseThatIsRefusedGivesNothing() {
         Proposal proposal = propose(10_000);
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
@@ -26,6 +26,8 @@
             PrepaidSettings.DEFAULT.patience().toMillis();
     private static final long MARGIN_MILLIS = 200;
     private static final int SEEDS = 150;
+    /** Entries change their roles, as the fleet does. */
+    private static final long ROLE_MILLIS = 20_000;
 
     @DataProvider
     public Object[][] seeds() {
@@ -43,6 +45,17 @@
         assertThat(world.spent).as("most of the limit is of use").isGreaterThan(LIMIT / 4);
     }
 
+    @Test(dataProvider = "seeds")
+    public void neverIsMoreSpentWhereSomeEntriesOnlyBorrow(int seed) {
+        World world = new World(seed);
+        world.someBorrow = true;
+        for (int step = 0; step < STEPS; step++) {
+            world.step();
+            assertThat(world.spent).as("step %d", step).isLessThanOrEqualTo(world.row.used());
+            assertThat(world.row.used()).as("held in step %d", step).isLessThanOrEqualTo(LIMIT);
+        }
+    }
+
     private static final class LateWrite {
         private final long dueMillis;
         private final long rowVersion;
@@ -97,6 +110,7 @@
         private long nowMillis;
         private long spent;
         private int incarnations;
+        private boolean someBorrow;
 
         private World(int seed) {
             random = new Random(seed);
@@ -154,7 +168,9 @@
                 reclaim(entry);
                 return;
             }
-            PrepaidBook.Proposal proposal = entry.book.plan(ACCOUNT, row, ENTRIES);
+            boolean borrower = someBorrow && (entry.box + nowMillis / ROLE_MILLIS) % 2 == 0;
+            PrepaidBook.Proposal proposal =
+                    borrower ? entry.book.planBorrower(ACCOUNT, row) : entry.book.plan(ACCOUNT, row, ENTRIES);
             entry.book.proposed(proposal);
             MarkRow newMarks =
                     new MarkRow(entry.incarnation, entry.confirmedSentMillis, Map.of(ACCOUNT, proposal.mark()));
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -19,6 +19,7 @@
 import org.streamring.direct.request.Fleet;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
+import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidSettings;
 import org.streamring.kernel.registry.BackendRegistry;
@@ -87,15 +88,22 @@
         Random random = new Random();
         PrepaidBook book = new PrepaidBook(incarnation, PrepaidSettings.DEFAULT);
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
-        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, random, log);
+        AccountHomes homes = new AccountHomes(settings.nodeName());
+        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, homes, random, log);
         this.members = new MemberRegister(
-                loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, peers::members);
+                loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, others -> {
+                    homes.others(others.live().stream()
+                            .map(MemberRegister.Member::name)
+                            .toList());
+                    peers.members(others);
+                });
         this.tokens = new TokenDesk(
                 loop,
                 platform.store(),
                 book,
                 settings.nodeName() + "@" + settings.callers().getHostString(),
                 configuration::inForce,
+                homes,
                 members::live,
                 peers,
                 clock,
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -48,12 +48,20 @@
     }
 
     /**
-     * Where the other entries listen.
+     * Another entry.
+     *
+     * @param name its name
+     * @param address where it listens for others
+     */
+    public record Member(String name, InetSocketAddress address) {}
+
+    /**
+     * The other entries.
      *
      * @param live those that are alive
      * @param absent those that stopped or fell silent
      */
-    public record Others(List<InetSocketAddress> live, List<InetSocketAddress> absent) {
+    public record Others(List<Member> live, List<Member> absent) {
         /** Copies the lists. */
         public Others {
             live = List.copyOf(live);
@@ -65,7 +73,7 @@
      * Creates one; nothing happens before {@link #start}.
      *
      * @param peers where this entry listens for others
-     * @param onChange told the addresses of the other entries after each reading
+     * @param onChange told the other entries after each reading
      */
     public MemberRegister(
             EventLoop loop,
@@ -129,15 +137,16 @@
             }
         }
         long oldest = now - interval() * MISSED_BEATS;
-        Others others = new Others(addresses(each -> each.live(oldest)), addresses(each -> !each.live(oldest)));
+        Others others = new Others(members(each -> each.live(oldest)), members(each -> !each.live(oldest)));
         live = 1 + others.live().size();
         onChange.accept(others);
     }
 
-    private List<InetSocketAddress> addresses(Predicate<Seen> which) {
-        return seen.values().stream()
-                .filter(which)
-                .flatMap(each -> addressIn(each.value()).stream())
+    private List<Member> members(Predicate<Seen> which) {
+        return seen.entrySet().stream()
+                .filter(each -> which.test(each.getValue()))
+                .flatMap(each ->
+                        addressIn(each.getValue().value()).stream().map(address -> new Member(each.getKey(), address)))
                 .toList();
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.limit.ConflictBackoff;
+import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidRow;
@@ -46,6 +47,7 @@
     private final PrepaidBook book;
     private final LeaseRows rows;
     private final Supplier<Optional<RouteTable>> routes;
+    private final AccountHomes homes;
     private final IntSupplier entries;
     private final LongSupplier clock;
     private final DecisionLog log;
@@ -86,6 +88,7 @@
             PrepaidBook book,
             LeaseRows rows,
             Supplier<Optional<RouteTable>> routes,
+            AccountHomes homes,
             IntSupplier entries,
             LongSupplier clock,
             Random random,
@@ -96,6 +99,7 @@
         this.book = book;
         this.rows = rows;
         this.routes = routes;
+        this.homes = homes;
         this.entries = entries;
         this.clock = clock;
         this.log = log;
@@ -238,12 +242,18 @@
             if (account.prepaid().isPresent() && proposals.size() < MAX_CHANGES) {
                 PrepaidRow row = rows.account(account.name())
                         .withLimit(account.prepaid().getAsLong(), table.get().version());
-                proposals.add(book.plan(account.name(), row, entries.getAsInt()));
+                proposals.add(plan(account.name(), row));
             }
         }
         return proposals;
     }
 
+    private PrepaidBook.Proposal plan(String account, PrepaidRow row) {
+        return homes.isHome(account)
+                ? book.plan(account, row, homes.of(account).size())
+                : book.planBorrower(account, row);
+    }
+
     /** Takes back what a predecessor on this box left, if it can't have used it; then this box's row is ours. */
     private void reclaim() {
         Optional<MarkRow> left =
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -16,6 +16,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.request.TokenSource;
+import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidRow;
 import org.streamring.kernel.route.RouteTable;
@@ -28,12 +29,13 @@
 public final class TokenDesk implements TokenSource, LeaseRenewer.Listener {
     private static final long LONGEST_WAIT_MILLIS = 130;
     /** The first lease of a process is on its way for longer, and it has nothing else to offer. */
-    private static final long FIRST_LEASE_WAIT_MILLIS = 450;
+    private static final long FIRST_LEASE_WAIT_MILLIS = 200;
 
     /** An absence of the store mostly lasts some seconds; otherwise others give tokens back all the time. */
     private static final Duration UNTIL_THE_STORE_IS_BACK = Duration.ofSeconds(5);
 
     private static final Duration UNTIL_TOKENS_RETURN = Duration.ofSeconds(1);
+    private static final long LAST_TRY_MILLIS = 60;
     private static final long LEND_AFTER_MILLIS = 25;
     private static final long EXPIRY_MILLIS = 20;
 
@@ -41,6 +43,8 @@
     private final PrepaidBook book;
     private final LeaseRows rows;
     private final LeaseRenewer renewer;
+    private final Supplier<Optional<RouteTable>> routes;
+    private final AccountHomes homes;
     private final Lenders lenders;
     private final LongSupplier clock;
     private final EntryMetrics metrics;
@@ -59,6 +63,7 @@
             PrepaidBook book,
             String box,
             Supplier<Optional<RouteTable>> routes,
+            AccountHomes homes,
             IntSupplier entries,
             Lenders lenders,
             LongSupplier clock,
@@ -68,11 +73,13 @@
         this.loop = loop;
         this.book = book;
         this.rows = new LeaseRows(log, box);
+        this.routes = routes;
+        this.homes = homes;
         this.lenders = lenders;
         this.clock = clock;
         this.metrics = metrics;
         this.log = log;
-        this.renewer = new LeaseRenewer(loop, store, book, rows, routes, entries, clock, random, log, this);
+        this.renewer = new LeaseRenewer(loop, store, book, rows, routes, homes, entries, clock, random, log, this);
     }
 
     /** Starts to read and renew leases. */
@@ -109,11 +116,10 @@
         }
         Waiter waiter = new Waiter(account, tokens, then);
         waiters.add(waiter);
-        book.addWaiting(account, tokens);
-        if (renewer.away()) {
+        if (renewer.away() || !homes.isHome(account)) {
             waiter.borrow();
         } else {
-            renewer.renewSoon();
+            waiter.lease();
         }
         return waiter::cancel;
     }
@@ -154,7 +160,7 @@
     public void renewed() {
         serveWaiters();
         for (Waiter waiter : List.copyOf(waiters)) {
-            PrepaidRow row = rows.account(waiter.account);
+            PrepaidRow row = row(waiter.account);
             if (PrepaidBook.exhausted(row, waiter.tokens)) {
                 waiter.end(Outcome.EXHAUSTED, "rest_too_small");
             } else if (row.unheld() + book.available(waiter.account) < waiter.tokens) {
@@ -163,6 +169,18 @@
         }
     }
 
+    /** The account's row as last read, with the limit in force. */
+    private PrepaidRow row(String account) {
+        PrepaidRow row = rows.account(account);
+        return routes.get()
+                .flatMap(table -> table.configuration().accounts().stream()
+                        .filter(each ->
+                                each.name().equals(account) && each.prepaid().isPresent())
+                        .findFirst()
+                        .map(each -> row.withLimit(each.prepaid().getAsLong(), table.version())))
+                .orElse(row);
+    }
+
     @Override
     public void storeLost() {
         List.copyOf(waiters).forEach(Waiter::borrow);
@@ -177,8 +195,8 @@
     private void expireWaiters() {
         long now = clock.getAsLong();
         for (Waiter waiter : List.copyOf(waiters)) {
-            if (now - waiter.sinceMillis > longestWait()) {
-                waiter.borrow();
+            if (now > waiter.expiresMillis) {
+                waiter.expire();
             }
         }
     }
@@ -191,8 +209,9 @@
         private final String account;
         private final long tokens;
         private final Consumer<Outcome> then;
-        private final long sinceMillis = clock.getAsLong();
+        private long expiresMillis = clock.getAsLong() + longestWait();
         private boolean asked;
+        private boolean leasing;
 
         private Waiter(String account, long tokens, Consumer<Outcome> then) {
             this.account = account;
@@ -201,7 +220,7 @@
         }
 
         private void cancel() {
-            if (waiters.remove(this)) {
+            if (waiters.remove(this) && leasing) {
                 book.addWaiting(account, -tokens);
             }
         }
@@ -212,17 +231,41 @@
             }
         }
 
+        /** Waits for a larger lease. */
+        private void lease() {
+            leasing = true;
+            book.addWaiting(account, tokens);
+            renewer.renewSoon();
+        }
+
         /** Asks other entries, once; what they lend stays here also if the request has gone on. */
         private void borrow() {
             if (asked) {
                 return;
             }
             asked = true;
-            lenders.ask(account, this::lacking, this::lent, () -> {
-                if (waiters.contains(this)) {
-                    end(Outcome.UNAVAILABLE, renewer.away() ? "store_away" : "lease_not_in_time");
-                }
-            });
+            lenders.ask(account, this::lacking, this::lent, this::allAsked);
+        }
+
+        private void allAsked() {
+            if (!waiters.contains(this)) {
+                return;
+            }
+            if (leasing || renewer.away()) {
+                end(Outcome.UNAVAILABLE, renewer.away() ? "store_away" : "lease_not_in_time");
+            } else {
+                expiresMillis = Math.max(expiresMillis, clock.getAsLong() + LAST_TRY_MILLIS);
+                lease();
+            }
+        }
+
+        private void expire() {
+            if (asked) {
+                end(Outcome.UNAVAILABLE, "lease_not_in_time");
+            } else {
+                expiresMillis = clock.getAsLong() + LAST_TRY_MILLIS;
+                borrow();
+            }
         }
 
         private long lacking() {
@@ -245,7 +288,7 @@
 
         private void logRefusal(String reason) {
             metrics.tokensRefused(reason);
-            PrepaidRow row = rows.account(account);
+            PrepaidRow row = row(account);
             log.line(
                     "tokens_refused",
                     "account",
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -22,6 +23,7 @@
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.ledger.Lenders;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.routing.RendezvousHash;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.net.generated.Wire.Frame;
@@ -37,12 +39,13 @@
 /**
  * Connections to some of the other entries, over which entries lend tokens to each other.
  *
- * <p>An answer that comes too late is dropped: its tokens count as used by the lender. Confined to the event loop.
+ * <p>Tokens of an answer that is lost count as used by the lender. Confined to the event loop.
  */
 public final class EntryPeers implements Lenders {
-    private static final int MOST_PEERS = 8;
+    private static final int MOST_PEERS = 40;
     private static final int MOST_ASKED = 4;
     private static final long ANSWER_MILLIS = 60;
+    private static final long LATE_MILLIS = 5_000;
 
     private final EventLoopGroup loops;
     private final EventLoop loop;
@@ -53,7 +56,8 @@
     private final FleetKeyRow keyRow;
     private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
     private final Set<PeerConnection> connections = new HashSet<>();
-    private final Map<Long, LongConsumer> asked = new HashMap<>();
+    private final Map<Long, Query> asked = new HashMap<>();
+    private final AccountHomes homes;
     private @Nullable FleetKey key;
     private @Nullable Lender lender;
     private MemberRegister.Others members = new MemberRegister.Others(List.of(), List.of());
@@ -64,6 +68,7 @@
      *
      * @param address where this entry listens for others
      * @param own who this entry is
+     * @param homes which entries hold an account's leases
      */
     public EntryPeers(
             EventLoopGroup loops,
@@ -71,12 +76,14 @@
             RowStore store,
             InetSocketAddress address,
             PeerIdentity own,
+            AccountHomes homes,
             Random random,
             DecisionLog log) {
         this.loops = loops;
         this.loop = loop;
         this.address = address;
         this.own = own;
+        this.homes = homes;
         this.random = random;
         this.log = log;
         this.keyRow = new FleetKeyRow(loop, store);
@@ -140,20 +147,31 @@
                 .toList();
     }
 
-    private Stream<InetSocketAddress> ordered(List<InetSocketAddress> addresses) {
+    private Stream<InetSocketAddress> ordered(List<MemberRegister.Member> entries) {
         Map<String, InetSocketAddress> byName = new HashMap<>();
-        addresses.forEach(each -> byName.put(each.toString(), each));
+        entries.forEach(each -> byName.put(each.name(), each.address()));
         return RendezvousHash.order(own.name(), byName.keySet()).stream().map(byName::get);
     }
 
     @Override
     public void ask(String account, LongSupplier lacking, LongConsumer then, Runnable atEnd) {
+        askNext(account, lacking, new ArrayDeque<>(lenders(account)), then, atEnd);
+    }
+
+    /** Home entries of the account first, in any order, so that they share its demand; then others. */
+    private List<PeerConnection> lenders(String account) {
         Map<String, PeerConnection> byEntry = new HashMap<>();
         connections.forEach(each -> byEntry.put(each.remote().name(), each));
-        List<PeerConnection> order = new ArrayList<>(byEntry.values());
+        List<PeerConnection> order =
+                shuffled(homes.of(account).stream().map(byEntry::remove).filter(Objects::nonNull));
+        order.addAll(shuffled(byEntry.values().stream()));
+        return order.subList(0, Math.min(MOST_ASKED, order.size()));
+    }
+
+    private List<PeerConnection> shuffled(Stream<PeerConnection> entries) {
+        List<PeerConnection> order = new ArrayList<>(entries.toList());
         Collections.shuffle(order, random);
-        Deque<PeerConnection> left = new ArrayDeque<>(order.subList(0, Math.min(MOST_ASKED, order.size())));
-        askNext(account, lacking, left, then, atEnd);
+        return order;
     }
 
     private void askNext(
@@ -164,27 +182,52 @@
             atEnd.run();
             return;
         }
-        long query = nextQuery++;
-        LongConsumer onAnswer = lent -> {
-            if (lent > 0) {
-                then.accept(lent);
-            }
-            askNext(account, lacking, left, then, atEnd);
-        };
-        asked.put(query, onAnswer);
-        loop.schedule(() -> answered(query, 0), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        long number = nextQuery++;
+        asked.put(number, new Query(then, () -> askNext(account, lacking, left, then, atEnd)));
+        loop.schedule(() -> goOn(number), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> asked.remove(number), LATE_MILLIS, TimeUnit.MILLISECONDS);
         LendAsk ask = LendAsk.newBuilder()
-                .setQuery(query)
+                .setQuery(number)
                 .setAccount(account)
                 .setTokens(tokens)
                 .build();
         if (!next.send(Frame.newBuilder().setLendAsk(ask).build())) {
-            answered(query, 0);
+            goOn(number);
         }
     }
 
-    private void answered(long query, long tokens) {
-        Optional.ofNullable(asked.remove(query)).ifPresent(then -> then.accept(tokens));
+    private void goOn(long number) {
+        Optional.ofNullable(asked.get(number)).ifPresent(Query::goOnOnce);
+    }
+
+    private void answered(long number, long tokens) {
+        Query query = asked.remove(number);
+        if (query == null) {
+            return;
+        }
+        if (tokens > 0) {
+            query.lent.accept(tokens);
+        }
+        query.goOnOnce();
+    }
+
+    /** A question that was sent; tokens that come after the next one was sent are taken as well. */
+    private static final class Query {
+        private final LongConsumer lent;
+        private final Runnable next;
+        private boolean goneOn;
+
+        private Query(LongConsumer lent, Runnable next) {
+            this.lent = lent;
+            this.next = next;
+        }
+
+        private void goOnOnce() {
+            if (!goneOn) {
+                goneOn = true;
+                next.run();
+            }
+        }
     }
 
     /** Either side of a connection asks and answers on it, whoever made it. */
--- a/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -51,8 +51,10 @@
         loop.execute(register::start);
 
         MemberRegister.Others others = told.poll(5, TimeUnit.SECONDS);
-        assertThat(others.live()).containsExactly(new InetSocketAddress("127.0.0.2", 7340));
-        assertThat(others.absent()).containsExactly(new InetSocketAddress("127.0.0.3", 7340));
+        assertThat(others.live())
+                .containsExactly(new MemberRegister.Member("entry-2", new InetSocketAddress("127.0.0.2", 7340)));
+        assertThat(others.absent())
+                .containsExactly(new MemberRegister.Member("entry-3", new InetSocketAddress("127.0.0.3", 7340)));
         assertThat(register.live()).isEqualTo(2);
     }
 
