--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -70,11 +70,6 @@
         return near.or(() -> leastLoaded(query, candidates));
     }
 
-    /** Whether some replica of the service is not known to be out of order. */
-    public boolean anyUsable(List<BackendInstance> ready, long nowMillis) {
-        return ready.stream().anyMatch(instance -> state(instance.id()).usable(nowMillis));
-    }
-
     private boolean hasRoom(BackendInstance instance, int rank, int entries) {
         int capacity = Math.max(1, instance.slots());
         int own = entries <= 1 ? capacity : Math.max(2, (capacity * 2 + entries - 1) / entries);
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -31,7 +31,6 @@
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
     private long heardMillis;
-    private long openedCount;
 
     /**
      * Creates an empty pool.
@@ -67,11 +66,6 @@
                 && open.stream().anyMatch(each -> each.busy() && now - each.startedMillis() > millis);
     }
 
-    /** Connections opened so far. */
-    public long openedCount() {
-        return openedCount;
-    }
-
     /** Closes idle connections that have rested too long. */
     public void closeStale() {
         long now = clock.getAsLong();
@@ -126,7 +120,6 @@
 
     private void connect(BackendRequest request, BackendAttempt attempt) {
         BackendConnection connection = new BackendConnection(this, requestIdHeader);
-        openedCount++;
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -60,11 +60,6 @@
         return placement.choose(query, registry.ready(service), entries.getAsInt(), clock.getAsLong());
     }
 
-    /** Whether some replica of a service is not known to be out of order. */
-    boolean anyUsable(String service) {
-        return placement.anyUsable(registry.ready(service), clock.getAsLong());
-    }
-
     /** Load and health of a replica. */
     ReplicaState state(BackendInstance instance) {
         return placement.state(instance.id());
