Lend exactly what is asked for in a large fleet

Cause: a lender gave up to twice what was asked for, to save further questions. With thirty borrowers the doubled part of each account lies idle thirty times, and goes back through the store once it is over 2,000 tokens. Change: the spare is lent only where all entries hold leases. Test: aSpareIsLentOnlyWhereAskedFor.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountHomes.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountHomes.java
@@ -53,8 +53,13 @@
         return of(account).contains(own);
     }
 
+    /** Whether the fleet is so small that all its entries hold leases of all accounts. */
+    public boolean allAreHomes() {
+        return entries.size() <= SMALL_FLEET;
+    }
+
     private List<String> choose(String account) {
-        int count = entries.size() <= SMALL_FLEET ? entries.size() : HOMES;
+        int count = allAreHomes() ? entries.size() : HOMES;
         return RendezvousHash.order(account, entries).stream().limit(count).toList();
     }
 }
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -96,10 +96,22 @@
      * @return tokens lent; fewer than asked if there are not so many
      */
     public long lend(String account, long asked) {
+        return lendUpTo(account, asked, asked);
+    }
+
+    /**
+     * Lends more than is asked for where there is plenty, to save further questions. The rest lies idle at the borrower,
+     * so this is for small fleets.
+     */
+    public long lendWithSpare(String account, long asked) {
+        long available = Math.max(0, lease(account).available(beyondMark));
+        return lendUpTo(account, asked, asked + Math.min(asked, available / SPARE_PARTS));
+    }
+
+    private long lendUpTo(String account, long asked, long most) {
         AccountLease lease = lease(account);
         lease.asked(asked);
-        long available = Math.max(0, lease.available(beyondMark));
-        long amount = Math.min(available, asked + Math.min(asked, available / SPARE_PARTS));
+        long amount = Math.min(Math.max(0, lease.available(beyondMark)), most);
         lease.lend(amount);
         return amount;
     }
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -83,6 +83,14 @@
         assertThat(book.plan(ACCOUNT, row, 4).granted()).isGreaterThan(20_000 + LIMIT / 4 / 4);
     }
 
+    @Test
+    public void aSpareIsLentOnlyWhereAskedFor() {
+        book.confirmed(propose(50_000));
+        assertThat(book.lend(ACCOUNT, 1_000)).isEqualTo(1_000);
+        assertThat(book.lendWithSpare(ACCOUNT, 1_000)).isEqualTo(2_000);
+        assertThat(book.available(ACCOUNT)).isEqualTo(47_000);
+    }
+
     @Test
     public void aLeaseThatIsRefusedGivesNothing() {
         Proposal proposal = propose(10_000);
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -136,7 +136,7 @@
      */
     public void lend(String account, long asked, LongConsumer then) {
         if (renewer.away() || book.available(account) >= asked) {
-            then.accept(book.lend(account, asked));
+            then.accept(lendNow(account, asked));
             return;
         }
         book.addWaiting(account, asked);
@@ -144,12 +144,16 @@
         loop.schedule(
                 () -> {
                     book.addWaiting(account, -asked);
-                    then.accept(book.lend(account, asked));
+                    then.accept(lendNow(account, asked));
                 },
                 LEND_AFTER_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
+    private long lendNow(String account, long asked) {
+        return homes.allAreHomes() ? book.lendWithSpare(account, asked) : book.lend(account, asked);
+    }
+
     @Override
     public void settle(String account, long reserved, long used) {
         book.settle(account, reserved, used);
