Receive frames that arrive together with a peer's proof

Replacing the decoder of lengths passes on at once what was read behind the proof; that came back into the handshake before it knew that the proof was good, and was refused with the whole connection. Questions for tokens that waited for the connection were lost with it. Sidecars and entries of the product's own way share this code. Ruled out: different keys (the same connection was accepted 0.2 s later), old connections (both ends had restarted). Change: the peer is told as connected before the decoder is replaced. Test: framesThatArriveWithTheProofAreReceivedAfterIt sends the proof and two frames in one write; it failed before, passes now.

--- a/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
+++ b/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
@@ -99,10 +99,11 @@
             reject(context);
             return;
         }
-        FrameCodec.allowLargeFrames(context.pipeline());
         connection =
                 new PeerConnection(context.channel(), new PeerIdentity(role, hello.getName(), hello.getIncarnation()));
         listener.connected(connection);
+        // last, as it passes on at once what has arrived behind the proof
+        FrameCodec.allowLargeFrames(context.pipeline());
     }
 
     private static void reject(ChannelHandlerContext context) {
--- a/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
+++ b/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
@@ -3,14 +3,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.Hello;
 import org.streamring.net.generated.Wire.Ping;
+import org.streamring.net.generated.Wire.Proof;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -91,6 +98,44 @@
         connector.stop();
     }
 
+    @Test
+    public void framesThatArriveWithTheProofAreReceivedAfterIt() throws Exception {
+        FleetKey key = new FleetKey("the-right-fleet-key");
+        Hello own = Hello.newBuilder()
+                .setRole("ENTRY")
+                .setName("entry-1")
+                .setIncarnation("entry-1~a")
+                .setNonce(FleetKey.nonce())
+                .build();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream()
+                    .write(bytes(List.of(Frame.newBuilder().setHello(own).build())));
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            Hello other = Frame.parseFrom(in.readNBytes(in.readInt())).getHello();
+            Proof proof = Proof.newBuilder()
+                    .setProof(key.proof(FleetKey.Side.CONNECTING, own, other))
+                    .build();
+            Frame ping = Frame.newBuilder().setPing(Ping.newBuilder()).build();
+            socket.getOutputStream()
+                    .write(bytes(List.of(Frame.newBuilder().setProof(proof).build(), ping, ping)));
+
+            assertThat(accepted.next()).isEqualTo("connected entry-1~a");
+            assertThat(accepted.next()).isEqualTo("received PING");
+            assertThat(accepted.next()).isEqualTo("received PING");
+        }
+    }
+
+    private static byte[] bytes(List<Frame> frames) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        for (Frame frame : frames) {
+            out.writeInt(frame.getSerializedSize());
+            frame.writeTo(out);
+        }
+        return bytes.toByteArray();
+    }
+
     @DataProvider
     public Object[][] forgeries() {
         Frame ping = Frame.newBuilder().setPing(Ping.newBuilder()).build();
@@ -110,13 +155,7 @@
 
     @Test(dataProvider = "forgeries")
     public void aFrameWithoutProofIsNotActedOn(String name, List<Frame> frames) throws Exception {
-        java.io.ByteArrayOutputStream bytes = new java.io.ByteArrayOutputStream();
-        java.io.DataOutputStream out = new java.io.DataOutputStream(bytes);
-        for (Frame frame : frames) {
-            out.writeInt(frame.getSerializedSize());
-            frame.writeTo(out);
-        }
-        assertClosedAfter(bytes.toByteArray());
+        assertClosedAfter(bytes(frames));
         assertThat(accepted.events).as(name).isEmpty();
     }
 
