--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Lends more than is asked for where there is plenty, to save further questions. The rest lies idle at the borrower,
-     * so this is for small fleets.
+     * Lends more than is asked for where there is plenty, to save further questions. The rest lies idle at the
+     * borrower, so this is for small fleets.
      */
     public long lendWithSpare(String account, long asked) {
         long available = Math.max(0, lease(account).available(beyondMark));
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -86,7 +86,6 @@
         this.backends = new BackendFeed(platform.operatorRows(), registry, clock, log);
         EntryMetrics metrics = new EntryMetrics();
         Random random = new Random();
-        PrepaidBook book = new PrepaidBook(incarnation, PrepaidSettings.DEFAULT);
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         AccountHomes homes = new AccountHomes(settings.nodeName());
         this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, homes, random, log);
@@ -97,19 +96,7 @@
                             .toList());
                     peers.members(others);
                 });
-        this.tokens = new TokenDesk(
-                loop,
-                platform.store(),
-                book,
-                settings.nodeName() + "@" + settings.callers().getHostString(),
-                configuration::inForce,
-                homes,
-                members::live,
-                peers,
-                clock,
-                random,
-                metrics,
-                log);
+        this.tokens = tokenDesk(new PrepaidBook(incarnation, PrepaidSettings.DEFAULT), homes, random, metrics);
         this.fleet = new Fleet(
                 loop,
                 registry,
@@ -141,6 +128,22 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
+    private TokenDesk tokenDesk(PrepaidBook book, AccountHomes homes, Random random, EntryMetrics metrics) {
+        return new TokenDesk(
+                loop,
+                platform.store(),
+                book,
+                settings.nodeName() + "@" + settings.callers().getHostString(),
+                configuration::inForce,
+                homes,
+                members::live,
+                peers,
+                clock,
+                random,
+                metrics,
+                log);
+    }
+
     private void showState(EntryMetrics metrics) {
         metrics.gauge("requests.running", callers::busy);
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
--- a/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -23,7 +23,7 @@
 
     private DirectEntryMain() {}
 
-    /** Runs the program until it is asked to stop. A hang-up must not end it at any time, so it is listened for first. */
+    /** Runs the program until it is asked to stop. A hang-up must never end it, so it is listened for first. */
     public static void main(String[] arguments) throws PeerException, InterruptedException {
         AtomicReference<Runnable> onHangUp = new AtomicReference<>(() -> {});
         HangUpSignal.listen(() -> onHangUp.get().run());
