Log the replica, the first event and the longest pause of each request

Cause: request_ended told how long a request took, but not why a stream was late: its first event or a pause between events, and at which replica. Change: three fields more.

--- a/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
+++ b/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
@@ -21,8 +21,15 @@
     private @Nullable AnswerHead head;
     private boolean begun;
     private @Nullable BufferedAnswer whole;
+    private final StreamTiming timing;
 
-    AnswerRelay(boolean stream, HeaderFilter filter, AnswerWriter writer, Optional<String> lastEventId) {
+    AnswerRelay(
+            boolean stream,
+            HeaderFilter filter,
+            AnswerWriter writer,
+            Optional<String> lastEventId,
+            StreamTiming timing) {
+        this.timing = timing;
         this.stream = stream;
         this.filter = filter;
         this.writer = writer;
@@ -60,6 +67,7 @@
             beginOnce();
             event.id().ifPresent(id -> lastEventId = Optional.of(id));
             writer.data(event.bytes());
+            timing.event();
         }
         return events.size();
     }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -41,11 +41,13 @@
     private final AnswerWriter writer;
     private final Runnable onOver;
     private final AnswerRelay relay;
+    private final StreamTiming timing;
     private final Optional<Reservation> reservation;
     private final Set<String> tried = new HashSet<>();
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun run;
     private @Nullable Future<?> deadlineTimer;
+    private String newestReplica = "";
     private AttemptEnd lastEnd = AttemptEnd.notRun("not_tried");
     private int sent;
     private int unsent;
@@ -67,11 +69,13 @@
         this.request = request;
         this.writer = writer;
         this.onOver = onOver;
+        this.timing = new StreamTiming(services.clock(), request.arrivedMillis());
         this.relay = new AnswerRelay(
                 plan.route().stream(),
                 filter,
                 writer,
-                Optional.ofNullable(request.headers().get(services.names().lastEventId())));
+                Optional.ofNullable(request.headers().get(services.names().lastEventId())),
+                timing);
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
     }
 
@@ -145,6 +149,7 @@
 
     private void send(BackendInstance instance) {
         tried.add(instance.id());
+        newestReplica = instance.id();
         run = new AttemptRun(services, plan, instance, relay, this);
         run.begin(backendRequest(instance));
     }
@@ -348,6 +353,12 @@
                         reservation.map(Reservation::used).orElse(0L),
                         "tokens_at_most",
                         plan.tokens().map(TokenUse::most).orElse(0L),
+                        "replica",
+                        newestReplica,
+                        "first_event_ms",
+                        timing.firstEventMillis().orElse(-1),
+                        "longest_pause_ms",
+                        timing.longestPauseMillis(),
                         "ms",
                         now() - request.arrivedMillis());
         places.poke();
