Place prompts where least is lost, by what replicas keep, read and pause

The placement knew its own quarter of the load, counted prompts whole although their shared parts were kept, and assumed one reading speed.

Change: the cost of a replica is what a request is likely to lose there (late first event, pauses by long prompts) plus what the streams there lose by its prompt, plus the tokens to be read again. Kept parts, reading speed, event gaps and how often pauses come in comparison with forecasts are learned; entries tell each other their load and the prompts they sent. request_ended tells the forecast.

--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
@@ -0,0 +1,110 @@
+package org.streamring.kernel.placement;
+
+/**
+ * What is lost, on average, by placing a request at a replica: how likely the request itself becomes late there, and
+ * how likely the streams that run there do because their steps wait while its prompt is read.
+ *
+ * <p>The unit is one request of the most urgent rank and of a thousand tokens that is late. Confined to one thread.
+ */
+final class PlacementCost {
+    private static final double TOKENS_OF_UNIT = 1_000;
+    /** What a rank counts in comparison with the next more urgent one. */
+    private static final double RANK_FACTOR = 0.4;
+    /** How sharply a request becomes late near its target: forecasts are off by about a tenth. */
+    private static final double STEEPNESS = 10;
+    /** Beyond lateness each target's length of waiting costs a little, so that less waiting is always better. */
+    private static final double WAITING_COST = 0.3;
+    /** Reading a part that another replica keeps takes engine time from everyone: as if so much of it were late. */
+    private static final double READING_COST = 0.6;
+    /** Bytes between failure domains have a price, which only decides between equals. */
+    private static final double OTHER_DOMAIN_COST = 0.002;
+
+    private final EngineSpeed speed;
+    private final double typicalGapMillis;
+    private final int tokensPerEvent;
+
+    /**
+     * Creates one for the replicas of a service.
+     *
+     * @param typicalGapMillis usual time between two events at a typical replica
+     */
+    PlacementCost(EngineSpeed speed, double typicalGapMillis, int tokensPerEvent) {
+        this.speed = speed;
+        this.typicalGapMillis = typicalGapMillis;
+        this.tokensPerEvent = Math.max(1, tokensPerEvent);
+    }
+
+    /** How much a request counts: by what its caller pays for it at most, and by its rank. */
+    static double weight(PlacementQuery query) {
+        double tokens = (double) query.prompt().tokens() + query.prompt().answerTokens();
+        return tokens / TOKENS_OF_UNIT * Math.pow(RANK_FACTOR, query.rank());
+    }
+
+    /** Cost of a request at a replica. */
+    double of(PlacementQuery query, ReplicaState replica, boolean sameDomain, long nowMillis) {
+        long tokens = replica.tokensToRead(query.prompt());
+        double waiting = lateness(query, replica, tokens);
+        double paused = speed.pauses().factor() * paused(query, replica, nowMillis);
+        double own = weight(query) * (waiting + Math.min(1, paused));
+        double others = replica.weightOfStreams() * speed.pauses().factor() * pauseAdded(query, replica, tokens);
+        double reading = READING_COST * tokens / TOKENS_OF_UNIT;
+        return own + others + reading + (sameDomain ? 0 : OTHER_DOMAIN_COST);
+    }
+
+    /** Probability that the streams beside a prompt pause for too long because of it, and would not have before. */
+    double pauseAdded(PlacementQuery query, ReplicaState replica, long tokens) {
+        long before = replica.unreadTokens();
+        return pauseProbability(query, replica, before + tokens) - pauseProbability(query, replica, before);
+    }
+
+    private double pauseProbability(PlacementQuery query, ReplicaState replica, long tokens) {
+        double millis = readingMillis(replica, tokens) + gapMillis(replica);
+        return late(millis / Math.max(1, query.pauseMillis()));
+    }
+
+    /** What is to be expected of a request at a replica. */
+    PlacementForecast forecast(PlacementQuery query, ReplicaState replica, long nowMillis) {
+        long tokens = replica.tokensToRead(query.prompt());
+        return new PlacementForecast(
+                tokens,
+                replica.unreadTokens(),
+                (long) firstEventMillis(replica, tokens),
+                paused(query, replica, nowMillis));
+    }
+
+    private double paused(PlacementQuery query, ReplicaState replica, long nowMillis) {
+        return 1 - Math.exp(-replica.pausesPerMilli(nowMillis) * streamMillis(query, replica));
+    }
+
+    private double firstEventMillis(ReplicaState replica, long tokens) {
+        return speed.firstEventMillis() + readingMillis(replica, replica.unreadTokens() + tokens);
+    }
+
+    private double lateness(PlacementQuery query, ReplicaState replica, long tokens) {
+        double part = firstEventMillis(replica, tokens) / Math.max(1, query.firstEventMillis());
+        return late(part) + WAITING_COST * part;
+    }
+
+    private static double late(double partOfTarget) {
+        return 1 / (1 + Math.exp(-STEEPNESS * (partOfTarget - 1)));
+    }
+
+    private double readingMillis(ReplicaState replica, long tokens) {
+        return tokens / speed.tokensPerMilli() * slowness(replica);
+    }
+
+    private double streamMillis(PlacementQuery query, ReplicaState replica) {
+        double events = (double) query.prompt().likelyAnswerTokens() / tokensPerEvent;
+        return events * gapMillis(replica);
+    }
+
+    private double gapMillis(ReplicaState replica) {
+        double own = replica.eventGapMillis();
+        return own > 0 ? own : typicalGapMillis;
+    }
+
+    private double slowness(ReplicaState replica) {
+        double own = replica.eventGapMillis();
+        return own > 0 ? own / typicalGapMillis : 1;
+    }
+}
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -9,24 +9,24 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.streamring.kernel.limit.RankLimit;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.model.route.ServiceTraits;
 
 /**
- * Chooses replicas by load, and for prompts that begin alike the same one while its load allows.
- *
- * <p>Load is in milliseconds of work ahead: prompt tokens to be read, and a share for each running request. Confined to
- * one thread.
+ * Chooses replicas: for a plain service the one with the fewest requests, for model engines the one where least is lost
+ * by it ({@link PlacementCost}). Confined to one thread.
  */
 public final class PlacementTable {
-    private static final double TOKENS_READ_PER_MILLI = 50;
-    private static final double RUNNING_MILLIS = 6;
-    private static final double BOUND_FACTOR = 1.5;
-    private static final double BOUND_SLACK_MILLIS = 120;
+    /** Parts of prompts fill what running requests leave of a replica's memory. */
+    private static final double PART_OF_MEMORY_FOR_PARTS = 0.8;
 
     private final Random random;
     private final Map<String, ReplicaState> states = new HashMap<>();
+    private final Map<String, EngineSpeed> speeds = new HashMap<>();
+    private final PlacementNews news = new PlacementNews();
 
     /**
      * Creates an empty table.
@@ -57,17 +57,57 @@
      * @return empty if none may take the request now
      */
     public Optional<BackendInstance> choose(
-            PlacementQuery query, List<BackendInstance> ready, int entries, long nowMillis) {
+            PlacementQuery query, ServiceTraits service, List<BackendInstance> ready, int entries, long nowMillis) {
         List<BackendInstance> candidates = ready.stream()
                 .filter(instance -> !query.excluded().contains(instance.id()))
                 .filter(instance -> state(instance.id()).usable(nowMillis))
                 .filter(instance -> hasRoom(instance, query.rank(), entries))
                 .toList();
-        if (candidates.isEmpty()) {
-            return Optional.empty();
+        return service.isEngine() ? cheapest(query, service, candidates, nowMillis) : leastLoaded(query, candidates);
+    }
+
+    /** Notes that a request begins at a replica. */
+    public PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance, long nowMillis) {
+        ReplicaState replica = state(instance.id());
+        PlacementCost cost = cost(service, List.of(instance));
+        PlacementForecast forecast = cost.forecast(query, replica, nowMillis);
+        if (service.isEngine()) {
+            replica.pauseCaused(cost.pauseAdded(query, replica, forecast.tokensToRead()), nowMillis);
+            news.read(instance.id(), query.prompt());
         }
-        Optional<BackendInstance> near = query.affinity().isEmpty() ? Optional.empty() : preferred(query, candidates);
-        return near.or(() -> leastLoaded(query, candidates));
+        double weight = service.isEngine() ? PlacementCost.weight(query) : 0;
+        return replica.started(
+                query, speed(service), forecast, weight, memoryForParts(service.memoryTokens()), nowMillis);
+    }
+
+    /** What other entries should know: this entry's load, and prompts sent since the last call. */
+    public PlacementReport report(long nowMillis) {
+        Map<String, ReplicaShare> shares = new HashMap<>();
+        states.forEach((id, replica) -> {
+            ReplicaShare share = replica.ownShare(nowMillis);
+            if (share.matters()) {
+                shares.put(id, share);
+            }
+        });
+        return new PlacementReport(shares, news.take());
+    }
+
+    /**
+     * Takes what another entry reports, in place of what it reported before.
+     *
+     * @param entry identifier of its process
+     * @param memoryOf memory of a replica in tokens, by its identifier; 0 if it is not known
+     */
+    public void reported(String entry, PlacementReport report, ToLongFunction<String> memoryOf) {
+        forget(entry);
+        report.shares().forEach((id, share) -> state(id).told(entry, share));
+        report.prompts().forEach(read -> state(read.replica())
+                .readForOther(read.parts(), memoryForParts(memoryOf.applyAsLong(read.replica()))));
+    }
+
+    /** Forgets the load of an entry from which nothing is heard any more. */
+    public void forget(String entry) {
+        states.values().forEach(replica -> replica.forget(entry));
     }
 
     private boolean hasRoom(BackendInstance instance, int rank, int entries) {
@@ -76,27 +116,65 @@
         return state(instance.id()).running() < RankLimit.of(Math.min(own, capacity), rank);
     }
 
-    private Optional<BackendInstance> preferred(PlacementQuery query, List<BackendInstance> candidates) {
-        double mean = candidates.stream().mapToDouble(this::load).average().orElse(0);
-        double bound = mean * BOUND_FACTOR + BOUND_SLACK_MILLIS;
-        Map<String, BackendInstance> byId = new HashMap<>();
-        candidates.forEach(instance -> byId.put(instance.id(), instance));
-        return RendezvousHash.order(query.affinity(), byId.keySet()).stream()
-                .map(byId::get)
-                .filter(instance -> load(instance) <= bound)
-                .findFirst();
+    private Optional<BackendInstance> cheapest(
+            PlacementQuery query, ServiceTraits service, List<BackendInstance> candidates, long nowMillis) {
+        PlacementCost cost = cost(service, candidates);
+        Map<String, Double> costs = new HashMap<>();
+        candidates.forEach(instance ->
+                costs.put(instance.id(), cost.of(query, state(instance.id()), sameDomain(query, instance), nowMillis)));
+        return inOrder(query.prompt(), candidates).stream()
+                .min(Comparator.comparingDouble(instance -> costs.get(instance.id())));
     }
 
     private Optional<BackendInstance> leastLoaded(PlacementQuery query, List<BackendInstance> candidates) {
+        return shuffled(candidates).stream()
+                .min(Comparator.comparingInt((BackendInstance instance) ->
+                                state(instance.id()).running())
+                        .thenComparing(instance -> !sameDomain(query, instance)));
+    }
+
+    private List<BackendInstance> shuffled(List<BackendInstance> candidates) {
         List<BackendInstance> shuffled = new ArrayList<>(candidates);
         Collections.shuffle(shuffled, random);
-        return shuffled.stream()
-                .min(Comparator.comparingDouble(this::load)
-                        .thenComparing(instance -> !instance.failureDomain().equals(query.failureDomain())));
+        return shuffled;
+    }
+
+    /** Among replicas that cost the same, all entries prefer the same one for prompts that begin alike. */
+    private List<BackendInstance> inOrder(Prompt prompt, List<BackendInstance> candidates) {
+        Optional<PromptPart> shared = prompt.lastShared();
+        if (shared.isEmpty()) {
+            return shuffled(candidates);
+        }
+        Map<String, BackendInstance> byId = new HashMap<>();
+        candidates.forEach(instance -> byId.put(instance.id(), instance));
+        return RendezvousHash.order(shared.get().id(), byId.keySet()).stream()
+                .map(byId::get)
+                .toList();
+    }
+
+    private static boolean sameDomain(PlacementQuery query, BackendInstance instance) {
+        return instance.failureDomain().equals(query.failureDomain());
+    }
+
+    private PlacementCost cost(ServiceTraits service, List<BackendInstance> candidates) {
+        return new PlacementCost(speed(service), typicalGapMillis(candidates), service.tokensPerEvent());
+    }
+
+    /** Median of the replicas' usual times between events. */
+    private double typicalGapMillis(List<BackendInstance> candidates) {
+        double[] gaps = candidates.stream()
+                .mapToDouble(instance -> state(instance.id()).eventGapMillis())
+                .filter(gap -> gap > 0)
+                .sorted()
+                .toArray();
+        return gaps.length == 0 ? ReplicaState.INITIAL_GAP_MILLIS : gaps[(gaps.length - 1) / 2];
+    }
+
+    private EngineSpeed speed(ServiceTraits service) {
+        return speeds.computeIfAbsent(service.name(), name -> new EngineSpeed());
     }
 
-    private double load(BackendInstance instance) {
-        ReplicaState state = state(instance.id());
-        return state.outstandingTokens() / TOKENS_READ_PER_MILLI + state.running() * RUNNING_MILLIS;
+    private static long memoryForParts(long memoryTokens) {
+        return (long) (memoryTokens * PART_OF_MEMORY_FOR_PARTS);
     }
 }
--- a/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
@@ -1,90 +1,150 @@
 package org.streamring.kernel.placement;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
 /**
- * What this entry knows of one replica from its own attempts.
- *
- * <p>Health is judged by results: an attempt that fails counts against the replica, one that succeeds restores it.
- * Confined to one thread.
+ * What this entry knows of one replica: its health, the requests that it runs for this entry and, as far as they told,
+ * for other entries, and the parts of prompts that it likely keeps. Confined to one thread.
  */
 public final class ReplicaState {
-    private static final int FAILURES_TO_EJECT = 3;
-    private static final long FIRST_EJECTION_MILLIS = 800;
-    private static final long LONGEST_EJECTION_MILLIS = 4_000;
-    private static final double FAILURE_WEIGHT = 0.1;
-    private static final double FAILING_PART = 0.5;
+    /** Long prompts of the last seconds tell how many more will come while a stream lasts. */
+    private static final double RECENT_MILLIS = 3_000;
+    /** Some thirty events, about a second of one stream, show a replica that turned slow. */
+    private static final double GAP_STEP = 0.05;
+
+    /** Time between two events before any was seen; engines were seen to take 18 to 40 ms. */
+    static final double INITIAL_GAP_MILLIS = 30;
+
+    private static final int GAPS_NEEDED = 20;
 
+    private final ReplicaHealth health = new ReplicaHealth();
+    private final KeptParts kept = new KeptParts();
+    private final RunningMedian eventGap = new RunningMedian(INITIAL_GAP_MILLIS, GAP_STEP);
+    private final Map<String, ReplicaShare> others = new HashMap<>();
     private int running;
-    private long outstandingTokens;
-    private int consecutiveFailures;
-    private double failingPart;
-    private int ejections;
-    private long ejectedUntilMillis;
-    private boolean onTrial;
-
-    /** Notes a started attempt and its prompt. */
-    public void started(long tokens) {
+    private long unreadTokens;
+    private double weightOfStreams;
+    private double recentPauses;
+    private long recentMillis;
+
+    /** Notes a request that begins here. */
+    PlacedPrompt started(
+            PlacementQuery query,
+            EngineSpeed speed,
+            PlacementForecast forecast,
+            double weight,
+            long memoryTokens,
+            long nowMillis) {
+        Prompt prompt = query.prompt();
+        boolean alone = unreadTokens() == 0;
         running++;
-        outstandingTokens += tokens;
+        unreadTokens += forecast.tokensToRead();
+        weightOfStreams += weight;
+        kept.read(prompt.parts(), memoryTokens);
+        return new PlacedPrompt(this, speed, forecast, alone, weight, query.pauseMillis(), nowMillis);
     }
 
-    /** Notes that the prompt of an attempt was read: its first event or answer came, or it ended before. */
-    public void promptRead(long tokens) {
-        outstandingTokens -= tokens;
+    /** Notes a prompt that another entry sent here. */
+    void readForOther(List<PromptPart> parts, long memoryTokens) {
+        kept.read(parts, memoryTokens);
     }
 
-    /** Notes the end of an attempt. */
-    public void ended() {
+    /** Takes what another entry told of its requests here. */
+    void told(String entry, ReplicaShare share) {
+        others.put(entry, share);
+    }
+
+    /** Forgets what another entry told. */
+    void forget(String entry) {
+        others.remove(entry);
+    }
+
+    /** This entry's part of the load. */
+    ReplicaShare ownShare(long nowMillis) {
+        return new ReplicaShare(unreadTokens, weightOfStreams, ownRecentPauses(nowMillis));
+    }
+
+    void promptRead(long tokens) {
+        unreadTokens -= tokens;
+    }
+
+    void streamLost(double weight) {
+        weightOfStreams -= weight;
+    }
+
+    void ended() {
         running--;
     }
 
+    void eventGap(long millis) {
+        eventGap.add((double) Math.max(1, millis));
+    }
+
+    /** Notes that a prompt placed here makes a pause for the streams beside it, with this probability. */
+    void pauseCaused(double probability, long nowMillis) {
+        recentPauses = ownRecentPauses(nowMillis) + probability;
+        recentMillis = nowMillis;
+    }
+
+    private double ownRecentPauses(long nowMillis) {
+        return recentPauses * Math.exp(-(nowMillis - recentMillis) / RECENT_MILLIS);
+    }
+
+    /** Pauses that prompts of all entries cause here, in a millisecond on average. */
+    double pausesPerMilli(long nowMillis) {
+        double told =
+                others.values().stream().mapToDouble(ReplicaShare::recentPauses).sum();
+        return (ownRecentPauses(nowMillis) + told) / RECENT_MILLIS;
+    }
+
+    /** Tokens of a prompt that are not kept here. */
+    long tokensToRead(Prompt prompt) {
+        return Math.max(0, prompt.tokens() - kept.keptTokens(prompt.parts()));
+    }
+
+    /** Prompt tokens of all entries that were sent and not yet read. */
+    long unreadTokens() {
+        return unreadTokens
+                + others.values().stream().mapToLong(ReplicaShare::unreadTokens).sum();
+    }
+
+    /** Streams of all entries that a pause would make late, by weight. */
+    double weightOfStreams() {
+        return weightOfStreams
+                + others.values().stream()
+                        .mapToDouble(ReplicaShare::weightOfStreams)
+                        .sum();
+    }
+
+    /** Usual time between two events; 0 if too few came. */
+    double eventGapMillis() {
+        return eventGap.samples() < GAPS_NEEDED ? 0 : eventGap.value();
+    }
+
     /** Notes a sound answer. */
     public void succeeded() {
-        consecutiveFailures = 0;
-        ejections = 0;
-        onTrial = false;
-        failingPart -= FAILURE_WEIGHT * failingPart;
+        health.succeeded();
     }
 
     /** Notes an answer that the replica spoiled, or that never came. */
     public void failed(long nowMillis) {
-        consecutiveFailures++;
-        failingPart += FAILURE_WEIGHT * (1 - failingPart);
-        if (onTrial || consecutiveFailures >= FAILURES_TO_EJECT || failingPart > FAILING_PART) {
-            eject(nowMillis);
-        }
+        health.failed(nowMillis);
     }
 
     /** Notes that the replica can't be reached, or is silent. */
     public void unreachable(long nowMillis) {
-        consecutiveFailures++;
-        eject(nowMillis);
+        health.unreachable(nowMillis);
     }
 
     /** Whether the replica may get a request now; after an ejection one at a time until one succeeds. */
     public boolean usable(long nowMillis) {
-        if (nowMillis < ejectedUntilMillis) {
-            return false;
-        }
-        return !onTrial || running == 0;
+        return health.usable(nowMillis, running == 0);
     }
 
-    /** Attempts in progress. */
+    /** Attempts of this entry in progress. */
     public int running() {
         return running;
     }
-
-    /** Prompt tokens sent and not yet read. */
-    public long outstandingTokens() {
-        return outstandingTokens;
-    }
-
-    private void eject(long nowMillis) {
-        if (nowMillis < ejectedUntilMillis) {
-            return;
-        }
-        long pause = Math.min(LONGEST_EJECTION_MILLIS, FIRST_EJECTION_MILLIS << Math.min(ejections, 4));
-        ejectedUntilMillis = nowMillis + pause;
-        ejections++;
-        onTrial = true;
-    }
 }
--- a/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -99,6 +100,11 @@
         return instances.containsKey(id) && !leaving.contains(id);
     }
 
+    /** A server, if it is known. */
+    public Optional<BackendInstance> find(String id) {
+        return Optional.ofNullable(instances.get(id));
+    }
+
     /** All servers that are known. */
     public Collection<BackendInstance> all() {
         return List.copyOf(instances.values());
--- a/core/src/main/java/org/streamring/model/route/Route.java
+++ b/core/src/main/java/org/streamring/model/route/Route.java
@@ -16,6 +16,7 @@
  * @param maxAttempts most replicas that one request may be sent to
  * @param timeout longest time that a request is held
  * @param targetLatency time within which an answer is expected
+ * @param targetPause longest pause between two events of a stream that is still in time
  * @param targets services, at least one
  */
 public record Route(
@@ -29,6 +30,7 @@
         int maxAttempts,
         Duration timeout,
         Duration targetLatency,
+        Duration targetPause,
         List<RouteTarget> targets) {
     /** Copies the list. */
     public Route {
--- a/core/src/test/java/org/streamring/kernel/route/RouteTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/route/RouteTableTest.java
@@ -76,6 +76,7 @@
                 2,
                 Duration.ofSeconds(2),
                 Duration.ofMillis(300),
+                Duration.ofMillis(400),
                 List.of(targets));
     }
 }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -16,6 +16,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
+import org.streamring.direct.peer.PlacementExchange;
 import org.streamring.direct.request.Fleet;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
@@ -26,6 +27,7 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.model.route.Route;
+import org.streamring.model.route.ServiceTraits;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.peer.PeerIdentity;
 import org.streamring.net.process.AdminServer;
@@ -59,6 +61,7 @@
     private final TokenDesk tokens;
     private final EntryPeers peers;
     private final Fleet fleet;
+    private final PlacementExchange exchange;
     private final TableWatch configurationWatch;
     private final TableWatch backendWatch;
     private final RequestRouter router;
@@ -105,6 +108,7 @@
                 clock,
                 members::live,
                 () -> this.settings.retries());
+        this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         this.configurationWatch =
                 new TableWatch(loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
         this.backendWatch =
@@ -144,6 +148,14 @@
                 log);
     }
 
+    /** Memory of a replica in tokens; 0 if it is not known. */
+    private long memoryOf(String replica) {
+        return registry.find(replica)
+                .flatMap(instance -> configuration.inForce().map(table -> table.service(instance.service())))
+                .map(ServiceTraits::memoryTokens)
+                .orElse(0L);
+    }
+
     private void showState(EntryMetrics metrics) {
         metrics.gauge("requests.running", callers::busy);
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
@@ -157,6 +169,7 @@
         backendWatch.start();
         members.start();
         peers.start(tokens::lend);
+        exchange.start();
         tokens.start();
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(() -> reload("look"), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -29,6 +29,7 @@
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.LendAnswer;
 import org.streamring.net.generated.Wire.LendAsk;
+import org.streamring.net.generated.Wire.PlacementLoad;
 import org.streamring.net.peer.FleetKey;
 import org.streamring.net.peer.PeerConnection;
 import org.streamring.net.peer.PeerConnector;
@@ -60,6 +61,7 @@
     private final AccountHomes homes;
     private @Nullable FleetKey key;
     private @Nullable Lender lender;
+    private LoadListener loadListener = (entry, load) -> {};
     private MemberRegister.Others members = new MemberRegister.Others(List.of(), List.of());
     private long nextQuery;
 
@@ -95,6 +97,29 @@
         void lend(String account, long asked, LongConsumer then);
     }
 
+    /** Hears what other entries have in progress. */
+    public interface LoadListener {
+        /**
+         * Takes a report.
+         *
+         * @param entry name of the entry that sent it
+         */
+        void loadTold(String entry, PlacementLoad load);
+    }
+
+    /** Says who hears what other entries have in progress. */
+    public void onLoad(LoadListener listener) {
+        loadListener = listener;
+    }
+
+    /** Tells all connected entries what this one has in progress; a lost report is made good by the next. */
+    public void tellLoad(PlacementLoad load) {
+        Frame frame = Frame.newBuilder().setPlacementLoad(load).build();
+        Map<String, PeerConnection> byEntry = new HashMap<>();
+        connections.forEach(each -> byEntry.put(each.remote().name(), each));
+        byEntry.values().forEach(each -> each.send(frame));
+    }
+
     /** Starts to listen and to connect, once the fleet's key is known. */
     public void start(Lender ownLender) {
         lender = ownLender;
@@ -246,6 +271,9 @@
             if (frame.hasLendAnswer()) {
                 answered(frame.getLendAnswer().getQuery(), frame.getLendAnswer().getTokens());
             }
+            if (frame.hasPlacementLoad()) {
+                loadListener.loadTold(connection.remote().name(), frame.getPlacementLoad());
+            }
         }
 
         private void lend(PeerConnection connection, LendAsk ask) {
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
@@ -0,0 +1,140 @@
+package org.streamring.direct.peer;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
+import org.streamring.kernel.placement.PlacementReport;
+import org.streamring.kernel.placement.PlacementTable;
+import org.streamring.kernel.placement.PromptPart;
+import org.streamring.kernel.placement.PromptRead;
+import org.streamring.kernel.placement.ReplicaShare;
+import org.streamring.net.generated.Wire.PlacementLoad;
+import org.streamring.net.generated.Wire.ReadPrompt;
+import org.streamring.net.generated.Wire.ReplicaLoad;
+
+/**
+ * Tells the other entries what this one has in progress at replicas, and takes what they tell. Confined to the event
+ * loop.
+ */
+public final class PlacementExchange {
+    /** A fleet of four tells each other ten times a second; larger fleets more rarely, so that the frames stay few. */
+    private static final long MILLIS_PER_ENTRY = 25;
+    /** What was told this many intervals ago is no longer true. */
+    private static final int INTERVALS_KEPT = 5;
+
+    private final EventLoop loop;
+    private final EntryPeers peers;
+    private final PlacementTable table;
+    private final IntSupplier entries;
+    private final ToLongFunction<String> memoryOf;
+    private final LongSupplier clock;
+    private final Map<String, Long> heardMillis = new HashMap<>();
+    private boolean toldNothing;
+
+    /**
+     * Creates one; nothing happens before {@link #start}.
+     *
+     * @param entries number of live entries
+     * @param memoryOf memory of a replica in tokens, by its identifier
+     */
+    public PlacementExchange(
+            EventLoop loop,
+            EntryPeers peers,
+            PlacementTable table,
+            IntSupplier entries,
+            ToLongFunction<String> memoryOf,
+            LongSupplier clock) {
+        this.loop = loop;
+        this.peers = peers;
+        this.table = table;
+        this.entries = entries;
+        this.memoryOf = memoryOf;
+        this.clock = clock;
+    }
+
+    /** Starts to tell and to listen. */
+    public void start() {
+        peers.onLoad(this::take);
+        scheduleNext();
+    }
+
+    private void scheduleNext() {
+        loop.schedule(this::tell, intervalMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private long intervalMillis() {
+        return MILLIS_PER_ENTRY * Math.max(1, entries.getAsInt());
+    }
+
+    private void tell() {
+        PlacementReport report = table.report(clock.getAsLong());
+        boolean nothing = report.shares().isEmpty() && report.prompts().isEmpty();
+        if (!nothing || !toldNothing) {
+            peers.tellLoad(encode(report));
+        }
+        toldNothing = nothing;
+        forgetSilent();
+        scheduleNext();
+    }
+
+    private void forgetSilent() {
+        long oldest = clock.getAsLong() - INTERVALS_KEPT * intervalMillis();
+        heardMillis.entrySet().removeIf(entry -> {
+            boolean silent = entry.getValue() < oldest;
+            if (silent) {
+                table.forget(entry.getKey());
+            }
+            return silent;
+        });
+    }
+
+    private void take(String entry, PlacementLoad load) {
+        heardMillis.put(entry, clock.getAsLong());
+        table.reported(entry, decode(load), memoryOf);
+    }
+
+    /** A report as a frame. */
+    static PlacementLoad encode(PlacementReport report) {
+        PlacementLoad.Builder load = PlacementLoad.newBuilder();
+        report.shares()
+                .forEach((id, share) -> load.addReplicas(ReplicaLoad.newBuilder()
+                        .setReplica(id)
+                        .setUnreadTokens(share.unreadTokens())
+                        .setWeightOfStreams((float) share.weightOfStreams())
+                        .setRecentPauses((float) share.recentPauses())));
+        report.prompts().forEach(read -> load.addPrompts(encode(read)));
+        return load.build();
+    }
+
+    private static ReadPrompt encode(PromptRead read) {
+        ReadPrompt.Builder prompt = ReadPrompt.newBuilder().setReplica(read.replica());
+        read.parts().forEach(part -> prompt.addPart(part.id()).addTokens(part.tokens()));
+        return prompt.build();
+    }
+
+    /** The report in a frame. */
+    static PlacementReport decode(PlacementLoad load) {
+        Map<String, ReplicaShare> shares = new HashMap<>();
+        load.getReplicasList()
+                .forEach(each -> shares.put(
+                        each.getReplica(),
+                        new ReplicaShare(each.getUnreadTokens(), each.getWeightOfStreams(), each.getRecentPauses())));
+        List<PromptRead> prompts =
+                load.getPromptsList().stream().map(PlacementExchange::decode).toList();
+        return new PlacementReport(shares, prompts);
+    }
+
+    private static PromptRead decode(ReadPrompt read) {
+        List<PromptPart> parts = new ArrayList<>();
+        for (int i = 0; i < Math.min(read.getPartCount(), read.getTokensCount()); i++) {
+            parts.add(new PromptPart(read.getPart(i), read.getTokens(i)));
+        }
+        return new PromptRead(read.getReplica(), parts);
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -3,13 +3,18 @@
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.backend.AnswerHead;
 import org.streamring.direct.backend.AttemptFailure;
 import org.streamring.direct.backend.AttemptListener;
 import org.streamring.direct.backend.BackendAttempt;
 import org.streamring.direct.backend.BackendRequest;
+import org.streamring.kernel.placement.PlacedPrompt;
+import org.streamring.kernel.placement.PlacementForecast;
+import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.placement.ReplicaState;
 import org.streamring.kernel.registry.BackendInstance;
 
@@ -29,8 +34,8 @@
     private @Nullable BackendAttempt attempt;
     private @Nullable AnswerHead head;
     private @Nullable Future<?> watch;
+    private @Nullable PlacedPrompt placed;
     private boolean streaming;
-    private boolean promptRead;
     private boolean over;
 
     /** The request that the attempt serves. */
@@ -54,13 +59,18 @@
         this.owner = owner;
     }
 
-    void begin(BackendRequest request) {
-        state.started(plan.promptTokens());
+    void begin(BackendRequest request, PlacementQuery query) {
+        placed = services.fleet().started(query, plan.service(), instance);
         attempt = services.fleet().pool(instance).begin(request, this);
         watch = services.loop()
                 .scheduleAtFixedRate(this::checkSilence, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** What was expected of the attempt; empty before it began. */
+    Optional<PlacementForecast> forecast() {
+        return Optional.ofNullable(placed).map(PlacedPrompt::forecast);
+    }
+
     boolean sent() {
         return attempt != null && attempt.sent();
     }
@@ -105,13 +115,13 @@
 
     @Override
     public void onData(byte[] data) {
-        readPrompt();
         if (!streaming) {
             body.writeBytes(data);
             return;
         }
         int events = relay.streamData(data);
         if (events > 0) {
+            notePlaced(each -> each.answered(services.clock().getAsLong()));
             owner.handedOut(events);
         }
     }
@@ -198,10 +208,9 @@
         owner.attemptEnded(end);
     }
 
-    private void readPrompt() {
-        if (!promptRead) {
-            promptRead = true;
-            state.promptRead(plan.promptTokens());
+    private void notePlaced(Consumer<PlacedPrompt> note) {
+        if (placed != null) {
+            note.accept(placed);
         }
     }
 
@@ -210,8 +219,7 @@
             return;
         }
         over = true;
-        readPrompt();
-        state.ended();
+        notePlaced(PlacedPrompt::ended);
         if (watch != null) {
             watch.cancel(false);
         }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -13,6 +13,7 @@
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.caller.RequestSink;
+import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.platform.node.ForwardingHeaders;
@@ -48,6 +49,7 @@
     private @Nullable AttemptRun run;
     private @Nullable Future<?> deadlineTimer;
     private String newestReplica = "";
+    private Optional<PlacementForecast> forecast = Optional.empty();
     private AttemptEnd lastEnd = AttemptEnd.notRun("not_tried");
     private int sent;
     private int unsent;
@@ -127,12 +129,10 @@
         if (over) {
             return true;
         }
-        PlacementQuery query =
-                new PlacementQuery(plan.affinity(), plan.promptTokens(), plan.rank(), services.failureDomain(), tried);
-        Optional<BackendInstance> chosen =
-                services.fleet().choose(plan.service().name(), query);
+        PlacementQuery query = plan.placement(services.failureDomain(), tried);
+        Optional<BackendInstance> chosen = services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
-            send(chosen.get());
+            send(chosen.get(), query);
             return true;
         }
         if (waitedLongEnough()) {
@@ -147,11 +147,12 @@
         return now() - request.arrivedMillis() >= longest;
     }
 
-    private void send(BackendInstance instance) {
+    private void send(BackendInstance instance, PlacementQuery query) {
         tried.add(instance.id());
         newestReplica = instance.id();
         run = new AttemptRun(services, plan, instance, relay, this);
-        run.begin(backendRequest(instance));
+        run.begin(backendRequest(instance), query);
+        forecast = run.forecast();
     }
 
     private BackendRequest backendRequest(BackendInstance instance) {
@@ -355,6 +356,12 @@
                         plan.tokens().map(TokenUse::most).orElse(0L),
                         "replica",
                         newestReplica,
+                        "tokens_to_read",
+                        forecast.map(PlacementForecast::tokensToRead).orElse(0L),
+                        "unread_before",
+                        forecast.map(PlacementForecast::unreadTokens).orElse(0L),
+                        "forecast_ms",
+                        forecast.map(PlacementForecast::firstEventMillis).orElse(0L),
                         "first_event_ms",
                         timing.firstEventMillis().orElse(-1),
                         "longest_pause_ms",
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -12,11 +12,13 @@
 import java.util.function.Supplier;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.kernel.limit.FleetRetryBudget;
+import org.streamring.kernel.placement.PlacedPrompt;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.placement.PlacementTable;
 import org.streamring.kernel.placement.ReplicaState;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.model.route.ServiceTraits;
 import org.streamring.platform.node.NodeSettings;
 
 /** The backend servers as this entry uses them: connections, load, health and retries. Confined to the event loop. */
@@ -56,8 +58,13 @@
     }
 
     /** Chooses a replica of a service. */
-    Optional<BackendInstance> choose(String service, PlacementQuery query) {
-        return placement.choose(query, registry.ready(service), entries.getAsInt(), clock.getAsLong());
+    Optional<BackendInstance> choose(ServiceTraits service, PlacementQuery query) {
+        return placement.choose(query, service, registry.ready(service.name()), entries.getAsInt(), clock.getAsLong());
+    }
+
+    /** Notes that a request begins at a replica. */
+    PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance) {
+        return placement.started(query, service, instance, clock.getAsLong());
     }
 
     /** Load and health of a replica. */
@@ -65,6 +72,11 @@
         return placement.state(instance.id());
     }
 
+    /** Where requests run, for the exchange with other entries. */
+    public PlacementTable placement() {
+        return placement;
+    }
+
     /** Connections to a replica. */
     BackendPool pool(BackendInstance instance) {
         return pools.computeIfAbsent(
--- a/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
@@ -1,8 +1,10 @@
 package org.streamring.direct.request;
 
-import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.streamring.direct.caller.CallerRequest;
+import org.streamring.kernel.placement.PlacementQuery;
+import org.streamring.kernel.placement.Prompt;
 import org.streamring.model.route.PrepaidAccount;
 import org.streamring.model.route.Route;
 import org.streamring.model.route.ServiceTraits;
@@ -17,7 +19,7 @@
  * @param account its client account, if the route asks for a key
  * @param rank urgency, 0 being the most urgent
  * @param tokens tokens that its caller declares
- * @param affinity what prompts that begin alike have in common; empty if there is nothing
+ * @param prompt its prompt; {@link Prompt#NONE} for a plain request
  * @param deadlineMillis when it must have its final answer, on the process's steady clock
  * @param callerWaitMillis how long the caller waits, from the arrival
  */
@@ -28,7 +30,7 @@
         Optional<PrepaidAccount> account,
         int rank,
         Optional<TokenUse> tokens,
-        String affinity,
+        Prompt prompt,
         long deadlineMillis,
         long callerWaitMillis) {
 
@@ -46,26 +48,33 @@
                 .filter(java.util.OptionalInt::isPresent)
                 .map(java.util.OptionalInt::getAsInt)
                 .orElse(route.priority());
+        Optional<TokenUse> tokens = TokenUse.parse(request.headers().get(names.tokens()));
         return new RequestPlan(
                 id,
                 route,
                 service,
                 account,
                 Math.max(0, Math.min(9, rank)),
-                TokenUse.parse(request.headers().get(names.tokens())),
-                affinityOf(request, names),
+                tokens,
+                PromptHeader.read(request.headers(), names, tokens),
                 request.arrivedMillis() + held,
                 wait);
     }
 
-    long promptTokens() {
-        return tokens.map(TokenUse::prompt).orElse(0L);
-    }
-
     Optional<String> prepaidAccount() {
         return account.filter(each -> each.prepaid().isPresent()).map(PrepaidAccount::name);
     }
 
+    PlacementQuery placement(String failureDomain, Set<String> excluded) {
+        return new PlacementQuery(
+                prompt,
+                rank,
+                route.targetLatency().toMillis(),
+                route.targetPause().toMillis(),
+                failureDomain,
+                excluded);
+    }
+
     private static long callerWait(CallerRequest request, Route route, ForwardingHeaders names) {
         String header = request.headers().get(names.deadline());
         if (header == null) {
@@ -77,16 +86,4 @@
             return route.timeout().toMillis();
         }
     }
-
-    /** The last part of a prompt is its own; those before it are shared. */
-    private static String affinityOf(CallerRequest request, ForwardingHeaders names) {
-        String header = request.headers().get(names.promptParts());
-        if (header == null || header.isEmpty()) {
-            return "";
-        }
-        List<String> parts = List.of(header.split(",", -1));
-        String last = parts.get(Math.max(0, parts.size() - 2)).trim();
-        int colon = last.indexOf(':');
-        return colon < 0 ? last : last.substring(0, colon);
-    }
 }
--- a/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
+++ b/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
@@ -13,6 +13,7 @@
  * @param notRun says that the backend server has not run the request and never will
  * @param tokens tokens of the prompt, and the most of the answer
  * @param promptParts parts of the prompt in order
+ * @param lengthHint tokens of the answer that the caller expects
  * @param urgency rank for the backend server's queue
  * @param lastEventId last event of a stream that the receiver has
  * @param reserved headers that only entries may set; removed from callers' requests
@@ -26,6 +27,7 @@
         String notRun,
         String tokens,
         String promptParts,
+        String lengthHint,
         String urgency,
         String lastEventId,
         Set<String> reserved) {
