Let lease marks rise with the silence of the store

Change: a mark starts with 0.6 s of demand and rises evenly until the patience is over; a successor takes back what lies above the point that its predecessor can have reached when it started.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -5,15 +5,18 @@
 /**
  * What this incarnation holds of one account, what it used of it, and what it lent to or borrowed from other entries.
  *
- * <p>Two amounts are durable: all that is granted, and a mark below it. While the store answers, no more is used
+ * <p>Durable are all that is granted, and a mark below it. Until the store has been silent for long, no more is used
  * than the mark, so that a successor may take back what lies between the two. Confined to one thread.
  */
 final class AccountLease {
     /** Demand may rise while the store is silent. */
     private static final double MARK_FACTOR = 1.3;
+    /** What is used until the next write is confirmed: an interval between writes, and one that is refused first. */
+    private static final double MILLIS_AT_ONCE = 600;
 
     private final DurableAmount granted = new DurableAmount();
-    private final DurableAmount mark = new DurableAmount();
+    private final DurableAmount markAtOnce = new DurableAmount();
+    private final DurableAmount markAtPatience = new DurableAmount();
     private long spent;
     private long reserved;
     private long lent;
@@ -25,8 +28,16 @@
     private double tokensPerMilli;
 
     /** Tokens that can be reserved at once. */
-    long available(boolean beyondMark) {
-        return (beyondMark ? granted.usable() : mark.usable()) + borrowed - lent - spent - reserved;
+    long available(StoreSilence silence) {
+        return usable(silence) + borrowed - lent - spent - reserved;
+    }
+
+    private long usable(StoreSilence silence) {
+        if (silence.outOfPatience()) {
+            return granted.usable();
+        }
+        Mark mark = new Mark(markAtOnce.usable(), markAtPatience.usable());
+        return Math.min(granted.usable(), silence.usable(mark));
     }
 
     /** Tokens of the grant that are used; negative while less is used than was borrowed. */
@@ -42,9 +53,9 @@
         waiting += tokens;
     }
 
-    boolean tryReserve(long tokens, boolean beyondMark) {
+    boolean tryReserve(long tokens, StoreSilence silence) {
         largest = Math.max(largest, tokens);
-        if (available(beyondMark) < tokens) {
+        if (available(silence) < tokens) {
             return false;
         }
         reserved += tokens;
@@ -69,24 +80,28 @@
         borrowed += tokens;
     }
 
-    void proposed(long newGranted, long newMark) {
+    void proposed(long newGranted, Mark newMark) {
         granted.proposed(newGranted);
-        mark.proposed(newMark);
+        markAtOnce.proposed(newMark.atOnce());
+        markAtPatience.proposed(newMark.atPatience());
     }
 
-    void confirmed(long newGranted, long newMark) {
+    void confirmed(long newGranted, Mark newMark) {
         granted.confirmed(newGranted);
-        mark.confirmed(newMark);
+        markAtOnce.confirmed(newMark.atOnce());
+        markAtPatience.confirmed(newMark.atPatience());
     }
 
     void refused() {
         granted.refused();
-        mark.refused();
+        markAtOnce.refused();
+        markAtPatience.refused();
     }
 
     void unanswered() {
         granted.unanswered();
-        mark.unanswered();
+        markAtOnce.unanswered();
+        markAtPatience.unanswered();
     }
 
     boolean uncertain() {
@@ -125,11 +140,17 @@
         return Math.min(waiting, Math.max(0, pool));
     }
 
-    /** Tokens of those at hand that may be used while the store answers. */
-    long wantedBelowMark(long wanted, PrepaidSettings settings) {
-        double demand = tokensPerMilli * settings.patience().toMillis() * MARK_FACTOR;
+    /**
+     * The mark of a lease.
+     *
+     * @param wanted tokens at hand
+     */
+    Mark markFor(long wanted, PrepaidSettings settings) {
+        double perMilli = tokensPerMilli * MARK_FACTOR;
         double part = wanted * settings.markShare();
-        long needed = Math.max((long) Math.max(demand, part), Math.max(waiting, 0));
-        return Math.min(wanted, needed);
+        double atOnce = Math.max(Math.max(perMilli * MILLIS_AT_ONCE, part), (double) waiting);
+        double rise = perMilli * settings.patience().toMillis();
+        long used = used();
+        return new Mark(used + (long) atOnce, used + (long) (atOnce + rise)).atMost(used + wanted);
     }
 }
--- a/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
@@ -3,14 +3,14 @@
 import java.util.Map;
 
 /**
- * The marks of one incarnation: up to where it may have used its grants while the store answered it.
+ * The marks of one incarnation: up to where it may have used its grants.
  *
  * @param incarnation whose marks they are
- * @param confirmedMillis time of the store at which its last confirmed write was sent, or before; from then on it is
- *     patient before it uses tokens beyond the marks
- * @param marks tokens by account
+ * @param confirmedMillis time of the store at which its last confirmed write was sent, or before; its marks rise from
+ *     then on, until it is out of patience
+ * @param marks marks by account
  */
-public record MarkRow(String incarnation, long confirmedMillis, Map<String, Long> marks) {
+public record MarkRow(String incarnation, long confirmedMillis, Map<String, Mark> marks) {
     /** Copies the map. */
     public MarkRow {
         marks = Map.copyOf(marks);
@@ -25,8 +25,13 @@
         return successorStartMillis - confirmedMillis < patienceMillis;
     }
 
-    /** What is used for sure at most of an account, if the marks were held. */
-    public long markOf(String account, long granted) {
-        return Math.min(granted, marks.getOrDefault(account, granted));
+    /**
+     * What is used for sure at most of an account, if the marks were held.
+     *
+     * @param successorStartMillis time of the store at which its successor on the same box started, or later
+     */
+    public long usedAtMost(String account, long granted, long successorStartMillis, long patienceMillis) {
+        Mark mark = marks.getOrDefault(account, Mark.of(granted));
+        return Math.min(granted, mark.after(successorStartMillis - confirmedMillis, patienceMillis));
     }
 }
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -27,7 +27,7 @@
     private final String incarnation;
     private final PrepaidSettings settings;
     private final Map<String, AccountLease> leases = new HashMap<>();
-    private boolean beyondMark;
+    private StoreSilence silence;
     private boolean releasing;
 
     /** How a reservation ended. */
@@ -46,7 +46,7 @@
      * @param granted what this incarnation holds after the change
      * @param mark its mark after the change
      */
-    public record Proposal(String account, Optional<PrepaidRow> row, long granted, long mark) {}
+    public record Proposal(String account, Optional<PrepaidRow> row, long granted, Mark mark) {}
 
     /**
      * Creates an empty book.
@@ -57,6 +57,7 @@
     public PrepaidBook(String incarnation, PrepaidSettings settings) {
         this.incarnation = incarnation;
         this.settings = settings;
+        this.silence = new StoreSilence(0, settings.patience().toMillis(), false);
     }
 
     /** Whose leases these are. */
@@ -69,9 +70,14 @@
         return settings;
     }
 
-    /** Says whether the store has been silent for so long that tokens beyond the marks may be used. */
-    public void useBeyondMark(boolean allowed) {
-        beyondMark = allowed;
+    /**
+     * Says for how long the store has confirmed no write.
+     *
+     * @param elapsedMillis time since the last confirmed write was sent, or less
+     */
+    public void storeSilentFor(long elapsedMillis) {
+        long patience = settings.patience().toMillis();
+        silence = new StoreSilence(elapsedMillis, patience, elapsedMillis >= patience);
     }
 
     /** From now on leases shrink to what is used or waited for, as this entry takes no more requests. */
@@ -81,7 +87,7 @@
 
     /** Reserves tokens of an account. */
     public Outcome reserve(String account, long tokens) {
-        return lease(account).tryReserve(tokens, beyondMark) ? Outcome.RESERVED : Outcome.SHORT;
+        return lease(account).tryReserve(tokens, silence) ? Outcome.RESERVED : Outcome.SHORT;
     }
 
     /** Books what a request used and frees the rest of its reservation. */
@@ -104,14 +110,14 @@
      * borrower, so this is for small fleets.
      */
     public long lendWithSpare(String account, long asked) {
-        long available = Math.max(0, lease(account).available(beyondMark));
+        long available = Math.max(0, lease(account).available(silence));
         return lendUpTo(account, asked, asked + Math.min(asked, available / SPARE_PARTS));
     }
 
     private long lendUpTo(String account, long asked, long most) {
         AccountLease lease = lease(account);
         lease.asked(asked);
-        long amount = Math.min(Math.max(0, lease.available(beyondMark)), most);
+        long amount = Math.min(Math.max(0, lease.available(silence)), most);
         lease.lend(amount);
         return amount;
     }
@@ -128,7 +134,7 @@
 
     /** Tokens of an account that can be reserved at once. */
     public long available(String account) {
-        return lease(account).available(beyondMark);
+        return lease(account).available(silence);
     }
 
     /** Notes the demand since the last call. */
@@ -149,11 +155,11 @@
         long pool = row.unheld() + held - used;
         long wanted = releasing ? lease.wantedByWaiting(pool) : lease.wanted(pool, holders, settings);
         if (!lease.uncertain() && settled(held - used, wanted, lease.waiting())) {
-            long mark = used + lease.wantedBelowMark(Math.max(0, held - used), settings);
-            return new Proposal(account, Optional.empty(), held, Math.min(held, mark));
+            Mark mark = lease.markFor(Math.max(0, held - used), settings);
+            return new Proposal(account, Optional.empty(), held, mark.atMost(held));
         }
         long granted = used + wanted;
-        long mark = used + lease.wantedBelowMark(wanted, settings);
+        Mark mark = lease.markFor(wanted, settings);
         PrepaidRow changed = row.withHolding(incarnation, new Holding(granted, used));
         return new Proposal(account, Optional.of(changed), granted, mark);
     }
@@ -170,11 +176,11 @@
         long used = lease.used();
         boolean enough = lease.waiting() == 0 && held - used <= KEPT_TOKENS;
         if (enough && !lease.uncertain()) {
-            return new Proposal(account, Optional.empty(), held, held);
+            return new Proposal(account, Optional.empty(), held, Mark.of(held));
         }
         long granted = used + lease.wantedByWaiting(row.unheld() + held - used);
         PrepaidRow changed = row.withHolding(incarnation, new Holding(granted, used));
-        return new Proposal(account, Optional.of(changed), granted, granted);
+        return new Proposal(account, Optional.of(changed), granted, Mark.of(granted));
     }
 
     /** Whether the rest that nobody has spent for sure can't hold a request at its most. */
@@ -185,18 +191,21 @@
     /** Plans the return of all that is neither spent nor reserved. */
     public Proposal planClose(String account, PrepaidRow row) {
         long used = lease(account).used();
-        return new Proposal(account, Optional.of(row.withClosed(incarnation, used)), used, used);
+        return new Proposal(account, Optional.of(row.withClosed(incarnation, used)), used, Mark.of(used));
     }
 
     /**
      * Plans to take back what a predecessor on this box left unused.
      *
      * @param marks its marks, which it is known to have held
+     * @param startMillis time of the store at which this incarnation started, or later
      * @return the row without its holding; empty if it has none
      */
-    public static Optional<PrepaidRow> reclaim(String account, PrepaidRow row, MarkRow marks) {
+    public Optional<PrepaidRow> reclaim(String account, PrepaidRow row, MarkRow marks, long startMillis) {
+        long patience = settings.patience().toMillis();
         return row.holding(marks.incarnation())
-                .map(holding -> row.withClosed(marks.incarnation(), marks.markOf(account, holding.granted())));
+                .map(holding -> marks.usedAtMost(account, holding.granted(), startMillis, patience))
+                .map(used -> row.withClosed(marks.incarnation(), used));
     }
 
     /** Notes that a write was sent. */
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidSettings.java
@@ -10,7 +10,7 @@
  * @param idleShare part of an entry's even share that it holds without any demand
  * @param patience how long the store must have been silent before tokens beyond the mark are used; a successor that
  *     starts sooner after its predecessor's last write takes them back
- * @param markShare least part of a lease that lies below the mark
+ * @param markShare least part of a lease that may be used at once, without a further write
  */
 public record PrepaidSettings(
         Duration cover, Duration rateWindow, double idleShare, Duration patience, double markShare) {
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -13,6 +13,9 @@
     private static final String ACCOUNT = "hospitals";
     private static final long LIMIT = 100_000;
 
+    private static final long PATIENCE_MILLIS =
+            PrepaidSettings.DEFAULT.patience().toMillis();
+
     private PrepaidBook book;
     private PrepaidRow row;
 
@@ -152,13 +155,24 @@
 
     @Test
     public void tokensBeyondTheMarkWaitForPatience() {
-        book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, 3_000));
+        book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, Mark.of(3_000)));
         assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.SHORT);
 
-        book.useBeyondMark(true);
+        book.storeSilentFor(PATIENCE_MILLIS - 1);
+        assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.SHORT);
+        book.storeSilentFor(PATIENCE_MILLIS);
         assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.RESERVED);
     }
 
+    @Test
+    public void theMarkRisesWhileTheStoreIsSilent() {
+        book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, new Mark(1_000, 5_000)));
+        assertThat(book.available(ACCOUNT)).isEqualTo(1_000);
+
+        book.storeSilentFor(PATIENCE_MILLIS / 2);
+        assertThat(book.available(ACCOUNT)).isEqualTo(3_000);
+    }
+
     @Test
     public void settlingFreesWhatWasNotUsed() {
         book.confirmed(propose(10_000));
@@ -191,7 +205,7 @@
 
     @Test
     public void anEntryLendsWhatItHasWhenThatIsNotEnough() {
-        book.confirmed(new Proposal(ACCOUNT, Optional.empty(), 500, 500));
+        book.confirmed(new Proposal(ACCOUNT, Optional.empty(), 500, Mark.of(500)));
         assertThat(book.lend(ACCOUNT, 1_000)).isEqualTo(500);
         assertThat(book.available(ACCOUNT)).isZero();
         assertThat(book.lend(ACCOUNT, 1_000)).isZero();
@@ -229,17 +243,36 @@
     @Test
     public void aSuccessorTakesBackWhatLiesBeyondTheMark() {
         PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
-        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, 6_000L));
-        PrepaidRow taken = PrepaidBook.reclaim(ACCOUNT, held, marks).orElseThrow();
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, Mark.of(6_000)));
+        PrepaidRow taken = book.reclaim(ACCOUNT, held, marks, 2_000).orElseThrow();
         assertThat(taken.used()).isEqualTo(6_000);
         assertThat(taken.holdings()).isEmpty();
     }
 
+    @Test
+    public void theSoonerASuccessorStartsTheMoreItTakesBack() {
+        PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, new Mark(3_000, 7_000)));
+
+        long halfway = 1_000 + PATIENCE_MILLIS / 2;
+        assertThat(book.reclaim(ACCOUNT, held, marks, 1_000).orElseThrow().used())
+                .isEqualTo(3_000);
+        assertThat(book.reclaim(ACCOUNT, held, marks, halfway).orElseThrow().used())
+                .isEqualTo(5_000);
+    }
+
+    @Test
+    public void aLeaseWithoutDemandIsMarkedLow() {
+        Proposal proposal = book.plan(ACCOUNT, row, 1);
+        assertThat(proposal.mark().atOnce()).isLessThan(proposal.granted() / 4);
+        assertThat(proposal.mark().atPatience()).isLessThanOrEqualTo(proposal.granted());
+    }
+
     @Test
     public void anAccountWithoutAMarkStaysUsedInFull() {
         PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
         MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of());
-        assertThat(PrepaidBook.reclaim(ACCOUNT, held, marks).orElseThrow().used())
+        assertThat(book.reclaim(ACCOUNT, held, marks, 2_000).orElseThrow().used())
                 .isEqualTo(30_000);
     }
 
@@ -259,7 +292,7 @@
 
     private Proposal propose(long tokens) {
         PrepaidRow changed = row.withHolding("entry-1.a", new Holding(tokens, 0));
-        Proposal proposal = new Proposal(ACCOUNT, Optional.of(changed), tokens, tokens);
+        Proposal proposal = new Proposal(ACCOUNT, Optional.of(changed), tokens, Mark.of(tokens));
         book.proposed(proposal);
         row = changed;
         return proposal;
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
@@ -133,7 +133,9 @@
 
         private void act(Entry entry) {
             entry.book.sample(nowMillis);
-            entry.book.useBeyondMark(entry.reclaimed && nowMillis - entry.confirmedSentMillis >= PATIENCE_MILLIS);
+            if (entry.reclaimed) {
+                entry.book.storeSilentFor(nowMillis - entry.confirmedSentMillis);
+            }
             serve(entry);
             int draw = random.nextInt(1_000);
             if (draw < 4) {
@@ -186,8 +188,9 @@
                 entry.book.refused(proposal);
             } else {
                 commit(entry.box, proposal.row(), newMarks);
-                entry.book.confirmed(proposal);
                 entry.confirmedSentMillis = nowMillis;
+                entry.book.storeSilentFor(0);
+                entry.book.confirmed(proposal);
             }
         }
 
@@ -195,7 +198,7 @@
             Optional<MarkRow> left = Optional.ofNullable(marks.get(entry.box));
             Optional<PrepaidRow> changed = left.filter(
                             each -> each.heldBy(entry.startMillis, PATIENCE_MILLIS - MARGIN_MILLIS))
-                    .flatMap(each -> PrepaidBook.reclaim(ACCOUNT, row, each));
+                    .flatMap(each -> entry.book.reclaim(ACCOUNT, row, each, entry.startMillis));
             commit(entry.box, changed, new MarkRow(entry.incarnation, 0, Map.of()));
             entry.reclaimed = true;
             entry.confirmedSentMillis = nowMillis;
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -17,6 +17,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.limit.ConflictBackoff;
 import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.prepaid.Mark;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidRow;
@@ -39,7 +40,9 @@
     private static final long WATCH_MILLIS = 50;
     private static final long STORE_SILENT_MILLIS = 700;
     private static final long CLOSE_RETRY_MILLIS = 10;
+    /** Clocks of the store and of this box may run apart this far within a process's patience. */
     private static final long RECLAIM_MARGIN_MILLIS = 200;
+
     private static final int MAX_CHANGES = 90;
 
     private final EventLoop loop;
@@ -261,7 +264,8 @@
         Map<String, PrepaidRow> changed = new HashMap<>();
         left.filter(this::heldItsMarks).ifPresent(marks -> {
             for (String account : rows.accounts()) {
-                PrepaidBook.reclaim(account, rows.account(account), marks).ifPresent(row -> changed.put(account, row));
+                book.reclaim(account, rows.account(account), marks, startStoreMillis + RECLAIM_MARGIN_MILLIS)
+                        .ifPresent(row -> changed.put(account, row));
             }
         });
         left.ifPresent(marks -> log.line(
@@ -294,7 +298,7 @@
 
     private CompletableFuture<Boolean> write(List<PrepaidBook.Proposal> proposals) {
         Map<String, PrepaidRow> changed = new HashMap<>();
-        Map<String, Long> marks = new HashMap<>();
+        Map<String, Mark> marks = new HashMap<>();
         for (PrepaidBook.Proposal proposal : proposals) {
             proposal.row().ifPresent(row -> changed.put(proposal.account(), row));
             marks.put(proposal.account(), proposal.mark());
@@ -345,7 +349,7 @@
             if (answer.committed()) {
                 confirmedSentMillis = sentMillis;
                 confirmedStoreMillis = sentStoreMillis;
-                book.useBeyondMark(false);
+                book.storeSilentFor(clock.getAsLong() - sentMillis);
             }
             result.complete(answer.committed());
         });
@@ -389,10 +393,8 @@
         if (writing && now - writeSentMillis > STORE_SILENT_MILLIS) {
             noAnswer(new StoreException("renew leases", "no answer for long", false));
         }
-        boolean outOfPatience =
-                now - confirmedSentMillis >= book.settings().patience().toMillis();
-        if (reclaimed && outOfPatience) {
-            book.useBeyondMark(true);
+        if (reclaimed) {
+            book.storeSilentFor(now - confirmedSentMillis);
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.streamring.kernel.prepaid.Holding;
+import org.streamring.kernel.prepaid.Mark;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidRow;
 
@@ -62,16 +63,17 @@
         }
     }
 
-    /** Writes marks: {@code [incarnation, confirmed, account, mark, …]}. */
+    /** Writes marks: {@code [incarnation, confirmed, account, tokens at once, tokens at patience, …]}. */
     static String writeMarks(MarkRow marks) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = JSON.createGenerator(text)) {
             generator.writeStartArray();
             generator.writeString(marks.incarnation());
             generator.writeNumber(marks.confirmedMillis());
-            for (Map.Entry<String, Long> mark : marks.marks().entrySet()) {
+            for (Map.Entry<String, Mark> mark : marks.marks().entrySet()) {
                 generator.writeString(mark.getKey());
-                generator.writeNumber(mark.getValue());
+                generator.writeNumber(mark.getValue().atOnce());
+                generator.writeNumber(mark.getValue().atPatience());
             }
             generator.writeEndArray();
         } catch (IOException e) {
@@ -88,10 +90,10 @@
             }
             String incarnation = parser.getText();
             long confirmed = number(parser);
-            Map<String, Long> marks = new TreeMap<>();
+            Map<String, Mark> marks = new TreeMap<>();
             while (parser.nextToken() == JsonToken.VALUE_STRING) {
                 String account = parser.getText();
-                marks.put(account, number(parser));
+                marks.put(account, new Mark(number(parser), number(parser)));
             }
             return Optional.of(new MarkRow(incarnation, confirmed, marks));
         } catch (IOException e) {
