--- a/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
@@ -20,6 +20,7 @@
     private static final double OTHER_DOMAIN_COST = 0.002;
 
     private final EngineSpeed speed;
+    private final long nowMillis;
     private final double typicalGapMillis;
     private final int tokensPerEvent;
 
@@ -28,8 +29,9 @@
      *
      * @param typicalGapMillis usual time between two events at a typical replica
      */
-    PlacementCost(EngineSpeed speed, double typicalGapMillis, int tokensPerEvent) {
+    PlacementCost(EngineSpeed speed, double typicalGapMillis, int tokensPerEvent, long nowMillis) {
         this.speed = speed;
+        this.nowMillis = nowMillis;
         this.typicalGapMillis = typicalGapMillis;
         this.tokensPerEvent = Math.max(1, tokensPerEvent);
     }
@@ -41,10 +43,10 @@
     }
 
     /** Cost of a request at a replica. */
-    double of(PlacementQuery query, ReplicaState replica, boolean sameDomain, long nowMillis) {
+    double of(PlacementQuery query, ReplicaState replica, boolean sameDomain) {
         long tokens = replica.tokensToRead(query.prompt());
         double waiting = lateness(query, replica, tokens);
-        double paused = speed.pauses().factor() * paused(query, replica, nowMillis);
+        double paused = speed.pauses().factor() * paused(query, replica);
         double own = weight(query) * (waiting + Math.min(1, paused));
         double others = replica.weightOfStreams() * speed.pauses().factor() * pauseAdded(query, replica, tokens);
         double reading = READING_COST * tokens / TOKENS_OF_UNIT;
@@ -53,31 +55,28 @@
 
     /** Probability that the streams beside a prompt pause for too long because of it, and would not have before. */
     double pauseAdded(PlacementQuery query, ReplicaState replica, long tokens) {
-        long before = replica.unreadTokens();
+        double before = unread(replica);
         return pauseProbability(query, replica, before + tokens) - pauseProbability(query, replica, before);
     }
 
-    private double pauseProbability(PlacementQuery query, ReplicaState replica, long tokens) {
+    private double pauseProbability(PlacementQuery query, ReplicaState replica, double tokens) {
         double millis = readingMillis(replica, tokens) + gapMillis(replica);
         return late(millis / Math.max(1, query.pauseMillis()));
     }
 
     /** What is to be expected of a request at a replica. */
-    PlacementForecast forecast(PlacementQuery query, ReplicaState replica, long nowMillis) {
+    PlacementForecast forecast(PlacementQuery query, ReplicaState replica) {
         long tokens = replica.tokensToRead(query.prompt());
         return new PlacementForecast(
-                tokens,
-                replica.unreadTokens(),
-                (long) firstEventMillis(replica, tokens),
-                paused(query, replica, nowMillis));
+                tokens, (long) unread(replica), (long) firstEventMillis(replica, tokens), paused(query, replica));
     }
 
-    private double paused(PlacementQuery query, ReplicaState replica, long nowMillis) {
+    private double paused(PlacementQuery query, ReplicaState replica) {
         return 1 - Math.exp(-replica.pausesPerMilli(nowMillis) * streamMillis(query, replica));
     }
 
     private double firstEventMillis(ReplicaState replica, long tokens) {
-        return speed.firstEventMillis() + readingMillis(replica, replica.unreadTokens() + tokens);
+        return speed.firstEventMillis() + readingMillis(replica, unread(replica) + tokens);
     }
 
     private double lateness(PlacementQuery query, ReplicaState replica, long tokens) {
@@ -89,7 +88,12 @@
         return 1 / (1 + Math.exp(-STEEPNESS * (partOfTarget - 1)));
     }
 
-    private double readingMillis(ReplicaState replica, long tokens) {
+    private double unread(ReplicaState replica) {
+        return replica.unreadTokens(nowMillis, speed.tokensPerMilli());
+    }
+
+    /** Time in which a replica reads tokens. */
+    double readingMillis(ReplicaState replica, double tokens) {
         return tokens / speed.tokensPerMilli() * slowness(replica);
     }
 
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -69,17 +69,22 @@
     /** Notes that a request begins at a replica. */
     public PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance, long nowMillis) {
         ReplicaState replica = state(instance.id());
-        PlacementCost cost = cost(service, List.of(instance));
-        PlacementForecast forecast = cost.forecast(query, replica, nowMillis);
+        PlacementCost cost = cost(service, List.of(instance), nowMillis);
+        PlacementForecast forecast = cost.forecast(query, replica);
         if (service.isEngine()) {
             replica.pauseCaused(cost.pauseAdded(query, replica, forecast.tokensToRead()), nowMillis);
-            news.read(instance.id(), query.prompt());
+            news.read(instance.id(), query.prompt(), cost.readingMillis(replica, (double) forecast.tokensToRead()));
         }
         double weight = service.isEngine() ? PlacementCost.weight(query) : 0;
         return replica.started(
                 query, speed(service), forecast, weight, memoryForParts(service.memoryTokens()), nowMillis);
     }
 
+    /** Says what to do when other entries should know of a long prompt before the next regular report. */
+    public void onLongPrompt(Runnable listener) {
+        news.onLongPrompt(listener);
+    }
+
     /** What other entries should know: this entry's load, and prompts sent since the last call. */
     public PlacementReport report(long nowMillis) {
         Map<String, ReplicaShare> shares = new HashMap<>();
@@ -98,9 +103,9 @@
      * @param entry identifier of its process
      * @param memoryOf memory of a replica in tokens, by its identifier; 0 if it is not known
      */
-    public void reported(String entry, PlacementReport report, ToLongFunction<String> memoryOf) {
+    public void reported(String entry, PlacementReport report, ToLongFunction<String> memoryOf, long nowMillis) {
         forget(entry);
-        report.shares().forEach((id, share) -> state(id).told(entry, share));
+        report.shares().forEach((id, share) -> state(id).told(entry, share, nowMillis));
         report.prompts().forEach(read -> state(read.replica())
                 .readForOther(read.parts(), memoryForParts(memoryOf.applyAsLong(read.replica()))));
     }
@@ -118,10 +123,10 @@
 
     private Optional<BackendInstance> cheapest(
             PlacementQuery query, ServiceTraits service, List<BackendInstance> candidates, long nowMillis) {
-        PlacementCost cost = cost(service, candidates);
+        PlacementCost cost = cost(service, candidates, nowMillis);
         Map<String, Double> costs = new HashMap<>();
         candidates.forEach(instance ->
-                costs.put(instance.id(), cost.of(query, state(instance.id()), sameDomain(query, instance), nowMillis)));
+                costs.put(instance.id(), cost.of(query, state(instance.id()), sameDomain(query, instance))));
         return inOrder(query.prompt(), candidates).stream()
                 .min(Comparator.comparingDouble(instance -> costs.get(instance.id())));
     }
@@ -156,8 +161,8 @@
         return instance.failureDomain().equals(query.failureDomain());
     }
 
-    private PlacementCost cost(ServiceTraits service, List<BackendInstance> candidates) {
-        return new PlacementCost(speed(service), typicalGapMillis(candidates), service.tokensPerEvent());
+    private PlacementCost cost(ServiceTraits service, List<BackendInstance> candidates, long nowMillis) {
+        return new PlacementCost(speed(service), typicalGapMillis(candidates), service.tokensPerEvent(), nowMillis);
     }
 
     /** Median of the replicas' usual times between events. */
--- a/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
@@ -22,13 +22,21 @@
     private final ReplicaHealth health = new ReplicaHealth();
     private final KeptParts kept = new KeptParts();
     private final RunningMedian eventGap = new RunningMedian(INITIAL_GAP_MILLIS, GAP_STEP);
-    private final Map<String, ReplicaShare> others = new HashMap<>();
+    private final Map<String, ToldShare> others = new HashMap<>();
     private int running;
     private long unreadTokens;
     private double weightOfStreams;
     private double recentPauses;
     private long recentMillis;
 
+    /** A share as another entry told it, and when. */
+    private record ToldShare(ReplicaShare share, long toldMillis) {
+        /** Prompts go on being read while nothing new is told. */
+        double unreadTokens(long nowMillis, double tokensPerMilli) {
+            return Math.max(0, share.unreadTokens() - (nowMillis - toldMillis) * tokensPerMilli);
+        }
+    }
+
     /** Notes a request that begins here. */
     PlacedPrompt started(
             PlacementQuery query,
@@ -38,7 +46,7 @@
             long memoryTokens,
             long nowMillis) {
         Prompt prompt = query.prompt();
-        boolean alone = unreadTokens() == 0;
+        boolean alone = forecast.unreadTokens() == 0;
         running++;
         unreadTokens += forecast.tokensToRead();
         weightOfStreams += weight;
@@ -52,8 +60,8 @@
     }
 
     /** Takes what another entry told of its requests here. */
-    void told(String entry, ReplicaShare share) {
-        others.put(entry, share);
+    void told(String entry, ReplicaShare share, long nowMillis) {
+        others.put(entry, new ToldShare(share, nowMillis));
     }
 
     /** Forgets what another entry told. */
@@ -94,8 +102,9 @@
 
     /** Pauses that prompts of all entries cause here, in a millisecond on average. */
     double pausesPerMilli(long nowMillis) {
-        double told =
-                others.values().stream().mapToDouble(ReplicaShare::recentPauses).sum();
+        double told = others.values().stream()
+                .mapToDouble(each -> each.share().recentPauses())
+                .sum();
         return (ownRecentPauses(nowMillis) + told) / RECENT_MILLIS;
     }
 
@@ -104,17 +113,19 @@
         return Math.max(0, prompt.tokens() - kept.keptTokens(prompt.parts()));
     }
 
-    /** Prompt tokens of all entries that were sent and not yet read. */
-    long unreadTokens() {
-        return unreadTokens
-                + others.values().stream().mapToLong(ReplicaShare::unreadTokens).sum();
+    /** Prompt tokens of all entries that were sent and are likely not yet read. */
+    double unreadTokens(long nowMillis, double tokensPerMilli) {
+        double told = others.values().stream()
+                .mapToDouble(each -> each.unreadTokens(nowMillis, tokensPerMilli))
+                .sum();
+        return unreadTokens + told;
     }
 
     /** Streams of all entries that a pause would make late, by weight. */
     double weightOfStreams() {
         return weightOfStreams
                 + others.values().stream()
-                        .mapToDouble(ReplicaShare::weightOfStreams)
+                        .mapToDouble(each -> each.share().weightOfStreams())
                         .sum();
     }
 
--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -14,6 +14,9 @@
     /** What is used until the next write is confirmed: an interval between writes, and one that is refused first. */
     private static final double MILLIS_AT_ONCE = 600;
 
+    /** Notes are sent five times a second; one or two of them may be lost. */
+    private static final double NOTED_AHEAD_MILLIS = 1_000;
+
     private final DurableAmount granted = new DurableAmount();
     private final DurableAmount markAtOnce = new DurableAmount();
     private final DurableAmount markAtPatience = new DurableAmount();
@@ -28,18 +31,32 @@
     private double tokensPerMilli;
 
     /** Tokens that can be reserved at once. */
-    long available(StoreSilence silence) {
-        return usable(silence) + borrowed - lent - spent - reserved;
+    long available(long usable) {
+        return usable - used();
     }
 
-    private long usable(StoreSilence silence) {
-        if (silence.outOfPatience()) {
-            return granted.usable();
-        }
+    /** Tokens of the grant that may be used while the marks bind. */
+    long usableBelowMark(StoreSilence silence) {
         Mark mark = new Mark(markAtOnce.usable(), markAtPatience.usable());
         return Math.min(granted.usable(), silence.usable(mark));
     }
 
+    /** Tokens of the grant that may be used once the marks no longer bind. */
+    long usableBeyondMark() {
+        return granted.usable();
+    }
+
+    /** Tokens of the grant that may be used, up to those noted at a witness. */
+    long usableUpTo(long noted) {
+        return Math.min(granted.usable(), Math.max(markAtPatience.usable(), noted));
+    }
+
+    /** What is to be noted at the witnesses, so that requests of the next moments find tokens. */
+    long wantedNote() {
+        double soon = tokensPerMilli * MARK_FACTOR * NOTED_AHEAD_MILLIS;
+        return Math.min(granted.usable(), used() + (long) soon + waiting);
+    }
+
     /** Tokens of the grant that are used; negative while less is used than was borrowed. */
     long used() {
         return spent + reserved + lent - borrowed;
@@ -53,9 +70,9 @@
         waiting += tokens;
     }
 
-    boolean tryReserve(long tokens, StoreSilence silence) {
+    boolean tryReserve(long tokens, long usable) {
         largest = Math.max(largest, tokens);
-        if (available(silence) < tokens) {
+        if (available(usable) < tokens) {
             return false;
         }
         reserved += tokens;
--- a/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
@@ -1,6 +1,7 @@
 package org.streamring.kernel.prepaid;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The marks of one incarnation: up to where it may have used its grants.
@@ -9,11 +10,14 @@
  * @param confirmedMillis time of the store at which its last confirmed write was sent, or before; its marks rise from
  *     then on, until it is out of patience
  * @param marks marks by account
+ * @param witnesses incarnations of other entries; once it is out of patience it uses nothing beyond its marks that it
+ *     has not noted at one of them. If there are none, it may use all of its grants then
  */
-public record MarkRow(String incarnation, long confirmedMillis, Map<String, Mark> marks) {
-    /** Copies the map. */
+public record MarkRow(String incarnation, long confirmedMillis, Map<String, Mark> marks, Set<String> witnesses) {
+    /** Copies map and set. */
     public MarkRow {
         marks = Map.copyOf(marks);
+        witnesses = Set.copyOf(witnesses);
     }
 
     /**
@@ -25,6 +29,16 @@
         return successorStartMillis - confirmedMillis < patienceMillis;
     }
 
+    /**
+     * What is used at most of an account by an incarnation that ran out of patience.
+     *
+     * @param noted the most that it noted at any of its witnesses, all of which were asked
+     */
+    public long usedAtMost(String account, long granted, long noted) {
+        Mark mark = marks.getOrDefault(account, Mark.of(granted));
+        return Math.min(granted, Math.max(mark.atPatience(), noted));
+    }
+
     /**
      * What is used for sure at most of an account, if the marks were held.
      *
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -27,6 +27,8 @@
     private final String incarnation;
     private final PrepaidSettings settings;
     private final Map<String, AccountLease> leases = new HashMap<>();
+    private final DurableWitnesses witnesses = new DurableWitnesses();
+    private final Map<String, Map<String, Long>> notedAt = new HashMap<>();
     private StoreSilence silence;
     private boolean releasing;
 
@@ -46,7 +48,12 @@
      * @param granted what this incarnation holds after the change
      * @param mark its mark after the change
      */
-    public record Proposal(String account, Optional<PrepaidRow> row, long granted, Mark mark) {}
+    public record Proposal(String account, Optional<PrepaidRow> row, long granted, Mark mark) {
+        /** This proposal, which writes the given row if it would write none. */
+        public Proposal orElseWrite(PrepaidRow other) {
+            return row.isPresent() ? this : new Proposal(account, Optional.of(other), granted, mark);
+        }
+    }
 
     /**
      * Creates an empty book.
@@ -57,7 +64,7 @@
     public PrepaidBook(String incarnation, PrepaidSettings settings) {
         this.incarnation = incarnation;
         this.settings = settings;
-        this.silence = new StoreSilence(0, settings.patience().toMillis(), false);
+        this.silence = new StoreSilence(0, settings.patience().toMillis());
     }
 
     /** Whose leases these are. */
@@ -76,8 +83,55 @@
      * @param elapsedMillis time since the last confirmed write was sent, or less
      */
     public void storeSilentFor(long elapsedMillis) {
-        long patience = settings.patience().toMillis();
-        silence = new StoreSilence(elapsedMillis, patience, elapsedMillis >= patience);
+        silence = new StoreSilence(elapsedMillis, settings.patience().toMillis());
+    }
+
+    /** Who witnesses what is used beyond the marks. */
+    public DurableWitnesses witnesses() {
+        return witnesses;
+    }
+
+    /** Whether tokens can be used only after they are noted at a witness. */
+    public boolean needsNotes() {
+        return silence.outOfPatience() && !witnesses.none();
+    }
+
+    /** What should be noted at the witnesses: tokens of the grants that may be used, by account. */
+    public Map<String, Long> wantedNotes() {
+        Map<String, Long> wanted = new HashMap<>();
+        leases.forEach((account, lease) -> {
+            if (lease.usableBeyondMark() > 0) {
+                wanted.put(account, lease.wantedNote());
+            }
+        });
+        return wanted;
+    }
+
+    /** Notes that a witness has acknowledged tokens that may be used. */
+    public void noted(String witness, Map<String, Long> tokens) {
+        Map<String, Long> noted = notedAt.computeIfAbsent(witness, key -> new HashMap<>());
+        tokens.forEach((account, amount) -> noted.merge(account, amount, Math::max));
+    }
+
+    /** Whether a note at a witness would make tokens available. */
+    public boolean noteWouldHelp(String account, long tokens) {
+        AccountLease lease = lease(account);
+        return needsNotes() && lease.available(lease.usableBeyondMark()) >= tokens;
+    }
+
+    private long usable(String account, AccountLease lease) {
+        if (!silence.outOfPatience()) {
+            return lease.usableBelowMark(silence);
+        }
+        if (witnesses.none()) {
+            return lease.usableBeyondMark();
+        }
+        long noted = witnesses.usable().stream()
+                .map(witness -> notedAt.getOrDefault(witness, Map.of()))
+                .mapToLong(notes -> notes.getOrDefault(account, 0L))
+                .max()
+                .orElse(0);
+        return lease.usableUpTo(noted);
     }
 
     /** From now on leases shrink to what is used or waited for, as this entry takes no more requests. */
@@ -87,7 +141,7 @@
 
     /** Reserves tokens of an account. */
     public Outcome reserve(String account, long tokens) {
-        return lease(account).tryReserve(tokens, silence) ? Outcome.RESERVED : Outcome.SHORT;
+        return lease(account).tryReserve(tokens, usable(account, lease(account))) ? Outcome.RESERVED : Outcome.SHORT;
     }
 
     /** Books what a request used and frees the rest of its reservation. */
@@ -110,14 +164,14 @@
      * borrower, so this is for small fleets.
      */
     public long lendWithSpare(String account, long asked) {
-        long available = Math.max(0, lease(account).available(silence));
+        long available = Math.max(0, available(account));
         return lendUpTo(account, asked, asked + Math.min(asked, available / SPARE_PARTS));
     }
 
     private long lendUpTo(String account, long asked, long most) {
         AccountLease lease = lease(account);
         lease.asked(asked);
-        long amount = Math.min(Math.max(0, lease.available(silence)), most);
+        long amount = Math.min(Math.max(0, lease.available(usable(account, lease))), most);
         lease.lend(amount);
         return amount;
     }
@@ -127,6 +181,21 @@
         lease(account).borrow(tokens);
     }
 
+    /**
+     * Gives up borrowed tokens that lie idle, so that they can be returned to an entry that holds the account's leases.
+     *
+     * @return tokens that are no longer available here
+     */
+    public long giveUpIdle(String account) {
+        AccountLease lease = lease(account);
+        long idle = Math.min(-lease.used(), lease.available(usable(account, lease))) - KEPT_TOKENS;
+        if (idle <= 0 || lease.waiting() > 0) {
+            return 0;
+        }
+        lease.lend(idle);
+        return idle;
+    }
+
     /** Counts tokens that a request waits for; negative when it stops waiting. */
     public void addWaiting(String account, long tokens) {
         lease(account).addWaiting(tokens);
@@ -134,7 +203,7 @@
 
     /** Tokens of an account that can be reserved at once. */
     public long available(String account) {
-        return lease(account).available(silence);
+        return lease(account).available(usable(account, lease(account)));
     }
 
     /** Notes the demand since the last call. */
@@ -208,6 +277,19 @@
                 .map(used -> row.withClosed(marks.incarnation(), used));
     }
 
+    /**
+     * Plans to take back what a predecessor on this box left unused that ran out of patience.
+     *
+     * @param noted the most that it noted at any witness, by account; all its witnesses were asked
+     * @return the row without its holding; empty if it has none
+     */
+    public static Optional<PrepaidRow> reclaimNoted(
+            String account, PrepaidRow row, MarkRow marks, Map<String, Long> noted) {
+        return row.holding(marks.incarnation())
+                .map(holding -> marks.usedAtMost(account, holding.granted(), noted.getOrDefault(account, 0L)))
+                .map(used -> row.withClosed(marks.incarnation(), used));
+    }
+
     /** Notes that a write was sent. */
     public void proposed(Proposal proposal) {
         lease(proposal.account()).proposed(proposal.granted(), proposal.mark());
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -50,7 +51,7 @@
     public void whatAnotherEntryToldIsKeptThereToo() {
         PlacementTable other = new PlacementTable(new Random(2));
         start(other, engineQuery(shared("review-1", 12_000, 100, 30)), "i-3").ended();
-        table.reported("entry-2", other.report(10_000), id -> ENGINE.memoryTokens());
+        table.reported("entry-2", other.report(10_000), id -> ENGINE.memoryTokens(), 10_000);
         assertThat(choose(table, engineQuery(shared("review-1", 12_000, 900, 30))))
                 .isEqualTo("i-3");
     }
@@ -67,7 +68,7 @@
         PlacementTable other = new PlacementTable(new Random(2));
         IntStream.of(0, 1, 2, 4).forEach(number -> start(other, engineQuery(shared("q", 100, 100)), "i-" + number)
                 .answered(10_050));
-        table.reported("entry-2", other.report(10_000), id -> ENGINE.memoryTokens());
+        table.reported("entry-2", other.report(10_000), id -> ENGINE.memoryTokens(), 10_000);
         assertThat(choose(table, engineQuery(shared("review", 12_000, 3_000)))).isEqualTo("i-3");
 
         table.forget("entry-2");
@@ -76,6 +77,32 @@
         assertThat(choose(table, engineQuery(shared("review", 12_000, 3_000)))).isEqualTo("i-4");
     }
 
+    @Test
+    public void whatAnotherEntryToldIsTakenForReadAfterAWhile() {
+        PlacementTable other = new PlacementTable(new Random(2));
+        start(other, engineQuery(shared("r", 20_000, 20_000)), "i-1");
+        table.reported("entry-2", other.report(10_000), id -> ENGINE.memoryTokens(), 9_000);
+        PlacementQuery query = engineQuery(shared("q", 100, 100));
+        assertThat(table.started(query, ENGINE, replicas.get(1), 9_100)
+                        .forecast()
+                        .unreadTokens())
+                .isBetween(30_000L, 39_000L);
+        assertThat(table.started(query, ENGINE, replicas.get(1), 10_500)
+                        .forecast()
+                        .unreadTokens())
+                .isLessThan(1_000);
+    }
+
+    @Test
+    public void othersAreToldOfALongPromptAtOnce() {
+        List<String> told = new ArrayList<>();
+        table.onLongPrompt(() -> told.add("now"));
+        start(table, engineQuery(shared("q", 100, 100)), "i-1");
+        assertThat(told).isEmpty();
+        start(table, engineQuery(shared("r", 9_000, 9_000)), "i-1");
+        assertThat(told).hasSize(1);
+    }
+
     @Test
     public void aShortPromptAvoidsReplicasThatGetLongOnes() {
         IntStream.of(0, 1, 3, 4).forEach(number -> start(table, engineQuery(shared("r", 12_000, 9_000)), "i-" + number)
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.streamring.kernel.prepaid.PrepaidBook.Outcome;
 import org.streamring.kernel.prepaid.PrepaidBook.Proposal;
 import org.testng.annotations.BeforeMethod;
@@ -164,6 +165,41 @@
         assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.RESERVED);
     }
 
+    @Test
+    public void beyondTheMarkAWitnessMustNoteTokensFirst() {
+        book.witnesses().confirmed(Set.of("entry-2.a"));
+        book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, Mark.of(3_000)));
+        book.storeSilentFor(PATIENCE_MILLIS);
+        assertThat(book.reserve(ACCOUNT, 5_000)).isEqualTo(Outcome.SHORT);
+        assertThat(book.noteWouldHelp(ACCOUNT, 5_000)).isTrue();
+
+        book.noted("entry-3.a", Map.of(ACCOUNT, 9_000L));
+        assertThat(book.available(ACCOUNT)).isEqualTo(3_000);
+        book.noted("entry-2.a", Map.of(ACCOUNT, 6_000L));
+        assertThat(book.available(ACCOUNT)).isEqualTo(6_000);
+    }
+
+    @Test
+    public void whatIsWaitedForIsWantedToBeNoted() {
+        book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, Mark.of(3_000)));
+        book.addWaiting(ACCOUNT, 5_000);
+        assertThat(book.wantedNotes()).containsEntry(ACCOUNT, 5_000L);
+    }
+
+    @Test
+    public void aSuccessorTakesBackWhatNoWitnessNoted() {
+        PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, Mark.of(6_000)), Set.of("entry-2.a"));
+        assertThat(PrepaidBook.reclaimNoted(ACCOUNT, held, marks, Map.of())
+                        .orElseThrow()
+                        .used())
+                .isEqualTo(6_000);
+        assertThat(PrepaidBook.reclaimNoted(ACCOUNT, held, marks, Map.of(ACCOUNT, 9_000L))
+                        .orElseThrow()
+                        .used())
+                .isEqualTo(9_000);
+    }
+
     @Test
     public void theMarkRisesWhileTheStoreIsSilent() {
         book.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, new Mark(1_000, 5_000)));
@@ -243,7 +279,7 @@
     @Test
     public void aSuccessorTakesBackWhatLiesBeyondTheMark() {
         PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
-        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, Mark.of(6_000)));
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, Mark.of(6_000)), Set.of());
         PrepaidRow taken = book.reclaim(ACCOUNT, held, marks, 2_000).orElseThrow();
         assertThat(taken.used()).isEqualTo(6_000);
         assertThat(taken.holdings()).isEmpty();
@@ -252,7 +288,7 @@
     @Test
     public void theSoonerASuccessorStartsTheMoreItTakesBack() {
         PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
-        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, new Mark(3_000, 7_000)));
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(ACCOUNT, new Mark(3_000, 7_000)), Set.of());
 
         long halfway = 1_000 + PATIENCE_MILLIS / 2;
         assertThat(book.reclaim(ACCOUNT, held, marks, 1_000).orElseThrow().used())
@@ -271,14 +307,14 @@
     @Test
     public void anAccountWithoutAMarkStaysUsedInFull() {
         PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
-        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of());
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(), Set.of());
         assertThat(book.reclaim(ACCOUNT, held, marks, 2_000).orElseThrow().used())
                 .isEqualTo(30_000);
     }
 
     @Test
     public void marksHoldOnlyForSuccessorsThatStartSoon() {
-        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of());
+        MarkRow marks = new MarkRow("entry-1.old", 1_000, Map.of(), Set.of());
         assertThat(marks.heldBy(4_999, 4_000)).isTrue();
         assertThat(marks.heldBy(5_000, 4_000)).isFalse();
     }
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -26,6 +28,7 @@
             PrepaidSettings.DEFAULT.patience().toMillis();
     private static final long MARGIN_MILLIS = 200;
     private static final int SEEDS = 150;
+    private static final long LINK_MILLIS = 8_000;
     /** Entries change their roles, as the fleet does. */
     private static final long ROLE_MILLIS = 20_000;
 
@@ -56,6 +59,21 @@
         }
     }
 
+    @Test(dataProvider = "seeds")
+    public void neverIsMoreSpentWhereOthersWitnessWhatIsUsed(int seed) {
+        World world = new World(seed);
+        world.witnessed = true;
+        for (int step = 0; step < STEPS; step++) {
+            world.step();
+            assertThat(world.spent).as("step %d", step).isLessThanOrEqualTo(world.row.used());
+            assertThat(world.row.used()).as("held in step %d", step).isLessThanOrEqualTo(LIMIT);
+        }
+        assertThat(world.spent).as("most of the limit is of use").isGreaterThan(LIMIT / 3);
+    }
+
+    /** A note on its way to a witness; it may come late, twice or never. */
+    private record SentNote(long dueMillis, String witness, Entry from, Map<String, Long> tokens) {}
+
     private static final class LateWrite {
         private final long dueMillis;
         private final long rowVersion;
@@ -88,6 +106,9 @@
         private boolean reclaimed;
         private long confirmedSentMillis;
         private boolean cutOff;
+        private final WitnessNotes kept = new WitnessNotes();
+        private Optional<MarkRow> predecessor = Optional.empty();
+        private final Map<String, Map<String, Long>> reports = new HashMap<>();
 
         private Entry(int box, String incarnation, long startMillis) {
             this.box = box;
@@ -109,8 +130,12 @@
         private long rowVersion = 1;
         private long nowMillis;
         private long spent;
+        private int takenBack;
         private int incarnations;
         private boolean someBorrow;
+        private boolean witnessed;
+        private final Map<String, PrepaidBook> dead = new HashMap<>();
+        private final List<SentNote> notes = new ArrayList<>();
 
         private World(int seed) {
             random = new Random(seed);
@@ -126,6 +151,7 @@
         private void step() {
             nowMillis += STEP_MILLIS;
             applyLateWrites();
+            deliverNotes();
             for (Entry entry : List.copyOf(entries.values())) {
                 act(entry);
             }
@@ -136,10 +162,13 @@
             if (entry.reclaimed) {
                 entry.book.storeSilentFor(nowMillis - entry.confirmedSentMillis);
             }
+            sendNotes(entry);
+            askWitnesses(entry);
             serve(entry);
             int draw = random.nextInt(1_000);
             if (draw < 4) {
                 entries.remove(entry.box);
+                dead.put(entry.incarnation, entry.book);
                 nowMillis += random.nextInt(6) * 1_000L;
                 start(entry.box);
             } else if (draw < 12) {
@@ -174,23 +203,29 @@
             PrepaidBook.Proposal proposal =
                     borrower ? entry.book.planBorrower(ACCOUNT, row) : entry.book.plan(ACCOUNT, row, ENTRIES);
             entry.book.proposed(proposal);
+            Set<String> named = chooseWitnesses(entry);
+            entry.book.witnesses().proposed(named);
             MarkRow newMarks =
-                    new MarkRow(entry.incarnation, entry.confirmedSentMillis, Map.of(ACCOUNT, proposal.mark()));
+                    new MarkRow(entry.incarnation, entry.confirmedSentMillis, Map.of(ACCOUNT, proposal.mark()), named);
             int fate = random.nextInt(10);
             if (fate == 0) {
                 long due = nowMillis + random.nextInt(6_000);
                 late.add(new LateWrite(due, rowVersion, marksVersion(entry.box), entry, proposal.row(), newMarks));
                 entry.book.unanswered(proposal);
+                entry.book.witnesses().unanswered();
             } else if (fate == 1) {
                 commit(entry.box, proposal.row(), newMarks);
                 entry.book.unanswered(proposal);
+                entry.book.witnesses().unanswered();
             } else if (fate == 2) {
                 entry.book.refused(proposal);
+                entry.book.witnesses().refused();
             } else {
                 commit(entry.box, proposal.row(), newMarks);
                 entry.confirmedSentMillis = nowMillis;
                 entry.book.storeSilentFor(0);
                 entry.book.confirmed(proposal);
+                entry.book.witnesses().confirmed(named);
             }
         }
 
@@ -199,11 +234,100 @@
             Optional<PrepaidRow> changed = left.filter(
                             each -> each.heldBy(entry.startMillis, PATIENCE_MILLIS - MARGIN_MILLIS))
                     .flatMap(each -> entry.book.reclaim(ACCOUNT, row, each, entry.startMillis));
-            commit(entry.box, changed, new MarkRow(entry.incarnation, 0, Map.of()));
+            changed.ifPresent(next -> checkTakenBack(left.orElseThrow().incarnation(), next));
+            commit(entry.box, changed, new MarkRow(entry.incarnation, 0, Map.of(), Set.of()));
+            entry.predecessor = left.filter(each -> changed.isEmpty());
             entry.reclaimed = true;
             entry.confirmedSentMillis = nowMillis;
         }
 
+        /** What counts as used of a dead incarnation is never less than what it used. */
+        private void checkTakenBack(String incarnation, PrepaidRow changed) {
+            long counted = changed.closed() - row.closed();
+            long used = dead.get(incarnation).planClose(ACCOUNT, row).granted();
+            assertThat(counted).as("counted of %s", incarnation).isGreaterThanOrEqualTo(used);
+        }
+
+        private Set<String> chooseWitnesses(Entry entry) {
+            if (!witnessed || random.nextInt(4) == 0) {
+                return entry.book.witnesses().usable();
+            }
+            return entries.values().stream()
+                    .filter(other -> other != entry && random.nextInt(3) > 0)
+                    .map(other -> other.incarnation)
+                    .collect(Collectors.toSet());
+        }
+
+        private void sendNotes(Entry entry) {
+            if (!entry.book.needsNotes() || random.nextInt(3) == 0) {
+                return;
+            }
+            Map<String, Long> tokens = entry.book.wantedNotes();
+            for (String witness : entry.book.witnesses().usable()) {
+                for (int copies = random.nextInt(3); copies > 0; copies--) {
+                    long due = nowMillis + (random.nextInt(5) == 0 ? random.nextInt(8_000) : 0);
+                    notes.add(new SentNote(due, witness, entry, tokens));
+                }
+            }
+        }
+
+        private void deliverNotes() {
+            for (SentNote note : List.copyOf(notes)) {
+                if (note.dueMillis > nowMillis) {
+                    continue;
+                }
+                notes.remove(note);
+                Optional<Entry> witness = alive(note.witness);
+                boolean kept = witness.isPresent()
+                        && !linkDown(note.from, note.witness)
+                        && witness.get().kept.note(note.from.incarnation, note.tokens);
+                if (kept && random.nextInt(5) > 0) {
+                    note.from.book.noted(note.witness, note.tokens);
+                }
+            }
+        }
+
+        private void askWitnesses(Entry entry) {
+            Optional<MarkRow> left =
+                    entry.predecessor.filter(each -> !each.witnesses().isEmpty());
+            if (left.isEmpty() || entry.cutOff) {
+                return;
+            }
+            for (String witness : left.get().witnesses()) {
+                if (random.nextInt(3) == 0) {
+                    alive(witness)
+                            .ifPresent(each -> entry.reports.put(
+                                    witness, each.kept.close(left.get().incarnation())));
+                }
+            }
+            if (entry.reports.keySet().containsAll(left.get().witnesses())) {
+                Map<String, Long> noted = new HashMap<>();
+                entry.reports
+                        .values()
+                        .forEach(each -> each.forEach((account, tokens) -> noted.merge(account, tokens, Math::max)));
+                PrepaidBook.reclaimNoted(ACCOUNT, row, left.get(), noted).ifPresent(changed -> {
+                    checkTakenBack(left.get().incarnation(), changed);
+                    version++;
+                    row = changed;
+                    rowVersion = version;
+                    takenBack++;
+                });
+                entry.predecessor = Optional.empty();
+            }
+        }
+
+        /** A link from an entry to a witness is down for some seconds, then up again. */
+        private boolean linkDown(Entry from, String witness) {
+            long block = nowMillis / LINK_MILLIS;
+            return Math.floorMod((from.incarnation + witness + block).hashCode(), 5) < 2;
+        }
+
+        private Optional<Entry> alive(String incarnation) {
+            return entries.values().stream()
+                    .filter(each -> each.incarnation.equals(incarnation))
+                    .findFirst();
+        }
+
         private void applyLateWrites() {
             for (LateWrite write : List.copyOf(late)) {
                 if (write.dueMillis > nowMillis) {
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -17,6 +17,8 @@
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.PlacementExchange;
+import org.streamring.direct.peer.TokenLending;
+import org.streamring.direct.peer.UseWitnesses;
 import org.streamring.direct.request.Fleet;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
@@ -60,6 +62,8 @@
     private final MemberRegister members;
     private final TokenDesk tokens;
     private final EntryPeers peers;
+    private final TokenLending lending;
+    private final UseWitnesses witnesses;
     private final Fleet fleet;
     private final PlacementExchange exchange;
     private final TableWatch configurationWatch;
@@ -91,7 +95,9 @@
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         AccountHomes homes = new AccountHomes(settings.nodeName());
-        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, homes, random, log);
+        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, log);
+        this.witnesses = new UseWitnesses(peers, settings.nodeName());
+        this.lending = new TokenLending(loop, peers, homes, random, log);
         this.members = new MemberRegister(
                 loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, others -> {
                     homes.others(others.live().stream()
@@ -141,7 +147,8 @@
                 configuration::inForce,
                 homes,
                 members::live,
-                peers,
+                lending,
+                witnesses,
                 clock,
                 random,
                 metrics,
@@ -168,7 +175,9 @@
         configurationWatch.start();
         backendWatch.start();
         members.start();
-        peers.start(tokens::lend);
+        lending.start(tokens);
+        witnesses.start();
+        peers.start();
         exchange.start();
         tokens.start();
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -40,8 +41,6 @@
     private static final long WATCH_MILLIS = 50;
     private static final long STORE_SILENT_MILLIS = 700;
     private static final long CLOSE_RETRY_MILLIS = 10;
-    /** Clocks of the store and of this box may run apart this far within a process's patience. */
-    private static final long RECLAIM_MARGIN_MILLIS = 200;
 
     private static final int MAX_CHANGES = 90;
 
@@ -53,6 +52,8 @@
     private final AccountHomes homes;
     private final IntSupplier entries;
     private final LongSupplier clock;
+    private final Witnesses witnesses;
+    private final PredecessorLeases predecessor;
     private final DecisionLog log;
     private final Listener listener;
     private final ConflictBackoff backoff;
@@ -62,14 +63,15 @@
     private long nextTickMillis;
     private boolean stopping;
     private boolean away;
-    private boolean reclaimed;
     private boolean renewedOnce;
+    /** Accounts in the write in progress of which a predecessor's rest is taken back. */
+    private int takenBack;
+
     private long writeSentMillis;
     private long confirmedSentMillis;
     private long confirmedStoreMillis;
     private long anchorStoreMillis;
     private long anchorLocalMillis;
-    private long startStoreMillis = Long.MAX_VALUE;
 
     /** Hears what the store decided. */
     interface Listener {
@@ -93,6 +95,7 @@
             Supplier<Optional<RouteTable>> routes,
             AccountHomes homes,
             IntSupplier entries,
+            Witnesses witnesses,
             LongSupplier clock,
             Random random,
             DecisionLog log,
@@ -104,6 +107,8 @@
         this.routes = routes;
         this.homes = homes;
         this.entries = entries;
+        this.witnesses = witnesses;
+        this.predecessor = new PredecessorLeases(book, witnesses, log);
         this.clock = clock;
         this.log = log;
         this.listener = listener;
@@ -182,7 +187,7 @@
         accounts.thenCombine(marks, (first, second) -> {
                     rows.takeAll(first.rows());
                     rows.takeAll(second.rows());
-                    startStoreMillis = Math.min(startStoreMillis, second.storeMillis() - sentMillis);
+                    predecessor.startedBefore(second.storeMillis() - sentMillis);
                     return second;
                 })
                 .whenComplete((page, failure) -> {
@@ -222,10 +227,11 @@
             renewLater();
             return;
         }
-        if (!reclaimed) {
-            reclaim();
-            return;
+        if (!renewedOnce) {
+            predecessor.marksRead(rows.marks());
+            predecessor.logOnce();
         }
+        predecessor.askWitnesses();
         book.sample(clock.getAsLong());
         List<PrepaidBook.Proposal> proposals = plan();
         if (proposals.isEmpty()) {
@@ -236,6 +242,7 @@
     }
 
     private List<PrepaidBook.Proposal> plan() {
+        takenBack = 0;
         List<PrepaidBook.Proposal> proposals = new ArrayList<>();
         Optional<RouteTable> table = routes.get();
         if (table.isEmpty()) {
@@ -252,48 +259,12 @@
     }
 
     private PrepaidBook.Proposal plan(String account, PrepaidRow row) {
-        return homes.isHome(account)
-                ? book.plan(account, row, homes.of(account).size())
-                : book.planBorrower(account, row);
-    }
-
-    /** Takes back what a predecessor on this box left, if it can't have used it; then this box's row is ours. */
-    private void reclaim() {
-        Optional<MarkRow> left =
-                rows.marks().filter(marks -> !marks.incarnation().equals(book.incarnation()));
-        Map<String, PrepaidRow> changed = new HashMap<>();
-        left.filter(this::heldItsMarks).ifPresent(marks -> {
-            for (String account : rows.accounts()) {
-                book.reclaim(account, rows.account(account), marks, startStoreMillis + RECLAIM_MARGIN_MILLIS)
-                        .ifPresent(row -> changed.put(account, row));
-            }
-        });
-        left.ifPresent(marks -> log.line(
-                "predecessor_found",
-                "incarnation",
-                marks.incarnation(),
-                "confirmed",
-                marks.confirmedMillis(),
-                "started",
-                startStoreMillis,
-                "accounts_taken_back",
-                changed.size()));
-        if (changed.isEmpty()) {
-            reclaimed = true;
-            renewSoon();
-            return;
-        }
-        commit(changed, new MarkRow(book.incarnation(), 0, Map.of())).whenComplete((committed, failure) -> {
-            reclaimed = failure == null && committed;
-            if (failure == null) {
-                renewSoon();
-            }
-        });
-    }
-
-    private boolean heldItsMarks(MarkRow marks) {
-        long patience = book.settings().patience().toMillis() - RECLAIM_MARGIN_MILLIS;
-        return marks.heldBy(startStoreMillis, patience);
+        PrepaidRow own = predecessor.without(account, row);
+        takenBack += own.equals(row) ? 0 : 1;
+        PrepaidBook.Proposal proposal = homes.isHome(account)
+                ? book.plan(account, own, homes.of(account).size())
+                : book.planBorrower(account, own);
+        return own.equals(row) ? proposal : proposal.orElseWrite(own);
     }
 
     private CompletableFuture<Boolean> write(List<PrepaidBook.Proposal> proposals) {
@@ -303,14 +274,22 @@
             proposal.row().ifPresent(row -> changed.put(proposal.account(), row));
             marks.put(proposal.account(), proposal.mark());
         }
+        Set<String> named = witnesses.choose(book.witnesses().usable());
         proposals.forEach(book::proposed);
-        MarkRow marksRow = new MarkRow(book.incarnation(), confirmedStoreMillis, marks);
+        book.witnesses().proposed(named);
+        MarkRow marksRow = new MarkRow(book.incarnation(), confirmedStoreMillis, marks, named);
         return commit(changed, marksRow).whenComplete((committed, failure) -> {
             if (failure != null) {
                 boolean nothingDone = failure instanceof StoreException store && store.nothingDone();
-                proposals.forEach(nothingDone ? book::refused : book::unanswered);
+                notConfirmed(proposals, nothingDone);
             } else {
-                proposals.forEach(committed ? book::confirmed : book::refused);
+                if (committed) {
+                    proposals.forEach(book::confirmed);
+                    book.witnesses().confirmed(named);
+                    predecessor.tookBack(takenBack);
+                } else {
+                    notConfirmed(proposals, true);
+                }
                 renewedOnce |= committed;
                 listener.renewed();
                 scheduleNext(committed);
@@ -318,6 +297,16 @@
         });
     }
 
+    private void notConfirmed(List<PrepaidBook.Proposal> proposals, boolean nothingDone) {
+        if (nothingDone) {
+            proposals.forEach(book::refused);
+            book.witnesses().refused();
+        } else {
+            proposals.forEach(book::unanswered);
+            book.witnesses().unanswered();
+        }
+    }
+
     private void scheduleNext(boolean committed) {
         if (committed) {
             backoff.committed();
@@ -393,7 +382,7 @@
         if (writing && now - writeSentMillis > STORE_SILENT_MILLIS) {
             noAnswer(new StoreException("renew leases", "no answer for long", false));
         }
-        if (reclaimed) {
+        if (renewedOnce) {
             book.storeSilentFor(now - confirmedSentMillis);
         }
     }
--- a/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
@@ -1,5 +1,6 @@
 package org.streamring.direct.ledger;
 
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
@@ -10,7 +11,38 @@
      *
      * @param lacking tokens that lack at the moment
      * @param lent told each amount that was lent
-     * @param atEnd run once, when the last one has answered or did not answer in time
+     * @param atEnd told once, when the last one has answered or did not answer in time
      */
-    void ask(String account, LongSupplier lacking, LongConsumer lent, Runnable atEnd);
+    void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd);
+
+    /** Whether an entry that holds leases of the account is connected, to which tokens can be returned. */
+    boolean canReturn(String account);
+
+    /** Returns tokens, which are lost if they do not arrive. */
+    void giveBack(String account, long tokens);
+
+    /** Lends from this entry's leases to others. */
+    interface Lender {
+        /** Lends tokens, fewer than asked if there are not so many; tells the outcome once. */
+        void lend(String account, long asked, Consumer<Loan> then);
+
+        /** Takes tokens that a borrower returned. */
+        void takeBack(String account, long tokens);
+    }
+
+    /**
+     * What one entry lends.
+     *
+     * @param tokens tokens lent for good
+     * @param moreSoon whether it may have more soon, as the store answers it
+     */
+    record Loan(long tokens, boolean moreSoon) {}
+
+    /**
+     * What the others answered.
+     *
+     * @param homeAnswered whether an entry that holds leases of the account answered
+     * @param moreSoon whether such an entry may have more soon
+     */
+    record Answers(boolean homeAnswered, boolean moreSoon) {}
 }
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
@@ -0,0 +1,113 @@
+package org.streamring.direct.ledger;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.prepaid.MarkRow;
+import org.streamring.kernel.prepaid.PrepaidBook;
+import org.streamring.kernel.prepaid.PrepaidRow;
+
+/**
+ * Takes back what a predecessor on this box can't have used: at once if it ended before it ran out of patience, else
+ * when all of its witnesses have told what it noted. Confined to the event loop.
+ */
+final class PredecessorLeases {
+    /** Clocks of the store and of this box may run apart this far within a process's patience. */
+    private static final long CLOCK_MARGIN_MILLIS = 200;
+
+    private final PrepaidBook book;
+    private final Witnesses witnesses;
+    private final DecisionLog log;
+    private final Map<String, Map<String, Long>> reports = new HashMap<>();
+    private Optional<MarkRow> found = Optional.empty();
+    private long startStoreMillis = Long.MAX_VALUE;
+    private boolean logged;
+
+    PredecessorLeases(PrepaidBook book, Witnesses witnesses, DecisionLog log) {
+        this.book = book;
+        this.witnesses = witnesses;
+        this.log = log;
+    }
+
+    /** Takes an estimate of the time of the store at which this process started; never too early. */
+    void startedBefore(long storeMillis) {
+        startStoreMillis = Math.min(startStoreMillis, storeMillis);
+    }
+
+    /** Takes this box's marks as they stand in the store; later writes of the predecessor replace earlier ones. */
+    void marksRead(Optional<MarkRow> marks) {
+        Optional<MarkRow> left = marks.filter(each -> !each.incarnation().equals(book.incarnation()));
+        if (left.isPresent()) {
+            found = left;
+        }
+    }
+
+    /** Asks the witnesses that have not answered yet, if there are any to be asked. */
+    void askWitnesses() {
+        found.filter(marks -> !heldMarks(marks)).ifPresent(marks -> marks.witnesses().stream()
+                .filter(witness -> !reports.containsKey(witness))
+                .forEach(witness -> witnesses.ask(witness, marks.incarnation(), this::reported)));
+    }
+
+    private void reported(String witness, Map<String, Long> tokens) {
+        if (reports.putIfAbsent(witness, tokens) == null) {
+            log.line("predecessor_reported", "witness", witness, "accounts", tokens.size());
+        }
+    }
+
+    /** An account's row without what the predecessor left; the same row if there is nothing to take back. */
+    PrepaidRow without(String account, PrepaidRow row) {
+        return found.flatMap(marks -> takenBack(account, row, marks)).orElse(row);
+    }
+
+    private Optional<PrepaidRow> takenBack(String account, PrepaidRow row, MarkRow marks) {
+        if (heldMarks(marks)) {
+            return book.reclaim(account, row, marks, startStoreMillis + CLOCK_MARGIN_MILLIS);
+        }
+        if (marks.witnesses().isEmpty() || !reports.keySet().containsAll(marks.witnesses())) {
+            return Optional.empty();
+        }
+        return PrepaidBook.reclaimNoted(account, row, marks, mostNoted(marks));
+    }
+
+    private Map<String, Long> mostNoted(MarkRow marks) {
+        Map<String, Long> most = new HashMap<>();
+        marks.witnesses().stream()
+                .map(witness -> reports.getOrDefault(witness, Map.of()))
+                .forEach(notes -> notes.forEach((account, tokens) -> most.merge(account, tokens, Math::max)));
+        return most;
+    }
+
+    private boolean heldMarks(MarkRow marks) {
+        long patience = book.settings().patience().toMillis() - CLOCK_MARGIN_MILLIS;
+        return marks.heldBy(startStoreMillis, patience);
+    }
+
+    /** Logs that accounts were written without what the predecessor left. */
+    void tookBack(int accounts) {
+        if (accounts > 0) {
+            log.line("predecessor_settled", "accounts_taken_back", accounts);
+        }
+    }
+
+    /** Logs once what was found. */
+    void logOnce() {
+        if (logged) {
+            return;
+        }
+        logged = true;
+        found.ifPresent(marks -> log.line(
+                "predecessor_found",
+                "incarnation",
+                marks.incarnation(),
+                "confirmed",
+                marks.confirmedMillis(),
+                "started",
+                startStoreMillis,
+                "held_marks",
+                heldMarks(marks),
+                "witnesses",
+                marks.witnesses().size()));
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -9,7 +9,9 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.streamring.kernel.prepaid.Holding;
 import org.streamring.kernel.prepaid.Mark;
 import org.streamring.kernel.prepaid.MarkRow;
@@ -63,13 +65,18 @@
         }
     }
 
-    /** Writes marks: {@code [incarnation, confirmed, account, tokens at once, tokens at patience, …]}. */
+    /** Writes marks: {@code [incarnation, confirmed, [witness, …], account, tokens at once, tokens at patience, …]}. */
     static String writeMarks(MarkRow marks) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = JSON.createGenerator(text)) {
             generator.writeStartArray();
             generator.writeString(marks.incarnation());
             generator.writeNumber(marks.confirmedMillis());
+            generator.writeStartArray();
+            for (String witness : new TreeSet<>(marks.witnesses())) {
+                generator.writeString(witness);
+            }
+            generator.writeEndArray();
             for (Map.Entry<String, Mark> mark : marks.marks().entrySet()) {
                 generator.writeString(mark.getKey());
                 generator.writeNumber(mark.getValue().atOnce());
@@ -90,17 +97,29 @@
             }
             String incarnation = parser.getText();
             long confirmed = number(parser);
+            Set<String> witnesses = strings(parser);
             Map<String, Mark> marks = new TreeMap<>();
             while (parser.nextToken() == JsonToken.VALUE_STRING) {
                 String account = parser.getText();
                 marks.put(account, new Mark(number(parser), number(parser)));
             }
-            return Optional.of(new MarkRow(incarnation, confirmed, marks));
+            return Optional.of(new MarkRow(incarnation, confirmed, marks, witnesses));
         } catch (IOException e) {
             return Optional.empty();
         }
     }
 
+    private static Set<String> strings(JsonParser parser) throws IOException {
+        if (parser.nextToken() != JsonToken.START_ARRAY) {
+            throw new IOException("no list of witnesses");
+        }
+        Set<String> strings = new TreeSet<>();
+        while (parser.nextToken() == JsonToken.VALUE_STRING) {
+            strings.add(parser.getText());
+        }
+        return strings;
+    }
+
     private static long number(JsonParser parser) throws IOException {
         parser.nextToken();
         return parser.getLongValue();
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
-import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
@@ -26,7 +25,7 @@
  * Gives prepaid tokens to requests: from this entry's leases, from a larger lease if the store answers in time, or from
  * what another entry lends. Confined to the event loop.
  */
-public final class TokenDesk implements TokenSource, LeaseRenewer.Listener {
+public final class TokenDesk implements TokenSource, LeaseRenewer.Listener, Lenders.Lender {
     private static final long LONGEST_WAIT_MILLIS = 130;
     /** The first lease of a process is on its way for longer, and it has nothing else to offer. */
     private static final long FIRST_LEASE_WAIT_MILLIS = 200;
@@ -37,12 +36,20 @@
     private static final Duration UNTIL_TOKENS_RETURN = Duration.ofSeconds(1);
     private static final long LAST_TRY_MILLIS = 60;
     private static final long LEND_AFTER_MILLIS = 25;
+    /** A note travels to another entry and back. */
+    private static final long NOTE_MILLIS = 8;
+
     private static final long EXPIRY_MILLIS = 20;
+    /** Idle tokens are of use to others soon, and small returns are not worth a frame each. */
+    private static final long RETURN_MILLIS = 300;
+    /** A lender's write takes some 10 to 20 ms. */
+    private static final long ASK_AGAIN_MILLIS = 20;
 
     private final EventLoop loop;
     private final PrepaidBook book;
     private final LeaseRows rows;
     private final LeaseRenewer renewer;
+    private final UseNotes notes;
     private final Supplier<Optional<RouteTable>> routes;
     private final AccountHomes homes;
     private final Lenders lenders;
@@ -66,6 +73,7 @@
             AccountHomes homes,
             IntSupplier entries,
             Lenders lenders,
+            Witnesses witnesses,
             LongSupplier clock,
             Random random,
             EntryMetrics metrics,
@@ -79,12 +87,16 @@
         this.clock = clock;
         this.metrics = metrics;
         this.log = log;
-        this.renewer = new LeaseRenewer(loop, store, book, rows, routes, homes, entries, clock, random, log, this);
+        this.renewer =
+                new LeaseRenewer(loop, store, book, rows, routes, homes, entries, witnesses, clock, random, log, this);
+        this.notes = new UseNotes(loop, book, witnesses, this::serveWaiters);
     }
 
     /** Starts to read and renew leases. */
     public void start() {
         renewer.start();
+        notes.start();
+        loop.scheduleAtFixedRate(this::returnIdle, RETURN_MILLIS, RETURN_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::expireWaiters, EXPIRY_MILLIS, EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -116,7 +128,9 @@
         }
         Waiter waiter = new Waiter(account, tokens, then);
         waiters.add(waiter);
-        if (renewer.away() || !homes.isHome(account)) {
+        if (book.noteWouldHelp(account, tokens)) {
+            waiter.waitForNote();
+        } else if (renewer.away() || !homes.isHome(account)) {
             waiter.borrow();
         } else {
             waiter.lease();
@@ -132,26 +146,56 @@
     /**
      * Lends tokens to another entry; while the store answers, a larger lease is fetched first where needed.
      *
-     * @param then told once how many were lent
+     * @param then told the outcome once
      */
-    public void lend(String account, long asked, LongConsumer then) {
-        if (renewer.away() || book.available(account) >= asked) {
+    @Override
+    public void lend(String account, long asked, Consumer<Lenders.Loan> then) {
+        if (book.available(account) < asked && book.noteWouldHelp(account, asked)) {
+            lendAfter(NOTE_MILLIS, account, asked, then);
+            notes.sendSoon();
+        } else if (renewer.away() || book.available(account) >= asked) {
             then.accept(lendNow(account, asked));
-            return;
+        } else {
+            lendAfter(LEND_AFTER_MILLIS, account, asked, then);
+            renewer.renewSoon();
         }
+    }
+
+    private void lendAfter(long millis, String account, long asked, Consumer<Lenders.Loan> then) {
         book.addWaiting(account, asked);
-        renewer.renewSoon();
         loop.schedule(
                 () -> {
                     book.addWaiting(account, -asked);
                     then.accept(lendNow(account, asked));
                 },
-                LEND_AFTER_MILLIS,
+                millis,
                 TimeUnit.MILLISECONDS);
     }
 
-    private long lendNow(String account, long asked) {
-        return homes.allAreHomes() ? book.lendWithSpare(account, asked) : book.lend(account, asked);
+    @Override
+    public void takeBack(String account, long tokens) {
+        if (tokens > 0) {
+            book.borrow(account, tokens);
+            serveWaiters();
+        }
+    }
+
+    /** Returns borrowed tokens that lie idle, where another entry holds the account's leases. */
+    private void returnIdle() {
+        for (String account : book.accounts()) {
+            if (!homes.isHome(account) && lenders.canReturn(account)) {
+                long idle = book.giveUpIdle(account);
+                if (idle > 0) {
+                    lenders.giveBack(account, idle);
+                    log.line("tokens_returned", "account", account, "tokens", idle);
+                }
+            }
+        }
+    }
+
+    private Lenders.Loan lendNow(String account, long asked) {
+        long tokens = homes.allAreHomes() ? book.lendWithSpare(account, asked) : book.lend(account, asked);
+        return new Lenders.Loan(tokens, !renewer.away());
     }
 
     @Override
@@ -242,6 +286,13 @@
             renewer.renewSoon();
         }
 
+        /** Waits until a witness has noted the tokens, which the lease holds. */
+        private void waitForNote() {
+            leasing = true;
+            book.addWaiting(account, tokens);
+            notes.sendSoon();
+        }
+
         /** Asks other entries, once; what they lend stays here also if the request has gone on. */
         private void borrow() {
             if (asked) {
@@ -251,18 +302,29 @@
             lenders.ask(account, this::lacking, this::lent, this::allAsked);
         }
 
-        private void allAsked() {
+        /** Entries that hold leases of the account write its row; others only where those can't. */
+        private void allAsked(Lenders.Answers answers) {
             if (!waiters.contains(this)) {
                 return;
             }
-            if (leasing || renewer.away()) {
+            if (leasing) {
                 end(Outcome.UNAVAILABLE, renewer.away() ? "store_away" : "lease_not_in_time");
+            } else if (answers.moreSoon()) {
+                loop.schedule(this::askAgain, ASK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+            } else if (renewer.away()) {
+                end(Outcome.UNAVAILABLE, "store_away");
             } else {
                 expiresMillis = Math.max(expiresMillis, clock.getAsLong() + LAST_TRY_MILLIS);
                 lease();
             }
         }
 
+        private void askAgain() {
+            if (waiters.contains(this)) {
+                lenders.ask(account, this::lacking, this::lent, this::allAsked);
+            }
+        }
+
         private void expire() {
             if (asked) {
                 end(Outcome.UNAVAILABLE, "lease_not_in_time");
--- a/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
@@ -14,9 +14,11 @@
 import org.streamring.kernel.placement.PromptPart;
 import org.streamring.kernel.placement.PromptRead;
 import org.streamring.kernel.placement.ReplicaShare;
+import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.PlacementLoad;
 import org.streamring.net.generated.Wire.ReadPrompt;
 import org.streamring.net.generated.Wire.ReplicaLoad;
+import org.streamring.net.peer.PeerConnection;
 
 /**
  * Tells the other entries what this one has in progress at replicas, and takes what they tell. Confined to the event
@@ -25,6 +27,8 @@
 public final class PlacementExchange {
     /** A fleet of four tells each other ten times a second; larger fleets more rarely, so that the frames stay few. */
     private static final long MILLIS_PER_ENTRY = 25;
+
+    private static final long SOON_MILLIS = 10;
     /** What was told this many intervals ago is no longer true. */
     private static final int INTERVALS_KEPT = 5;
 
@@ -36,6 +40,7 @@
     private final LongSupplier clock;
     private final Map<String, Long> heardMillis = new HashMap<>();
     private boolean toldNothing;
+    private boolean tellingSoon;
 
     /**
      * Creates one; nothing happens before {@link #start}.
@@ -60,12 +65,26 @@
 
     /** Starts to tell and to listen. */
     public void start() {
-        peers.onLoad(this::take);
+        peers.listen(this::received);
+        table.onLongPrompt(this::tellSoon);
         scheduleNext();
     }
 
     private void scheduleNext() {
-        loop.schedule(this::tell, intervalMillis(), TimeUnit.MILLISECONDS);
+        loop.schedule(this::tellRegularly, intervalMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void tellRegularly() {
+        tell();
+        scheduleNext();
+    }
+
+    /** Others would choose the same replica until they know; long prompts that come together share a report. */
+    private void tellSoon() {
+        if (!tellingSoon) {
+            tellingSoon = true;
+            loop.schedule(this::tell, SOON_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private long intervalMillis() {
@@ -73,14 +92,19 @@
     }
 
     private void tell() {
+        tellingSoon = false;
         PlacementReport report = table.report(clock.getAsLong());
         boolean nothing = report.shares().isEmpty() && report.prompts().isEmpty();
         if (!nothing || !toldNothing) {
-            peers.tellLoad(encode(report));
+            tellAll(Frame.newBuilder().setPlacementLoad(encode(report)).build());
         }
         toldNothing = nothing;
         forgetSilent();
-        scheduleNext();
+    }
+
+    /** A report that is lost is made good by the next. */
+    private void tellAll(Frame frame) {
+        peers.byEntry().values().forEach(each -> each.send(frame));
     }
 
     private void forgetSilent() {
@@ -94,9 +118,12 @@
         });
     }
 
-    private void take(String entry, PlacementLoad load) {
-        heardMillis.put(entry, clock.getAsLong());
-        table.reported(entry, decode(load), memoryOf);
+    private void received(PeerConnection connection, Frame frame) {
+        if (frame.hasPlacementLoad()) {
+            String entry = connection.remote().name();
+            heardMillis.put(entry, clock.getAsLong());
+            table.reported(entry, decode(frame.getPlacementLoad()), memoryOf, clock.getAsLong());
+        }
     }
 
     /** A report as a frame. */
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/peer/UseWitnesses.java
@@ -0,0 +1,157 @@
+package org.streamring.direct.peer;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.streamring.direct.ledger.Witnesses;
+import org.streamring.kernel.prepaid.WitnessNotes;
+import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.net.generated.Wire.AccountTokens;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.UseNote;
+import org.streamring.net.generated.Wire.UseNoted;
+import org.streamring.net.generated.Wire.UseQuery;
+import org.streamring.net.generated.Wire.UseReport;
+import org.streamring.net.peer.PeerConnection;
+
+/**
+ * Entries witness for each other what they use while the store is silent. A note counts for the incarnation that the
+ * connection's handshake proved. Confined to the event loop.
+ */
+public final class UseWitnesses implements Witnesses {
+    /** One may die together with the entry; with more of them, more must be asked, and alive, later. */
+    private static final int NAMED = 2;
+
+    private static final int MOST_UNACKNOWLEDGED = 1_000;
+
+    private final EntryPeers peers;
+    private final String ownName;
+    private final WitnessNotes kept = new WitnessNotes();
+    private final Map<Long, Consumer<String>> sent = new TreeMap<>();
+    private final Map<String, BiConsumer<String, Map<String, Long>>> asked = new HashMap<>();
+    private long nextNumber;
+
+    /** Creates one; nothing is noted before {@link #start}. */
+    public UseWitnesses(EntryPeers peers, String ownName) {
+        this.peers = peers;
+        this.ownName = ownName;
+    }
+
+    /** Starts to listen to other entries. */
+    public void start() {
+        peers.listen(this::received);
+    }
+
+    @Override
+    public Set<String> choose(Set<String> present) {
+        Map<String, String> connected = new HashMap<>();
+        peers.byEntry()
+                .forEach((name, peer) -> connected.put(name, peer.remote().incarnation()));
+        if (connected.isEmpty()) {
+            return present;
+        }
+        Set<String> chosen = new HashSet<>(present);
+        chosen.retainAll(connected.values());
+        RendezvousHash.order(ownName, connected.keySet()).stream()
+                .map(connected::get)
+                .filter(incarnation -> !chosen.contains(incarnation))
+                .limit(Math.max(0, NAMED - chosen.size()))
+                .toList()
+                .forEach(chosen::add);
+        return chosen;
+    }
+
+    @Override
+    public void note(Set<String> witnesses, Map<String, Long> tokens, Consumer<String> acknowledged) {
+        for (String witness : witnesses) {
+            connection(witness).ifPresent(peer -> {
+                long number = nextNumber++;
+                sent.put(number, acknowledged);
+                UseNote note = UseNote.newBuilder()
+                        .setNumber(number)
+                        .addAllTokens(encode(tokens))
+                        .build();
+                peer.send(Frame.newBuilder().setUseNote(note).build());
+            });
+        }
+        forgetOldNotes();
+    }
+
+    /** Acknowledgements that are missing by now only leave tokens unused. */
+    private void forgetOldNotes() {
+        sent.keySet().removeIf(number -> number < nextNumber - MOST_UNACKNOWLEDGED);
+    }
+
+    @Override
+    public void ask(String witness, String incarnation, BiConsumer<String, Map<String, Long>> answered) {
+        connection(witness).ifPresent(peer -> {
+            asked.put(incarnation, answered);
+            UseQuery query = UseQuery.newBuilder().setIncarnation(incarnation).build();
+            peer.send(Frame.newBuilder().setUseQuery(query).build());
+        });
+    }
+
+    private Optional<PeerConnection> connection(String incarnation) {
+        return peers.byEntry().values().stream()
+                .filter(peer -> peer.remote().incarnation().equals(incarnation))
+                .findFirst();
+    }
+
+    private void received(PeerConnection connection, Frame frame) {
+        if (frame.hasUseNote()) {
+            keep(connection, frame.getUseNote());
+        }
+        if (frame.hasUseNoted()) {
+            Optional.ofNullable(sent.remove(frame.getUseNoted().getNumber()))
+                    .ifPresent(each -> each.accept(connection.remote().incarnation()));
+        }
+        if (frame.hasUseQuery()) {
+            report(connection, frame.getUseQuery().getIncarnation());
+        }
+        if (frame.hasUseReport()) {
+            reported(connection.remote().incarnation(), frame.getUseReport());
+        }
+    }
+
+    private void keep(PeerConnection connection, UseNote note) {
+        if (kept.note(connection.remote().incarnation(), decode(note.getTokensList()))) {
+            UseNoted noted = UseNoted.newBuilder().setNumber(note.getNumber()).build();
+            connection.send(Frame.newBuilder().setUseNoted(noted).build());
+        }
+    }
+
+    private void report(PeerConnection connection, String incarnation) {
+        UseReport report = UseReport.newBuilder()
+                .setIncarnation(incarnation)
+                .addAllTokens(encode(kept.close(incarnation)))
+                .build();
+        connection.send(Frame.newBuilder().setUseReport(report).build());
+    }
+
+    private void reported(String witness, UseReport report) {
+        Optional.ofNullable(asked.get(report.getIncarnation()))
+                .ifPresent(each -> each.accept(witness, decode(report.getTokensList())));
+    }
+
+    private static List<AccountTokens> encode(Map<String, Long> tokens) {
+        return tokens.entrySet().stream()
+                .map(each -> AccountTokens.newBuilder()
+                        .setAccount(each.getKey())
+                        .setTokens(each.getValue())
+                        .build())
+                .toList();
+    }
+
+    private static Map<String, Long> decode(Collection<AccountTokens> tokens) {
+        return tokens.stream()
+                .collect(Collectors.toMap(AccountTokens::getAccount, AccountTokens::getTokens, Math::max));
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -23,6 +23,8 @@
     private static final int SERVER_ERROR = 500;
     private static final int FIRST_FAILURE = 300;
     private static final long WATCH_MILLIS = 200;
+    /** Forecasts of the first event are at most this far off while a replica is sound. */
+    private static final int READING_SLACK = 3;
 
     private final RequestServices services;
     private final RequestPlan plan;
@@ -35,6 +37,7 @@
     private @Nullable AnswerHead head;
     private @Nullable Future<?> watch;
     private @Nullable PlacedPrompt placed;
+    private long beganMillis;
     private boolean streaming;
     private boolean over;
 
@@ -60,6 +63,7 @@
     }
 
     void begin(BackendRequest request, PlacementQuery query) {
+        beganMillis = services.clock().getAsLong();
         placed = services.fleet().started(query, plan.service(), instance);
         attempt = services.fleet().pool(instance).begin(request, this);
         watch = services.loop()
@@ -93,7 +97,7 @@
     }
 
     private void checkSilence() {
-        if (over || !plan.route().repeatable() || !services.fleet().silent(instance)) {
+        if (over || !plan.route().repeatable() || !services.fleet().silent(instance) || mayStillBeReading()) {
             return;
         }
         state.unreachable(services.clock().getAsLong());
@@ -104,6 +108,12 @@
         endAfterSending(AttemptEnd.broken("replica_silent"));
     }
 
+    /** A replica that reads long prompts answers nothing meanwhile. */
+    private boolean mayStillBeReading() {
+        long expected = forecast().map(PlacementForecast::firstEventMillis).orElse(0L);
+        return services.clock().getAsLong() - beganMillis < READING_SLACK * expected;
+    }
+
     @Override
     public void onHead(AnswerHead answerHead) {
         head = answerHead;
