Lower lease marks, two home entries an account, and no rewriting of rows that an unanswered write left alone

Cause: a mark gave 0.6 s of demand and the demand of the silence on top, while the first covers the second; at thirty entries a write without an answer (every entry's, as a cut begins) made each entry rewrite the rows of all 24 accounts, and for nine seconds after the cut hardly a write was confirmed (patience_left_ms 0 in the refusals); an account's rest lay with four homes.

Change: a mark is the larger of the first amount and the line of demand; an unanswered write leaves only the rows uncertain that it changed; two homes instead of four.

The rewriting of rows is not measured yet.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountHomes.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountHomes.java
@@ -17,7 +17,8 @@
     /** Up to this many entries all hold leases. */
     private static final int SMALL_FLEET = 8;
 
-    private static final int HOMES = 4;
+    /** One may die; each further one splits the rest of an account once more, and writes the same row. */
+    private static final int HOMES = 2;
 
     private final String own;
     private final Map<String, List<String>> homes = new HashMap<>();
--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -18,6 +18,7 @@
     private static final double NOTED_AHEAD_MILLIS = 1_000;
 
     private final DurableAmount granted = new DurableAmount();
+    private final DurableAmount markStart = new DurableAmount();
     private final DurableAmount markAtOnce = new DurableAmount();
     private final DurableAmount markAtPatience = new DurableAmount();
     private long spent;
@@ -37,7 +38,7 @@
 
     /** Tokens of the grant that may be used while the marks bind. */
     long usableBelowMark(StoreSilence silence) {
-        Mark mark = new Mark(markAtOnce.usable(), markAtPatience.usable());
+        Mark mark = new Mark(markStart.usable(), markAtOnce.usable(), markAtPatience.usable());
         return Math.min(granted.usable(), silence.usable(mark));
     }
 
@@ -99,24 +100,35 @@
 
     void proposed(long newGranted, Mark newMark) {
         granted.proposed(newGranted);
+        markStart.proposed(newMark.start());
         markAtOnce.proposed(newMark.atOnce());
         markAtPatience.proposed(newMark.atPatience());
     }
 
     void confirmed(long newGranted, Mark newMark) {
         granted.confirmed(newGranted);
+        markStart.confirmed(newMark.start());
         markAtOnce.confirmed(newMark.atOnce());
         markAtPatience.confirmed(newMark.atPatience());
     }
 
     void refused() {
         granted.refused();
+        markStart.refused();
         markAtOnce.refused();
         markAtPatience.refused();
     }
 
-    void unanswered() {
-        granted.unanswered();
+    /**
+     * Notes that the outcome of a write is not known.
+     *
+     * @param rowChanged whether it changed the account's row; if not, what is granted is still known
+     */
+    void unanswered(boolean rowChanged) {
+        if (rowChanged) {
+            granted.unanswered();
+        }
+        markStart.unanswered();
         markAtOnce.unanswered();
         markAtPatience.unanswered();
     }
@@ -168,6 +180,7 @@
         double atOnce = Math.max(Math.max(perMilli * MILLIS_AT_ONCE, part), (double) waiting);
         double rise = perMilli * settings.patience().toMillis();
         long used = used();
-        return new Mark(used + (long) atOnce, used + (long) (atOnce + rise)).atMost(used + wanted);
+        long atPatience = used + (long) Math.max(atOnce, rise);
+        return new Mark(used, used + (long) atOnce, atPatience).atMost(used + wanted);
     }
 }
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -307,7 +307,7 @@
 
     /** Notes that nobody knows whether a write took, or will take, effect. */
     public void unanswered(Proposal proposal) {
-        lease(proposal.account()).unanswered();
+        lease(proposal.account()).unanswered(proposal.row().isPresent());
     }
 
     /** Accounts of which this incarnation holds a lease. */
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -65,7 +65,7 @@
         }
     }
 
-    /** Writes marks: {@code [incarnation, confirmed, [witness, …], account, tokens at once, tokens at patience, …]}. */
+    /** Writes marks: {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …]}. */
     static String writeMarks(MarkRow marks) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = JSON.createGenerator(text)) {
@@ -79,6 +79,7 @@
             generator.writeEndArray();
             for (Map.Entry<String, Mark> mark : marks.marks().entrySet()) {
                 generator.writeString(mark.getKey());
+                generator.writeNumber(mark.getValue().start());
                 generator.writeNumber(mark.getValue().atOnce());
                 generator.writeNumber(mark.getValue().atPatience());
             }
@@ -101,7 +102,7 @@
             Map<String, Mark> marks = new TreeMap<>();
             while (parser.nextToken() == JsonToken.VALUE_STRING) {
                 String account = parser.getText();
-                marks.put(account, new Mark(number(parser), number(parser)));
+                marks.put(account, new Mark(number(parser), number(parser), number(parser)));
             }
             return Optional.of(new MarkRow(incarnation, confirmed, marks, witnesses));
         } catch (IOException e) {
