--- a/core/src/main/java/org/streamring/kernel/placement/PauseCalibration.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PauseCalibration.java
@@ -7,7 +7,7 @@
  * small that streams hardly notice. Confined to one thread.
  */
 final class PauseCalibration {
-    /** Before the first streams ended: on the engines measured first about one forecast pause in three came. */
+    /** Before the first streams ended; a guess, which a dozen streams replace. */
     private static final double INITIAL_FACTOR = 0.3;
     /** A dozen streams settle the factor. */
     private static final double STEP = 0.1;
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
@@ -10,7 +10,7 @@
     private static final double TOKENS_OF_UNIT = 1_000;
     /** What a rank counts in comparison with the next more urgent one. */
     private static final double RANK_FACTOR = 0.4;
-    /** How sharply a request becomes late near its target: forecasts are off by about a tenth. */
+    /** How sharply a request becomes late near its target; 10 was tried against 20, which was worse (docs/load.md). */
     private static final double STEEPNESS = 10;
     /** Beyond lateness each target's length of waiting costs a little, so that less waiting is always better. */
     private static final double WAITING_COST = 0.3;
--- a/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
@@ -14,7 +14,7 @@
     /** Some thirty events, about a second of one stream, show a replica that turned slow. */
     private static final double GAP_STEP = 0.05;
 
-    /** Time between two events before any was seen; engines were seen to take 18 to 40 ms. */
+    /** Time between two events before any was seen; a guess, which the first events replace. */
     static final double INITIAL_GAP_MILLIS = 30;
 
     private static final int GAPS_NEEDED = 20;
