Tell why connections between entries end, who answers when tokens are borrowed, and what a successor takes back

Cause: nothing told a silent connection between entries from a sound one, and nothing told how much of an account counts as used only because a dead entry may have used it. Change: peer_lost names its reason; tokens_refused tells how many lenders were asked and answered; predecessor_settled tells the tokens taken back and those that count unproved; counters of lost peers and of unanswered questions, a gauge of connected entries. No change of logic.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -95,9 +95,9 @@
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         AccountHomes homes = new AccountHomes(settings.nodeName());
-        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, log);
+        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, metrics, log);
         this.witnesses = new UseWitnesses(peers, settings.nodeName());
-        this.lending = new TokenLending(loop, peers, homes, random, log);
+        this.lending = new TokenLending(loop, peers, homes, random, metrics, log);
         this.members = new MemberRegister(
                 loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, others -> {
                     homes.others(others.live().stream()
@@ -167,6 +167,7 @@
         metrics.gauge("requests.running", callers::busy);
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
         metrics.gauge("entries.live", members::live);
+        metrics.gauge("entries.connected", peers::connected);
         metrics.gauge("log.lines.dropped", log::dropped);
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -64,8 +64,8 @@
     private boolean stopping;
     private boolean away;
     private boolean renewedOnce;
-    /** Accounts in the write in progress of which a predecessor's rest is taken back. */
-    private int takenBack;
+    /** What the write in progress takes back of a predecessor's leases. */
+    private TakenBack takenBack = TakenBack.NOTHING;
 
     private long writeSentMillis;
     private long confirmedSentMillis;
@@ -242,7 +242,7 @@
     }
 
     private List<PrepaidBook.Proposal> plan() {
-        takenBack = 0;
+        takenBack = TakenBack.NOTHING;
         List<PrepaidBook.Proposal> proposals = new ArrayList<>();
         Optional<RouteTable> table = routes.get();
         if (table.isEmpty()) {
@@ -260,7 +260,9 @@
 
     private PrepaidBook.Proposal plan(String account, PrepaidRow row) {
         PrepaidRow own = predecessor.without(account, row);
-        takenBack += own.equals(row) ? 0 : 1;
+        if (!own.equals(row)) {
+            takenBack = takenBack.plus(row, own);
+        }
         PrepaidBook.Proposal proposal = homes.isHome(account)
                 ? book.plan(account, own, homes.of(account).size())
                 : book.planBorrower(account, own);
--- a/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
@@ -41,8 +41,13 @@
     /**
      * What the others answered.
      *
+     * @param asked entries that were asked
+     * @param answered those of them that answered in time
      * @param homeAnswered whether an entry that holds leases of the account answered
      * @param moreSoon whether such an entry may have more soon
      */
-    record Answers(boolean homeAnswered, boolean moreSoon) {}
+    record Answers(int asked, int answered, boolean homeAnswered, boolean moreSoon) {
+        /** Nobody was asked. */
+        static final Answers NONE = new Answers(0, 0, false, false);
+    }
 }
--- a/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
@@ -85,9 +85,16 @@
     }
 
     /** Logs that accounts were written without what the predecessor left. */
-    void tookBack(int accounts) {
-        if (accounts > 0) {
-            log.line("predecessor_settled", "accounts_taken_back", accounts);
+    void tookBack(TakenBack taken) {
+        if (taken.accounts() > 0) {
+            log.line(
+                    "predecessor_settled",
+                    "accounts_taken_back",
+                    taken.accounts(),
+                    "tokens",
+                    taken.tokens(),
+                    "unproved_tokens",
+                    taken.unproved());
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -259,6 +259,7 @@
         private final Consumer<Outcome> then;
         private long expiresMillis = clock.getAsLong() + longestWait();
         private boolean asked;
+        private Lenders.Answers answers = Lenders.Answers.NONE;
         private boolean leasing;
 
         private Waiter(String account, long tokens, Consumer<Outcome> then) {
@@ -303,7 +304,8 @@
         }
 
         /** Entries that hold leases of the account write its row; others only where those can't. */
-        private void allAsked(Lenders.Answers answers) {
+        private void allAsked(Lenders.Answers received) {
+            answers = received;
             if (!waiters.contains(this)) {
                 return;
             }
@@ -376,7 +378,11 @@
                     "spent_at_least",
                     row.spentAtLeast(),
                     "patience_left_ms",
-                    renewer.patienceLeftMillis());
+                    renewer.patienceLeftMillis(),
+                    "lenders_asked",
+                    answers.asked(),
+                    "lenders_answered",
+                    answers.answered());
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -53,6 +53,22 @@
                 .increment();
     }
 
+    /** Counts a connection to another entry that ended, by reason. */
+    public void peerLost(String reason) {
+        Counter.builder("streamring.direct.peer.lost")
+                .tag("reason", reason)
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts questions to lenders, by whether they were answered in time. */
+    public void lenderAsked(boolean answered) {
+        Counter.builder("streamring.direct.lender.asked")
+                .tag("answered", String.valueOf(answered))
+                .register(registry)
+                .increment();
+    }
+
     /** Shows a number that is read when the metrics are. */
     public void gauge(String name, Supplier<Number> value) {
         Gauge.builder("streamring.direct." + name, value).register(registry);
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -13,9 +13,11 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.kernel.routing.RendezvousHash;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.peer.DisconnectReason;
 import org.streamring.net.peer.FleetKey;
 import org.streamring.net.peer.PeerConnection;
 import org.streamring.net.peer.PeerConnector;
@@ -30,6 +32,7 @@
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final PeerIdentity own;
+    private final EntryMetrics metrics;
     private final DecisionLog log;
     private final FleetKeyRow keyRow;
     private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
@@ -50,10 +53,12 @@
             RowStore store,
             InetSocketAddress address,
             PeerIdentity own,
+            EntryMetrics metrics,
             DecisionLog log) {
         this.loops = loops;
         this.address = address;
         this.own = own;
+        this.metrics = metrics;
         this.log = log;
         this.keyRow = new FleetKeyRow(loop, store);
     }
@@ -76,6 +81,11 @@
         return byEntry;
     }
 
+    /** Entries to which a connection is open. */
+    public int connected() {
+        return byEntry().size();
+    }
+
     /** Starts to listen and to connect, once the fleet's key is known. */
     public void start() {
         keyRow.fetch(fetched -> {
@@ -146,9 +156,10 @@
         }
 
         @Override
-        public void disconnected(PeerConnection connection) {
+        public void disconnected(PeerConnection connection, DisconnectReason reason) {
             connections.remove(connection);
-            log.line("peer_lost", "peer", connection.remote().name());
+            metrics.peerLost(reason.name());
+            log.line("peer_lost", "peer", connection.remote().name(), "reason", reason);
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/peer/TokenLending.java
+++ b/direct/src/main/java/org/streamring/direct/peer/TokenLending.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.ledger.Lenders;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.LendAnswer;
@@ -40,6 +40,7 @@
     private final EntryPeers peers;
     private final AccountHomes homes;
     private final Random random;
+    private final EntryMetrics metrics;
     private final DecisionLog log;
     private final Map<Long, Query> asked = new HashMap<>();
     private @Nullable Lender lender;
@@ -50,11 +51,18 @@
      *
      * @param homes which entries hold an account's leases
      */
-    public TokenLending(EventLoop loop, EntryPeers peers, AccountHomes homes, Random random, DecisionLog log) {
+    public TokenLending(
+            EventLoop loop,
+            EntryPeers peers,
+            AccountHomes homes,
+            Random random,
+            EntryMetrics metrics,
+            DecisionLog log) {
         this.loop = loop;
         this.peers = peers;
         this.homes = homes;
         this.random = random;
+        this.metrics = metrics;
         this.log = log;
     }
 
@@ -116,6 +124,8 @@
         private final LongConsumer lent;
         private final Consumer<Answers> atEnd;
         private final Deque<PeerConnection> left;
+        private int askedSoFar;
+        private int answeredInTime;
         private boolean homeAnswered;
         private boolean moreSoon;
 
@@ -131,9 +141,10 @@
             long tokens = lacking.getAsLong();
             PeerConnection next = tokens > 0 ? left.pollFirst() : null;
             if (next == null) {
-                atEnd.accept(new Answers(homeAnswered, moreSoon));
+                atEnd.accept(new Answers(askedSoFar, answeredInTime, homeAnswered, moreSoon));
                 return;
             }
+            askedSoFar++;
             long number = nextQuery++;
             boolean home = homes.of(account).contains(next.remote().name());
             asked.put(number, new Query(loan -> answered(home, loan), this::askNext));
@@ -150,6 +161,7 @@
         }
 
         private void answered(boolean home, Loan loan) {
+            answeredInTime++;
             homeAnswered |= home;
             moreSoon |= home && loan.moreSoon();
             if (loan.tokens() > 0) {
@@ -159,7 +171,10 @@
     }
 
     private void goOn(long number) {
-        Optional.ofNullable(asked.get(number)).ifPresent(Query::goOnOnce);
+        Query query = asked.get(number);
+        if (query != null && query.goOnOnce()) {
+            metrics.lenderAsked(false);
+        }
     }
 
     /** A question that was sent; tokens that come after the next one was sent are taken as well. */
@@ -173,11 +188,14 @@
             this.next = next;
         }
 
-        private void goOnOnce() {
-            if (!goneOn) {
-                goneOn = true;
+        /** Goes on; tells whether that had not happened before. */
+        private boolean goOnOnce() {
+            boolean first = !goneOn;
+            goneOn = true;
+            if (first) {
                 next.run();
             }
+            return first;
         }
     }
 
@@ -199,7 +217,9 @@
         Query query = asked.remove(answer.getQuery());
         if (query != null) {
             query.answered.accept(new Loan(answer.getTokens(), answer.getMoreSoon()));
-            query.goOnOnce();
+            if (query.goOnOnce()) {
+                metrics.lenderAsked(true);
+            }
         }
     }
 
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -28,6 +28,7 @@
 import org.streamring.net.generated.Wire.Load;
 import org.streamring.net.generated.Wire.Ping;
 import org.streamring.net.generated.Wire.Submit;
+import org.streamring.net.peer.DisconnectReason;
 import org.streamring.net.peer.FleetKey;
 import org.streamring.net.peer.PeerConnection;
 import org.streamring.net.peer.PeerConnector;
@@ -286,12 +287,12 @@
         }
 
         @Override
-        public void disconnected(PeerConnection closed) {
+        public void disconnected(PeerConnection closed, DisconnectReason reason) {
             if (connection.isEmpty() || connection.get() != closed) {
                 return;
             }
             connection = Optional.empty();
-            LOGGER.info("sidecar_disconnected peer={}", closed);
+            LOGGER.info("sidecar_disconnected peer={} reason={}", closed, reason);
             replicas.disconnected(server.name());
             String incarnation = closed.remote().incarnation();
             queries.connectionLost(closed);
--- a/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
+++ b/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
@@ -23,6 +23,7 @@
     private final PeerListener listener;
     private @Nullable Hello remoteHello;
     private @Nullable PeerConnection connection;
+    private DisconnectReason reason = DisconnectReason.CLOSED;
 
     HandshakeHandler(Side side, FleetKey fleetKey, PeerIdentity own, PeerListener listener) {
         this.side = side;
@@ -114,6 +115,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent) {
+            reason = DisconnectReason.SILENT;
             context.close();
         }
     }
@@ -121,13 +123,14 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (connection != null) {
-            listener.disconnected(connection);
+            listener.disconnected(connection, reason);
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         LOGGER.debug("peer_channel_failed peer={}", context.channel().remoteAddress(), cause);
+        reason = DisconnectReason.BROKEN;
         context.close();
     }
 }
--- a/net/src/main/java/org/streamring/net/peer/PeerConnector.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerConnector.java
@@ -103,8 +103,8 @@
         }
 
         @Override
-        public void disconnected(PeerConnection connection) {
-            listener.disconnected(connection);
+        public void disconnected(PeerConnection connection, DisconnectReason reason) {
+            listener.disconnected(connection, reason);
         }
     }
 }
--- a/net/src/main/java/org/streamring/net/peer/PeerListener.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerListener.java
@@ -11,5 +11,5 @@
     void received(PeerConnection connection, Frame frame);
 
     /** The connection is gone. */
-    void disconnected(PeerConnection connection);
+    void disconnected(PeerConnection connection, DisconnectReason reason);
 }
--- a/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
+++ b/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
@@ -45,8 +45,8 @@
         }
 
         @Override
-        public void disconnected(PeerConnection connection) {
-            events.add("disconnected");
+        public void disconnected(PeerConnection connection, DisconnectReason reason) {
+            events.add("disconnected " + reason);
         }
 
         private String next() throws InterruptedException {
--- a/sidecar/src/main/java/org/streamring/sidecar/EntryFrames.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/EntryFrames.java
@@ -10,6 +10,7 @@
 import org.streamring.net.generated.Wire.ReceiptQuery;
 import org.streamring.net.generated.Wire.ReceiptRecord;
 import org.streamring.net.generated.Wire.ReceiptReply;
+import org.streamring.net.peer.DisconnectReason;
 import org.streamring.net.peer.PeerConnection;
 import org.streamring.net.peer.PeerIdentity;
 import org.streamring.net.peer.PeerListener;
@@ -38,8 +39,8 @@
     }
 
     @Override
-    public void disconnected(PeerConnection connection) {
-        LOGGER.info("entry_disconnected peer={}", connection);
+    public void disconnected(PeerConnection connection, DisconnectReason reason) {
+        LOGGER.info("entry_disconnected peer={} reason={}", connection, reason);
         runner.disconnected(connection);
     }
 
