Send heartbeats between processes, and close a connection that falls silent

Cause: a connection on which nothing arrives was kept for ever. Entries that are no home of an account asked its homes over silent connections, got no answer and refused; nothing was lent after the moment at which all connections fell silent. Change: each side announces in its hello how often it sends at least; a side that misses three heartbeats is disconnected, with the reason SILENT, and connected anew. A process that announces none, as older ones do, may be idle for three minutes as before.

--- a/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
+++ b/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
@@ -34,6 +34,7 @@
                 .setName(own.name())
                 .setIncarnation(own.incarnation())
                 .setNonce(FleetKey.nonce())
+                .setHeartbeatMillis(FrameCodec.HEARTBEAT_MILLIS)
                 .build();
     }
 
@@ -102,6 +103,7 @@
         }
         connection =
                 new PeerConnection(context.channel(), new PeerIdentity(role, hello.getName(), hello.getIncarnation()));
+        FrameCodec.startHeartbeats(context.pipeline(), hello.getHeartbeatMillis());
         listener.connected(connection);
         // last, as it passes on at once what has arrived behind the proof
         FrameCodec.allowLargeFrames(context.pipeline());
--- /dev/null
+++ b/net/src/main/java/org/streamring/net/peer/HeartbeatHandler.java
@@ -0,0 +1,30 @@
+package org.streamring.net.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.Heartbeat;
+
+/** Sends a heartbeat when nothing was written for a while, and keeps those that arrive from the listener. */
+final class HeartbeatHandler extends ChannelInboundHandlerAdapter {
+    private static final Frame HEARTBEAT =
+            Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (!(message instanceof Frame frame) || !frame.hasHeartbeat()) {
+            context.fireChannelRead(message);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent idle && idle.state() == IdleState.WRITER_IDLE) {
+            context.writeAndFlush(HEARTBEAT, context.voidPromise());
+        } else {
+            context.fireUserEventTriggered(event);
+        }
+    }
+}
--- a/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
+++ b/net/src/test/java/org/streamring/net/peer/HandshakeTest.java
@@ -10,11 +10,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.Heartbeat;
 import org.streamring.net.generated.Wire.Hello;
 import org.streamring.net.generated.Wire.Ping;
 import org.streamring.net.generated.Wire.Proof;
@@ -100,30 +102,66 @@
 
     @Test
     public void framesThatArriveWithTheProofAreReceivedAfterIt() throws Exception {
-        FleetKey key = new FleetKey("the-right-fleet-key");
+        Frame ping = Frame.newBuilder().setPing(Ping.newBuilder()).build();
+        try (Socket socket = connectByHand(0, List.of(ping, ping))) {
+
+            assertThat(accepted.next()).isEqualTo("connected entry-1~a");
+            assertThat(accepted.next()).isEqualTo("received PING");
+            assertThat(accepted.next()).isEqualTo("received PING");
+        }
+    }
+
+    @Test
+    public void aSideThatAnnouncesHeartbeatsAndFallsSilentIsDisconnected() throws Exception {
+        try (Socket socket = connectByHand(100, List.of())) {
+            assertThat(accepted.next()).isEqualTo("connected entry-1~a");
+            assertThat(accepted.next()).isEqualTo("disconnected SILENT");
+        }
+    }
+
+    @Test
+    public void aSideThatAnnouncesNoHeartbeatsMayBeIdle() throws Exception {
+        try (Socket socket = connectByHand(0, List.of())) {
+            assertThat(accepted.next()).isEqualTo("connected entry-1~a");
+            assertThat(accepted.events.poll(3, TimeUnit.SECONDS)).isNull();
+        }
+    }
+
+    @Test
+    public void heartbeatsAreSentAndNotHandedToTheListener() throws Exception {
+        Frame heartbeat =
+                Frame.newBuilder().setHeartbeat(Heartbeat.newBuilder()).build();
+        try (Socket socket = connectByHand(10_000, List.of(heartbeat))) {
+            assertThat(accepted.next()).isEqualTo("connected entry-1~a");
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            assertThat(Frame.parseFrom(in.readNBytes(in.readInt())).hasHeartbeat())
+                    .isTrue();
+            assertThat(accepted.events).isEmpty();
+        }
+    }
+
+    /** Connects as a process does that announces heartbeats at this interval, and sends frames behind its proof. */
+    private Socket connectByHand(int heartbeatMillis, List<Frame> behind) throws IOException {
         Hello own = Hello.newBuilder()
                 .setRole("ENTRY")
                 .setName("entry-1")
                 .setIncarnation("entry-1~a")
                 .setNonce(FleetKey.nonce())
+                .setHeartbeatMillis(heartbeatMillis)
                 .build();
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
-            socket.setSoTimeout(20_000);
-            socket.getOutputStream()
-                    .write(bytes(List.of(Frame.newBuilder().setHello(own).build())));
-            DataInputStream in = new DataInputStream(socket.getInputStream());
-            Hello other = Frame.parseFrom(in.readNBytes(in.readInt())).getHello();
-            Proof proof = Proof.newBuilder()
-                    .setProof(key.proof(FleetKey.Side.CONNECTING, own, other))
-                    .build();
-            Frame ping = Frame.newBuilder().setPing(Ping.newBuilder()).build();
-            socket.getOutputStream()
-                    .write(bytes(List.of(Frame.newBuilder().setProof(proof).build(), ping, ping)));
-
-            assertThat(accepted.next()).isEqualTo("connected entry-1~a");
-            assertThat(accepted.next()).isEqualTo("received PING");
-            assertThat(accepted.next()).isEqualTo("received PING");
-        }
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port());
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream()
+                .write(bytes(List.of(Frame.newBuilder().setHello(own).build())));
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        Hello other = Frame.parseFrom(in.readNBytes(in.readInt())).getHello();
+        Proof proof = Proof.newBuilder()
+                .setProof(new FleetKey("the-right-fleet-key").proof(FleetKey.Side.CONNECTING, own, other))
+                .build();
+        List<Frame> frames = new ArrayList<>(behind);
+        frames.add(0, Frame.newBuilder().setProof(proof).build());
+        socket.getOutputStream().write(bytes(frames));
+        return socket;
     }
 
     private static byte[] bytes(List<Frame> frames) throws IOException {
