Judge the silence of each connection to a replica by itself, and give up hung calls of the store sooner

Cause: a replica was judged by all its connections together, so one that spoke hid one that was silent, and a request on the silent one waited for its whole time. Idle connections that had fallen silent as well were tried one after the other, each at the price of a time-out, to replicas and to the store. A feed call that the store did not answer was given up after 3.2 s, later than the 2 s in which a replica that leaves must get nothing new. Change: a request that hears nothing for a second is sent again, also to the same replica over another connection, if a later one that is not more urgent was answered there, or if its connection is a used one and the replica is silent; only a connection that was made for its request shows that the replica itself is silent. A silent connection or a call of the store without an answer ends the trust in idle ones. Feed calls wait 0.6 s.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
@@ -29,6 +29,20 @@
         }
     }
 
+    /**
+     * Judges the silence of this attempt's connection.
+     *
+     * @param millis a sound backend server answers within this time, or starts to
+     */
+    public Silence silence(long millis) {
+        return connection == null ? Silence.NONE : connection.silence(millis);
+    }
+
+    /** When something was last heard on this attempt's connection, or when the request was sent; 0 before that. */
+    public long quietSinceMillis() {
+        return connection == null ? 0 : connection.quietSinceMillis();
+    }
+
     /** Whether the request was written to a connection. */
     public boolean sent() {
         return sent;
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -35,6 +35,8 @@
     private long keepAliveMillis;
     private long lastUseMillis;
     private long startedMillis;
+    private long heardMillis;
+    private int requests;
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
         this.pool = pool;
@@ -61,8 +63,28 @@
         return listener != null;
     }
 
-    long startedMillis() {
-        return startedMillis;
+    Silence silence(long millis) {
+        return pool.silence(this, millis);
+    }
+
+    /** When something was last heard of the request in progress, or when it was sent. */
+    long quietSinceMillis() {
+        return Math.max(startedMillis, heardMillis);
+    }
+
+    /** Whether the request in progress is not the first one. */
+    boolean reused() {
+        return requests > 1;
+    }
+
+    /** Urgency of the request in progress, 0 being the most urgent. */
+    int urgency() {
+        return request == null ? 0 : request.urgency();
+    }
+
+    /** Whether this connection's first request was sent by then and has heard nothing. */
+    boolean waitsSinceItsOpening(long millis) {
+        return busy() && !reused() && heardMillis < startedMillis && startedMillis < millis;
     }
 
     void send(BackendRequest next, AttemptListener nextListener, long nowMillis) {
@@ -72,6 +94,7 @@
         headSeen = false;
         skipping = false;
         startedMillis = nowMillis;
+        requests++;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, next.method(), next.target(), Unpooled.wrappedBuffer(next.body()));
         message.headers().set(next.headers());
@@ -103,6 +126,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             pool.heard();
+            heardMillis = pool.nowMillis();
             if (listener == null) {
                 close();
                 return;
@@ -137,6 +161,7 @@
             return;
         }
         headSeen = true;
+        pool.answered(urgency(), startedMillis);
         reusable = HttpUtil.isKeepAlive(response);
         answerHasFraming = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         keepAliveMillis = KeepAlive.millis(response.headers().get("Keep-Alive"));
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -30,6 +30,7 @@
     private final LongSupplier clock;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
+    private final RecentAnswers answers = new RecentAnswers();
     private long heardMillis;
 
     /**
@@ -59,11 +60,34 @@
         return attempt;
     }
 
-    /** Whether attempts are waiting and nothing was heard from the server for so long. */
-    public boolean silentFor(long millis) {
+    /**
+     * Judges a connection on which a request waits.
+     *
+     * <p>Each connection is judged by itself: where all were judged together, one that spoke hid one that was silent, and
+     * a request that could have been sent elsewhere after 1 s waited for its whole time.
+     *
+     * @param millis a sound server answers within this time, or starts to
+     */
+    Silence silence(BackendConnection connection, long millis) {
         long now = clock.getAsLong();
-        return now - heardMillis > millis
-                && open.stream().anyMatch(each -> each.busy() && now - each.startedMillis() > millis);
+        boolean unheard = now - heardMillis > millis;
+        if (unheard && open.stream().anyMatch(each -> each.waitsSinceItsOpening(now - millis))) {
+            return Silence.BACKEND;
+        }
+        boolean quiet = connection.busy() && now - connection.quietSinceMillis() > millis;
+        boolean overtaken = answers.overtook(connection.urgency(), connection.quietSinceMillis());
+        return quiet && (overtaken || (unheard && connection.reused())) ? Silence.CONNECTION : Silence.NONE;
+    }
+
+    /** Closes idle connections that were last used by then, as they may have fallen silent since. */
+    public void closeIdleUnheardSince(long millis) {
+        idle.removeIf(each -> {
+            boolean unheard = each.lastUseMillis() <= millis;
+            if (unheard) {
+                each.close();
+            }
+            return unheard;
+        });
     }
 
     /** Closes idle connections that have rested too long. */
@@ -97,6 +121,11 @@
         heardMillis = clock.getAsLong();
     }
 
+    /** Notes the first byte of an answer. */
+    void answered(int urgency, long sentMillis) {
+        answers.add(urgency, sentMillis);
+    }
+
     void idle(BackendConnection connection) {
         idle.addFirst(connection);
     }
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -17,7 +17,12 @@
  * passed over. Confined to the event loop.
  */
 public final class TableWatch {
-    private static final Duration WAIT = Duration.ofSeconds(2);
+    /**
+     * A call that the store does not answer holds up the next change by this and the store's time for a call, 1.8 s in
+     * all; with 2 s here the leaving of a replica became known up to 3.2 s late, of 2 s that are left for it.
+     */
+    private static final Duration WAIT = Duration.ofMillis(600);
+
     private static final long RETRY_MILLIS = 200;
 
     private final EventLoop loop;
--- a/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
@@ -20,7 +20,9 @@
         /** The backend server answered with a failure. */
         FAILED,
         /** No sound answer came; it may have run. */
-        BROKEN
+        BROKEN,
+        /** Its connection fell silent; it may have run, and its replica may be asked again over another connection. */
+        UNHEARD
     }
 
     static AttemptEnd whole() {
@@ -39,6 +41,10 @@
         return new AttemptEnd(Kind.FAILED, "status_" + answer.head().status(), Optional.of(answer));
     }
 
+    static AttemptEnd unheard() {
+        return new AttemptEnd(Kind.UNHEARD, "connection_silent", Optional.empty());
+    }
+
     static AttemptEnd broken(String reason) {
         return new AttemptEnd(Kind.BROKEN, reason, Optional.empty());
     }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -12,6 +12,7 @@
 import org.streamring.direct.backend.AttemptListener;
 import org.streamring.direct.backend.BackendAttempt;
 import org.streamring.direct.backend.BackendRequest;
+import org.streamring.direct.backend.Silence;
 import org.streamring.kernel.placement.PlacedPrompt;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
@@ -23,6 +24,8 @@
     private static final int SERVER_ERROR = 500;
     private static final int FIRST_FAILURE = 300;
     private static final long WATCH_MILLIS = 200;
+    /** Plain calls take up to some 400 ms and prompts begin within a second; what is sent elsewhere now may still be in time. */
+    private static final long SILENT_MILLIS = 1_000;
     /** Forecasts of the first event are at most this far off while a replica is sound. */
     private static final int READING_SLACK = 3;
 
@@ -97,15 +100,26 @@
     }
 
     private void checkSilence() {
-        if (over || !plan.route().repeatable() || !services.fleet().silent(instance) || mayStillBeReading()) {
+        BackendAttempt waiting = attempt;
+        if (over || waiting == null || mayStillBeReading()) {
             return;
         }
-        state.unreachable(services.clock().getAsLong());
-        BackendAttempt silent = attempt;
-        if (silent != null) {
-            silent.cancel();
+        Silence silence = waiting.silence(SILENT_MILLIS);
+        if (silence == Silence.CONNECTION) {
+            services.fleet().distrustIdle(waiting.quietSinceMillis());
         }
-        endAfterSending(AttemptEnd.broken("replica_silent"));
+        if (silence != Silence.NONE && plan.route().repeatable()) {
+            giveUpSilent(waiting, silence);
+        }
+    }
+
+    private void giveUpSilent(BackendAttempt silent, Silence silence) {
+        boolean replicaSilent = silence == Silence.BACKEND;
+        if (replicaSilent) {
+            state.unreachable(services.clock().getAsLong());
+        }
+        silent.cancel();
+        endAfterSending(replicaSilent ? AttemptEnd.broken("replica_silent") : AttemptEnd.unheard());
     }
 
     /** A replica that reads long prompts answers nothing meanwhile. */
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -175,6 +175,7 @@
                 request.target(),
                 headers,
                 request.body(),
+                plan.rank(),
                 !plan.route().repeatable());
     }
 
@@ -220,9 +221,12 @@
 
     private void afterPossibleRun(AttemptEnd end) {
         mayHaveRun = true;
-        if (end.kind() == AttemptEnd.Kind.BROKEN) {
+        if (end.kind() != AttemptEnd.Kind.FAILED) {
             reservation.ifPresent(Reservation::useUnknown);
         }
+        if (end.kind() == AttemptEnd.Kind.UNHEARD) {
+            tried.remove(newestReplica);
+        }
         retryOrConclude(end, plan.route().repeatable());
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -23,8 +23,6 @@
 
 /** The backend servers as this entry uses them: connections, load, health and retries. Confined to the event loop. */
 public final class Fleet {
-    private static final long SILENT_MILLIS = 1_000;
-
     private final EventLoop loop;
     private final BackendRegistry registry;
     private final PlacementTable placement;
@@ -98,10 +96,12 @@
         return retries(service).tryRetry(clock.getAsLong(), entries.getAsInt());
     }
 
-    /** Whether a replica has answered nothing for long although requests are in progress. */
-    boolean silent(BackendInstance instance) {
-        BackendPool pool = pools.get(instance.id());
-        return pool != null && pool.silentFor(SILENT_MILLIS);
+    /**
+     * Closes idle connections to all replicas that were last used by then. Connections mostly fall silent together; tried
+     * one after the other, each would cost a request a second.
+     */
+    void distrustIdle(long millis) {
+        pools.values().forEach(pool -> pool.closeIdleUnheardSince(millis));
     }
 
     /** Drops what belongs to replicas that are gone, and idle connections that rested too long. */
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -52,8 +52,7 @@
     public void moveTo(InetSocketAddress other) {
         if (!other.equals(address)) {
             address = other;
-            idle.forEach(Channel::close);
-            idle.clear();
+            closeIdle();
         }
     }
 
@@ -66,7 +65,7 @@
      */
     public CompletableFuture<HttpReply> call(HttpMethod method, String target, byte[] body, long timeoutMillis) {
         Call call = new Call(method, target, body);
-        call.timer = loop.schedule(() -> call.fail("no answer in time"), timeoutMillis, TimeUnit.MILLISECONDS);
+        call.timer = loop.schedule(call::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
         Channel kept = idle.pollFirst();
         while (kept != null && !kept.isActive()) {
             kept = idle.pollFirst();
@@ -79,6 +78,11 @@
         return call.reply;
     }
 
+    private void closeIdle() {
+        idle.forEach(Channel::close);
+        idle.clear();
+    }
+
     private void connect(Call call) {
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
@@ -134,6 +138,12 @@
             open.writeAndFlush(request);
         }
 
+        /** Connections mostly fall silent together; tried one after the other, each would cost a call its time-out. */
+        private void timedOut() {
+            closeIdle();
+            fail("no answer in time");
+        }
+
         private void fail(String reason) {
             end();
             if (channel != null) {
