--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -1,20 +1,17 @@
 package org.streamring.direct.backend;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.process.TcpClient;
 
 /** Connections to one backend server. Confined to the event loop. */
 public final class BackendPool {
@@ -24,8 +21,7 @@
     private static final long FRESH_MILLIS = 1_500;
 
     private final EventLoop loop;
-    private final String host;
-    private final int port;
+    private final InetSocketAddress address;
     private final String requestIdHeader;
     private final LongSupplier clock;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
@@ -39,10 +35,9 @@
      * @param requestIdHeader header by which an answer names its request
      * @param clock milliseconds of a steady clock
      */
-    public BackendPool(EventLoop loop, String host, int port, String requestIdHeader, LongSupplier clock) {
+    public BackendPool(EventLoop loop, InetSocketAddress address, String requestIdHeader, LongSupplier clock) {
         this.loop = loop;
-        this.host = host;
-        this.port = port;
+        this.address = address;
         this.requestIdHeader = requestIdHeader;
         this.clock = clock;
         this.heardMillis = clock.getAsLong();
@@ -149,22 +144,12 @@
 
     private void connect(BackendRequest request, BackendAttempt attempt) {
         BackendConnection connection = new BackendConnection(this, requestIdHeader);
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel created) {
-                        created.pipeline()
-                                .addLast(
-                                        new HttpRequestEncoder(),
-                                        new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
-                                        connection);
-                    }
-                })
-                .connect(host, port);
+        ChannelFuture connecting =
+                TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, created -> created.pipeline()
+                        .addLast(
+                                new HttpRequestEncoder(),
+                                new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
+                                connection));
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 attempt.notSent(String.valueOf(done.cause()));
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -38,6 +38,7 @@
     private final PlaceQueue places;
     private final HeaderFilter filter;
     private final RequestPlan plan;
+    private final RequestLog log;
     private final CallerRequest request;
     private final AnswerWriter writer;
     private final Runnable onOver;
@@ -68,6 +69,7 @@
         this.places = places;
         this.filter = filter;
         this.plan = plan;
+        this.log = new RequestLog(services.log(), plan);
         this.request = request;
         this.writer = writer;
         this.onOver = onOver;
@@ -107,7 +109,7 @@
     }
 
     private Duration untilTokens() {
-        long left = plan.callerWaitMillis() - (now() - request.arrivedMillis());
+        long left = plan.callerWaitMillis() - elapsed();
         long longest = Math.max(0, left) / PARTS_OF_TIME_LEFT;
         return Duration.ofMillis(
                 Math.min(longest, services.tokens().untilAvailable().toMillis()));
@@ -144,7 +146,7 @@
 
     private boolean waitedLongEnough() {
         long longest = plan.route().targetLatency().toMillis() / WAIT_PARTS;
-        return now() - request.arrivedMillis() >= longest;
+        return elapsed() >= longest;
     }
 
     private void send(BackendInstance instance, PlacementQuery query) {
@@ -159,7 +161,7 @@
         ForwardingHeaders names = services.names();
         HttpHeaders headers =
                 filter.forBackend(request.headers(), plan.account().isPresent());
-        headers.set(names.deadline(), Math.max(1, plan.callerWaitMillis() - (now() - request.arrivedMillis())));
+        headers.set(names.deadline(), Math.max(1, plan.callerWaitMillis() - elapsed()));
         headers.set(names.expectedInstance(), instance.id());
         plan.account().ifPresent(account -> headers.set(names.account(), account.name()));
         if (plan.service().isEngine()) {
@@ -334,44 +336,8 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        services.metrics().requestEnded(outcome, plan.rank(), now() - request.arrivedMillis());
-        services.log()
-                .line(
-                        "request_ended",
-                        "request",
-                        plan.id(),
-                        "route",
-                        plan.route().name(),
-                        "account",
-                        plan.prepaidAccount().orElse(""),
-                        "rank",
-                        plan.rank(),
-                        "outcome",
-                        outcome,
-                        "status",
-                        status,
-                        "attempts",
-                        sent,
-                        "unsent",
-                        unsent,
-                        "tokens_used",
-                        reservation.map(Reservation::used).orElse(0L),
-                        "tokens_at_most",
-                        plan.tokens().map(TokenUse::most).orElse(0L),
-                        "replica",
-                        newestReplica,
-                        "tokens_to_read",
-                        forecast.map(PlacementForecast::tokensToRead).orElse(0L),
-                        "unread_before",
-                        forecast.map(PlacementForecast::unreadTokens).orElse(0L),
-                        "forecast_ms",
-                        forecast.map(PlacementForecast::firstEventMillis).orElse(0L),
-                        "first_event_ms",
-                        timing.firstEventMillis().orElse(-1),
-                        "longest_pause_ms",
-                        timing.longestPauseMillis(),
-                        "ms",
-                        now() - request.arrivedMillis());
+        services.metrics().requestEnded(outcome, plan.rank(), elapsed());
+        log.ended(outcome, status, course());
         places.poke();
     }
 
@@ -380,19 +346,16 @@
             return;
         }
         services.metrics().attemptFailed(end.kind().name());
-        services.log()
-                .line(
-                        "attempt_failed",
-                        "request",
-                        plan.id(),
-                        "service",
-                        plan.service().name(),
-                        "kind",
-                        end.kind(),
-                        "reason",
-                        end.reason(),
-                        "ms",
-                        now() - request.arrivedMillis());
+        log.attemptFailed(end, elapsed());
+    }
+
+    private RequestLog.Course course() {
+        long tokens = reservation.map(Reservation::used).orElse(0L);
+        return new RequestLog.Course(sent, unsent, tokens, newestReplica, forecast, timing, elapsed());
+    }
+
+    private long elapsed() {
+        return now() - request.arrivedMillis();
     }
 
     private long now() {
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.request;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -78,7 +79,11 @@
     /** Connections to a replica. */
     BackendPool pool(BackendInstance instance) {
         return pools.computeIfAbsent(
-                instance.id(), id -> new BackendPool(loop, instance.host(), instance.port(), requestIdHeader, clock));
+                instance.id(), id -> new BackendPool(loop, addressOf(instance), requestIdHeader, clock));
+    }
+
+    private static InetSocketAddress addressOf(BackendInstance instance) {
+        return new InetSocketAddress(instance.host(), instance.port());
     }
 
     /** The limit on retries at a service. */
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -1,17 +1,12 @@
 package org.streamring.net.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -27,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.process.TcpClient;
 
 /**
  * Calls one HTTP service.
@@ -84,22 +80,9 @@
     }
 
     private void connect(Call call) {
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel created) {
-                        created.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_REPLY_BYTES),
-                                        new ReplyHandler());
-                    }
-                })
-                .connect(address);
+        ChannelFuture connecting =
+                TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, created -> created.pipeline()
+                        .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_REPLY_BYTES), new ReplyHandler()));
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 call.fail(String.valueOf(done.cause()));
--- a/net/src/main/java/org/streamring/net/peer/PeerConnector.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerConnector.java
@@ -1,18 +1,16 @@
 package org.streamring.net.peer;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.peer.FleetKey.Side;
+import org.streamring.net.process.TcpClient;
 
 /** Keeps one connection to a process of the fleet, connecting again with growing, jittered pauses. */
 public final class PeerConnector {
@@ -22,7 +20,7 @@
 
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
-    private final Bootstrap bootstrap;
+    private final Consumer<Channel> handlers;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private volatile boolean stopped;
     private volatile @Nullable Channel channel;
@@ -37,17 +35,8 @@
         this.loops = loops;
         this.address = address;
         PeerListener watched = new PauseReset(listener);
-        this.bootstrap = new Bootstrap()
-                .group(loops)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel created) {
-                        FrameCodec.install(created, new HandshakeHandler(Side.CONNECTING, fleetKey, own, watched));
-                    }
-                });
+        this.handlers =
+                created -> FrameCodec.install(created, new HandshakeHandler(Side.CONNECTING, fleetKey, own, watched));
     }
 
     /** Starts to connect. */
@@ -55,7 +44,7 @@
         if (stopped) {
             return;
         }
-        ChannelFuture connecting = bootstrap.connect(address);
+        ChannelFuture connecting = TcpClient.connect(loops, address, CONNECT_TIMEOUT_MILLIS, handlers);
         channel = connecting.channel();
         connecting.addListener(done -> {
             if (connecting.isSuccess()) {
@@ -98,7 +87,7 @@
         }
 
         @Override
-        public void received(PeerConnection connection, org.streamring.net.generated.Wire.Frame frame) {
+        public void received(PeerConnection connection, Frame frame) {
             listener.received(connection, frame);
         }
 
