Release a lease evenly while the store is silent, and take back what a dead entry could not have used

Cause: out of patience with a silent store an entry could use its whole lease at once. When all entries died in that state, nobody was left to tell what was noted, so whole leases stayed used for good, sized for ten seconds of demand. Change: beyond the patience (3.2 s) the rest of a lease is released evenly until the ten seconds of demand for which it was sized; notes at witnesses are needed as before. A successor whose predecessor's witness was replaced, or has not answered for 3 s, takes back what was not released when it started. The marks row says whether its writer keeps to that, so rows of older processes are left alone.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -38,18 +38,21 @@
 
     /** Tokens of the grant that may be used while the marks bind. */
     long usableBelowMark(StoreSilence silence) {
-        Mark mark = new Mark(markStart.usable(), markAtOnce.usable(), markAtPatience.usable());
-        return Math.min(granted.usable(), silence.usable(mark));
+        return Math.min(granted.usable(), silence.usable(mark()));
     }
 
     /** Tokens of the grant that may be used once the marks no longer bind. */
-    long usableBeyondMark() {
-        return granted.usable();
+    long usableBeyondMark(StoreSilence silence) {
+        return silence.released(mark(), granted.usable());
     }
 
-    /** Tokens of the grant that may be used, up to those noted at a witness. */
-    long usableUpTo(long noted) {
-        return Math.min(granted.usable(), Math.max(markAtPatience.usable(), noted));
+    /** Tokens of the grant that may be used once the marks no longer bind, up to those noted at a witness. */
+    long usableUpTo(long noted, StoreSilence silence) {
+        return Math.min(usableBeyondMark(silence), Math.max(markAtPatience.usable(), noted));
+    }
+
+    private Mark mark() {
+        return new Mark(markStart.usable(), markAtOnce.usable(), markAtPatience.usable());
     }
 
     /** What is to be noted at the witnesses, so that requests of the next moments find tokens. */
--- a/core/src/main/java/org/streamring/kernel/prepaid/Mark.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/Mark.java
@@ -5,7 +5,8 @@
  * from where a line with the slope of its demand exceeds it, that line, until the incarnation's patience with a silent
  * store is over.
  *
- * <p>The sooner a successor starts, the more it can take back.
+ * <p>Beyond the patience the rest of the grant is released evenly, until the time of demand for which it was sized. The
+ * sooner a successor starts, the more it can take back, also where nobody is left to tell what was used.
  *
  * @param start tokens that were used when the write was planned, where the line begins
  * @param atOnce tokens that may be used when the write was sent; not less than the start
@@ -31,4 +32,16 @@
         double part = Math.max(0, Math.min(1, elapsedMillis / (double) patienceMillis));
         return Math.max(atOnce, start + (long) ((atPatience - start) * part));
     }
+
+    /**
+     * Tokens of a grant that may be used after the patience.
+     *
+     * @param elapsedMillis time since the last confirmed write was sent
+     * @param coverMillis time after which all of the grant may be used; more than the patience
+     */
+    public long released(long granted, long elapsedMillis, long patienceMillis, long coverMillis) {
+        double part = (elapsedMillis - patienceMillis) / (double) (coverMillis - patienceMillis);
+        double rest = Math.max(0, granted - atPatience) * Math.max(0, Math.min(1, part));
+        return Math.min(granted, atPatience + (long) rest);
+    }
 }
--- a/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
@@ -11,9 +11,12 @@
  *     then on, until it is out of patience
  * @param marks marks by account
  * @param witnesses incarnations of other entries; once it is out of patience it uses nothing beyond its marks that it
- *     has not noted at one of them. If there are none, it may use all of its grants then
+ *     has not noted at one of them
+ * @param coverMillis time since its last confirmed write until which its grants are released evenly; 0 if it may use all
+ *     of them as soon as it is out of patience, as processes of older versions do
  */
-public record MarkRow(String incarnation, long confirmedMillis, Map<String, Mark> marks, Set<String> witnesses) {
+public record MarkRow(
+        String incarnation, long confirmedMillis, Map<String, Mark> marks, Set<String> witnesses, long coverMillis) {
     /** Copies map and set. */
     public MarkRow {
         marks = Map.copyOf(marks);
@@ -39,6 +42,19 @@
         return Math.min(granted, Math.max(mark.atPatience(), noted));
     }
 
+    /**
+     * What is used at most of an account by an incarnation that ran out of patience, whatever it noted.
+     *
+     * @param successorStartMillis time of the store at which its successor on the same box started, or later
+     */
+    public long releasedAtMost(String account, long granted, long successorStartMillis, long patienceMillis) {
+        if (coverMillis <= patienceMillis) {
+            return granted;
+        }
+        Mark mark = marks.getOrDefault(account, Mark.of(granted));
+        return mark.released(granted, successorStartMillis - confirmedMillis, patienceMillis, coverMillis);
+    }
+
     /**
      * What is used for sure at most of an account, if the marks were held.
      *
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -64,7 +64,7 @@
     public PrepaidBook(String incarnation, PrepaidSettings settings) {
         this.incarnation = incarnation;
         this.settings = settings;
-        this.silence = new StoreSilence(0, settings.patience().toMillis());
+        this.silence = silenceOf(0);
     }
 
     /** Whose leases these are. */
@@ -83,7 +83,12 @@
      * @param elapsedMillis time since the last confirmed write was sent, or less
      */
     public void storeSilentFor(long elapsedMillis) {
-        silence = new StoreSilence(elapsedMillis, settings.patience().toMillis());
+        silence = silenceOf(elapsedMillis);
+    }
+
+    private StoreSilence silenceOf(long elapsedMillis) {
+        return new StoreSilence(
+                elapsedMillis, settings.patience().toMillis(), settings.cover().toMillis());
     }
 
     /** Who witnesses what is used beyond the marks. */
@@ -100,7 +105,7 @@
     public Map<String, Long> wantedNotes() {
         Map<String, Long> wanted = new HashMap<>();
         leases.forEach((account, lease) -> {
-            if (lease.usableBeyondMark() > 0) {
+            if (lease.usableBeyondMark(silence) > 0) {
                 wanted.put(account, lease.wantedNote());
             }
         });
@@ -116,7 +121,7 @@
     /** Whether a note at a witness would make tokens available. */
     public boolean noteWouldHelp(String account, long tokens) {
         AccountLease lease = lease(account);
-        return needsNotes() && lease.available(lease.usableBeyondMark()) >= tokens;
+        return needsNotes() && lease.available(lease.usableBeyondMark(silence)) >= tokens;
     }
 
     private long usable(String account, AccountLease lease) {
@@ -124,14 +129,14 @@
             return lease.usableBelowMark(silence);
         }
         if (witnesses.none()) {
-            return lease.usableBeyondMark();
+            return lease.usableBeyondMark(silence);
         }
         long noted = witnesses.usable().stream()
                 .map(witness -> notedAt.getOrDefault(witness, Map.of()))
                 .mapToLong(notes -> notes.getOrDefault(account, 0L))
                 .max()
                 .orElse(0);
-        return lease.usableUpTo(noted);
+        return lease.usableUpTo(noted, silence);
     }
 
     /** From now on leases shrink to what is used or waited for, as this entry takes no more requests. */
@@ -290,6 +295,22 @@
                 .map(used -> row.withClosed(marks.incarnation(), used));
     }
 
+    /**
+     * Plans to take back what a predecessor on this box can't have used yet when this incarnation started. For those that
+     * ran out of patience and whose witnesses are gone: without it a loss of all entries while the store is away leaves
+     * all of their leases used for good, 18 in 100 of the tokens in one such loss at the end of a budget.
+     *
+     * @param startMillis time of the store at which this incarnation started, or later
+     * @return the row without its holding; empty if it has none, or may have used all of it
+     */
+    public Optional<PrepaidRow> reclaimReleased(String account, PrepaidRow row, MarkRow marks, long startMillis) {
+        Optional<Holding> holding = row.holding(marks.incarnation());
+        long granted = holding.map(Holding::granted).orElse(0L);
+        long used = marks.releasedAtMost(
+                account, granted, startMillis, settings.patience().toMillis());
+        return used < granted ? Optional.of(row.withClosed(marks.incarnation(), used)) : Optional.empty();
+    }
+
     /** Notes that a write was sent. */
     public void proposed(Proposal proposal) {
         lease(proposal.account()).proposed(proposal.granted(), proposal.mark());
--- a/core/src/main/java/org/streamring/kernel/prepaid/StoreSilence.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/StoreSilence.java
@@ -5,8 +5,9 @@
  *
  * @param elapsedMillis time since the last confirmed write was sent, or less
  * @param patienceMillis after this time tokens beyond the marks may be used
+ * @param coverMillis after this time all of a grant may be used
  */
-public record StoreSilence(long elapsedMillis, long patienceMillis) {
+public record StoreSilence(long elapsedMillis, long patienceMillis, long coverMillis) {
     /** Whether the marks no longer bind. */
     boolean outOfPatience() {
         return elapsedMillis >= patienceMillis;
@@ -16,4 +17,9 @@
     long usable(Mark mark) {
         return mark.after(elapsedMillis, patienceMillis);
     }
+
+    /** The tokens of a grant that may be used once the marks no longer bind. */
+    long released(Mark mark, long granted) {
+        return mark.released(granted, elapsedMillis, patienceMillis, coverMillis);
+    }
 }
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -108,7 +108,7 @@
         this.homes = homes;
         this.entries = entries;
         this.witnesses = witnesses;
-        this.predecessor = new PredecessorLeases(book, witnesses, log);
+        this.predecessor = new PredecessorLeases(book, witnesses, clock, log);
         this.clock = clock;
         this.log = log;
         this.listener = listener;
@@ -279,7 +279,12 @@
         Set<String> named = witnesses.choose(book.witnesses().usable());
         proposals.forEach(book::proposed);
         book.witnesses().proposed(named);
-        MarkRow marksRow = new MarkRow(book.incarnation(), confirmedStoreMillis, marks, named);
+        MarkRow marksRow = new MarkRow(
+                book.incarnation(),
+                confirmedStoreMillis,
+                marks,
+                named,
+                book.settings().cover().toMillis());
         return commit(changed, marksRow).whenComplete((committed, failure) -> {
             if (failure != null) {
                 boolean nothingDone = failure instanceof StoreException store && store.nothingDone();
--- a/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -10,23 +11,29 @@
 
 /**
  * Takes back what a predecessor on this box can't have used: at once if it ended before it ran out of patience, else
- * when all of its witnesses have told what it noted. Confined to the event loop.
+ * when all of its witnesses have told what it noted. Where one of them is gone, what it could not have used by the time of
+ * this process's start is taken back. Confined to the event loop.
  */
 final class PredecessorLeases {
     /** Clocks of the store and of this box may run apart this far within a process's patience. */
     private static final long CLOCK_MARGIN_MILLIS = 200;
+    /** A witness that lives is connected about a second after this process started, and answers at once. */
+    private static final long WITNESSES_AWAITED_MILLIS = 3_000;
 
     private final PrepaidBook book;
     private final Witnesses witnesses;
+    private final LongSupplier clock;
     private final DecisionLog log;
     private final Map<String, Map<String, Long>> reports = new HashMap<>();
     private Optional<MarkRow> found = Optional.empty();
     private long startStoreMillis = Long.MAX_VALUE;
+    private long foundMillis;
     private boolean logged;
 
-    PredecessorLeases(PrepaidBook book, Witnesses witnesses, DecisionLog log) {
+    PredecessorLeases(PrepaidBook book, Witnesses witnesses, LongSupplier clock, DecisionLog log) {
         this.book = book;
         this.witnesses = witnesses;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -39,6 +46,7 @@
     void marksRead(Optional<MarkRow> marks) {
         Optional<MarkRow> left = marks.filter(each -> !each.incarnation().equals(book.incarnation()));
         if (left.isPresent()) {
+            foundMillis = found.isEmpty() ? clock.getAsLong() : foundMillis;
             found = left;
         }
     }
@@ -65,10 +73,22 @@
         if (heldMarks(marks)) {
             return book.reclaim(account, row, marks, startStoreMillis + CLOCK_MARGIN_MILLIS);
         }
-        if (marks.witnesses().isEmpty() || !reports.keySet().containsAll(marks.witnesses())) {
-            return Optional.empty();
+        if (!marks.witnesses().isEmpty() && reports.keySet().containsAll(marks.witnesses())) {
+            return PrepaidBook.reclaimNoted(account, row, marks, mostNoted(marks));
         }
-        return PrepaidBook.reclaimNoted(account, row, marks, mostNoted(marks));
+        if (nothingMoreToHear(marks)) {
+            return book.reclaimReleased(account, row, marks, startStoreMillis + CLOCK_MARGIN_MILLIS);
+        }
+        return Optional.empty();
+    }
+
+    private boolean nothingMoreToHear(MarkRow marks) {
+        boolean waitedLong = clock.getAsLong() - foundMillis > WITNESSES_AWAITED_MILLIS;
+        return waitedLong
+                || marks.witnesses().stream()
+                        .filter(witness -> !reports.containsKey(witness))
+                        .anyMatch(witnesses::gone)
+                || marks.witnesses().isEmpty();
     }
 
     private Map<String, Long> mostNoted(MarkRow marks) {
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -65,7 +65,10 @@
         }
     }
 
-    /** Writes marks: {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …]}. */
+    /**
+     * Writes marks: {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …, cover]}. Older
+     * processes read up to the last account, and write no cover.
+     */
     static String writeMarks(MarkRow marks) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = JSON.createGenerator(text)) {
@@ -83,6 +86,7 @@
                 generator.writeNumber(mark.getValue().atOnce());
                 generator.writeNumber(mark.getValue().atPatience());
             }
+            generator.writeNumber(marks.coverMillis());
             generator.writeEndArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -104,7 +108,8 @@
                 String account = parser.getText();
                 marks.put(account, new Mark(number(parser), number(parser), number(parser)));
             }
-            return Optional.of(new MarkRow(incarnation, confirmed, marks, witnesses));
+            long cover = parser.currentToken() == JsonToken.VALUE_NUMBER_INT ? parser.getLongValue() : 0;
+            return Optional.of(new MarkRow(incarnation, confirmed, marks, witnesses, cover));
         } catch (IOException e) {
             return Optional.empty();
         }
--- a/direct/src/main/java/org/streamring/direct/ledger/Witnesses.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/Witnesses.java
@@ -22,6 +22,9 @@
      */
     void note(Set<String> witnesses, Map<String, Long> tokens, Consumer<String> acknowledged);
 
+    /** Whether another process has taken the place of a witness, so that it will never answer. */
+    boolean gone(String witness);
+
     /**
      * Asks a witness what a dead incarnation noted there. A lost answer is asked for again by the next call.
      *
--- a/direct/src/main/java/org/streamring/direct/peer/UseWitnesses.java
+++ b/direct/src/main/java/org/streamring/direct/peer/UseWitnesses.java
@@ -99,6 +99,13 @@
         });
     }
 
+    @Override
+    public boolean gone(String witness) {
+        return peers.byEntry().values().stream()
+                .map(PeerConnection::remote)
+                .anyMatch(remote -> witness.startsWith(remote.name() + ".") && !witness.equals(remote.incarnation()));
+    }
+
     private Optional<PeerConnection> connection(String incarnation) {
         return peers.byEntry().values().stream()
                 .filter(peer -> peer.remote().incarnation().equals(incarnation))
