--- a/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
+++ b/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
@@ -42,8 +42,8 @@
  * <p>Sequence: all open connections fell silent without a reset. Entries that are no home of an account went on to ask its
  * homes over those connections, got no answer, and refused.
  *
- * <p>Cause: a connection on which nothing arrives was kept as long as its sender had nothing to hear of a reset; neither
- * side sent anything by itself, and nothing bounded the silence (but for three minutes), so no new connection was made.
+ * <p>Cause: neither side sent anything of its own accord, and only three minutes of silence ended a connection, so an idle
+ * connection could not be told from a dead one, and no new one was made.
  *
  * <p>Settled by: 7,285 of 7,286 {@code tokens_refused} lines said {@code lease_not_in_time} with free tokens in the account;
  * loans fell from hundreds in two seconds to none, and neither {@code peer_lost} nor {@code peer_connected} came again.
@@ -51,7 +51,7 @@
 public class SilentPeersTest {
     private static final String ACCOUNT = "hotel";
     private static final long LOAN = 700;
-    /** Callers give up a stream without a first event after two seconds or more. */
+    /** A silence is noticed after 1.5 s; then come a pause, the connection and the handshake. */
     private static final Duration MADE_ANEW = Duration.ofSeconds(3);
 
     private NioEventLoopGroup loops;
