--- a/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
@@ -12,8 +12,8 @@
  * @param marks marks by account
  * @param witnesses incarnations of other entries; once it is out of patience it uses nothing beyond its marks that it
  *     has not noted at one of them
- * @param coverMillis time since its last confirmed write until which its grants are released evenly; 0 if it may use all
- *     of them as soon as it is out of patience, as processes of older versions do
+ * @param coverMillis time since its last confirmed write until which its grants are released evenly; 0 if it may use
+ *     all of them as soon as it is out of patience, as processes of older versions do
  */
 public record MarkRow(
         String incarnation, long confirmedMillis, Map<String, Mark> marks, Set<String> witnesses, long coverMillis) {
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -296,9 +296,9 @@
     }
 
     /**
-     * Plans to take back what a predecessor on this box can't have used yet when this incarnation started. For those that
-     * ran out of patience and whose witnesses are gone: without it a loss of all entries while the store is away leaves
-     * all of their leases used for good, 18 in 100 of the tokens in one such loss at the end of a budget.
+     * Plans to take back what a predecessor on this box can't have used yet when this incarnation started. For those
+     * that ran out of patience and whose witnesses are gone: without it a loss of all entries while the store is away
+     * leaves all of their leases used for good, 18 in 100 of the tokens in one such loss at the end of a budget.
      *
      * @param startMillis time of the store at which this incarnation started, or later
      * @return the row without its holding; empty if it has none, or may have used all of it
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -58,8 +58,8 @@
     /**
      * Judges a connection on which a request waits.
      *
-     * <p>Each connection is judged by itself: where all were judged together, one that spoke hid one that was silent, and
-     * a request that could have been sent elsewhere after 1 s waited for its whole time.
+     * <p>Each connection is judged by itself: where all were judged together, one that spoke hid one that was silent,
+     * and a request that could have been sent elsewhere after 1 s waited for its whole time.
      *
      * @param millis a sound server answers within this time, or starts to
      */
--- a/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
@@ -11,8 +11,8 @@
 
 /**
  * Takes back what a predecessor on this box can't have used: at once if it ended before it ran out of patience, else
- * when all of its witnesses have told what it noted. Where one of them is gone, what it could not have used by the time of
- * this process's start is taken back. Confined to the event loop.
+ * when all of its witnesses have told what it noted. Where one of them is gone, what it could not have used by the
+ * time of this process's start is taken back. Confined to the event loop.
  */
 final class PredecessorLeases {
     /** Clocks of the store and of this box may run apart this far within a process's patience. */
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -66,8 +66,8 @@
     }
 
     /**
-     * Writes marks: {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …, cover]}. Older
-     * processes read up to the last account, and write no cover.
+     * Writes marks: {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …, cover]}.
+     * Older processes read up to the last account, and write no cover.
      */
     static String writeMarks(MarkRow marks) {
         StringWriter text = new StringWriter();
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -24,7 +24,10 @@
     private static final int SERVER_ERROR = 500;
     private static final int FIRST_FAILURE = 300;
     private static final long WATCH_MILLIS = 200;
-    /** Plain calls take up to some 400 ms and prompts begin within a second; what is sent elsewhere now may still be in time. */
+    /**
+     * Plain calls take up to some 400 ms and prompts begin within a second; what is sent elsewhere now may still be
+     * in time.
+     */
     private static final long SILENT_MILLIS = 1_000;
     /** Forecasts of the first event are at most this far off while a replica is sound. */
     private static final int READING_SLACK = 3;
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -102,8 +102,8 @@
     }
 
     /**
-     * Closes idle connections to all replicas that were last used by then. Connections mostly fall silent together; tried
-     * one after the other, each would cost a request a second.
+     * Closes idle connections to all replicas that were last used by then. Connections mostly fall silent together;
+     * tried one after the other, each would cost a request a second.
      */
     void distrustIdle(long millis) {
         pools.values().forEach(pool -> pool.closeIdleUnheardSince(millis));
--- a/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
+++ b/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
@@ -36,17 +36,18 @@
 /**
  * Connections between entries that fall silent.
  *
- * <p>Symptom: on thirty entries requests for prepaid tokens were refused from one moment to the end, 30 to 39 in 100 were
- * served instead of 95, while plain calls were served as before.
+ * <p>Symptom: on thirty entries requests for prepaid tokens were refused from one moment to the end, 30 to 39 in 100
+ * were served instead of 95, while plain calls were served as before.
  *
- * <p>Sequence: all open connections fell silent without a reset. Entries that are no home of an account went on to ask its
- * homes over those connections, got no answer, and refused.
+ * <p>Sequence: all open connections fell silent without a reset. Entries that are no home of an account went on to
+ * ask its homes over those connections, got no answer, and refused.
  *
- * <p>Cause: neither side sent anything of its own accord, and only three minutes of silence ended a connection, so an idle
- * connection could not be told from a dead one, and no new one was made.
+ * <p>Cause: neither side sent anything of its own accord, and only three minutes of silence ended a connection, so an
+ * idle connection could not be told from a dead one, and no new one was made.
  *
- * <p>Settled by: 7,285 of 7,286 {@code tokens_refused} lines said {@code lease_not_in_time} with free tokens in the account;
- * loans fell from hundreds in two seconds to none, and neither {@code peer_lost} nor {@code peer_connected} came again.
+ * <p>Settled by: 7,285 of 7,286 {@code tokens_refused} lines said {@code lease_not_in_time} with free tokens in the
+ * account; loans fell from hundreds in two seconds to none, and neither {@code peer_lost} nor {@code peer_connected}
+ * came again.
  */
 public class SilentPeersTest {
     private static final String ACCOUNT = "hotel";
--- a/net/src/main/java/org/streamring/net/peer/FrameCodec.java
+++ b/net/src/main/java/org/streamring/net/peer/FrameCodec.java
@@ -24,7 +24,9 @@
     /** A process that announces no heartbeats may be idle for long. */
     private static final long UNANNOUNCED_SILENCE_MILLIS = 180_000;
 
-    /** Longest time without a frame from this side. Two a second cost an entry with sixty connections 120 small writes. */
+    /**
+     * Longest time without a frame from this side. Two a second cost an entry with sixty connections 120 small writes.
+     */
     static final int HEARTBEAT_MILLIS = 500;
     /**
      * A connection that falls silent is replaced 1.5 s later; before, an entry asked it for ever, and of thirty entries
