--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -176,7 +176,7 @@
         configurationWatch.start();
         backendWatch.start();
         members.start();
-        lending.start(tokens);
+        lending.start(tokens.lender());
         witnesses.start();
         peers.start();
         exchange.start();
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
@@ -0,0 +1,134 @@
+package org.streamring.direct.ledger;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.prepaid.PrepaidBook;
+
+/**
+ * Lends tokens of this entry's leases to others, takes back what they return, and returns what this entry borrowed and
+ * does not use. Confined to the event loop.
+ */
+final class LoanDesk implements Lenders.Lender {
+    /** A borrower asks elsewhere after 60 ms; the answer is to be there by then. */
+    private static final long LONGEST_WAIT_MILLIS = 25;
+    /** A note travels to another entry and back. */
+    private static final long NOTE_MILLIS = 8;
+    /** Idle tokens are of use to others soon, and small returns are not worth a frame each. */
+    private static final long RETURN_MILLIS = 300;
+
+    private final EventLoop loop;
+    private final PrepaidBook book;
+    private final AccountHomes homes;
+    private final LeaseRenewer renewer;
+    private final UseNotes notes;
+    private final Lenders lenders;
+    private final Runnable onTokens;
+    private final DecisionLog log;
+    private final List<Ask> waiting = new ArrayList<>();
+
+    /**
+     * Creates one; nothing is returned before {@link #start}.
+     *
+     * @param onTokens run when tokens came back
+     */
+    LoanDesk(
+            EventLoop loop,
+            PrepaidBook book,
+            AccountHomes homes,
+            LeaseRenewer renewer,
+            UseNotes notes,
+            Lenders lenders,
+            Runnable onTokens,
+            DecisionLog log) {
+        this.loop = loop;
+        this.book = book;
+        this.homes = homes;
+        this.renewer = renewer;
+        this.notes = notes;
+        this.lenders = lenders;
+        this.onTokens = onTokens;
+        this.log = log;
+    }
+
+    void start() {
+        loop.scheduleAtFixedRate(this::returnIdle, RETURN_MILLIS, RETURN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Lends tokens to another entry; while the store answers, a larger lease is fetched first where needed.
+     *
+     * @param then told the outcome once
+     */
+    @Override
+    public void lend(String account, long asked, Consumer<Lenders.Loan> then) {
+        if (book.available(account) >= asked) {
+            then.accept(lendNow(account, asked));
+        } else if (book.noteWouldHelp(account, asked)) {
+            new Ask(account, asked, then).waitFor(NOTE_MILLIS);
+            notes.sendSoon();
+        } else if (renewer.away()) {
+            then.accept(lendNow(account, asked));
+        } else {
+            new Ask(account, asked, then).waitFor(LONGEST_WAIT_MILLIS);
+            renewer.renewSoon();
+        }
+    }
+
+    @Override
+    public void takeBack(String account, long tokens) {
+        if (tokens > 0) {
+            book.borrow(account, tokens);
+            onTokens.run();
+        }
+    }
+
+    /** Returns borrowed tokens that lie idle, where another entry holds the account's leases. */
+    private void returnIdle() {
+        for (String account : book.accounts()) {
+            if (!homes.isHome(account) && lenders.canReturn(account)) {
+                long idle = book.giveUpIdle(account);
+                if (idle > 0) {
+                    lenders.giveBack(account, idle);
+                    log.line("tokens_returned", "account", account, "tokens", idle);
+                }
+            }
+        }
+    }
+
+    private Lenders.Loan lendNow(String account, long asked) {
+        long tokens = homes.allAreHomes() ? book.lendWithSpare(account, asked) : book.lend(account, asked);
+        return new Lenders.Loan(tokens, !renewer.away());
+    }
+
+    /** Another entry that waits for an answer. */
+    private final class Ask {
+        private final String account;
+        private final long asked;
+        private final Consumer<Lenders.Loan> then;
+
+        private Ask(String account, long asked, Consumer<Lenders.Loan> then) {
+            this.account = account;
+            this.asked = asked;
+            this.then = then;
+        }
+
+        private void waitFor(long millis) {
+            waiting.add(this);
+            book.addWaiting(account, asked);
+            loop.schedule(this::answer, millis, TimeUnit.MILLISECONDS);
+        }
+
+        /** Answers with what there is; further calls have no effect. */
+        private void answer() {
+            if (waiting.remove(this)) {
+                book.addWaiting(account, -asked);
+                then.accept(lendNow(account, asked));
+            }
+        }
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -25,7 +25,7 @@
  * Gives prepaid tokens to requests: from this entry's leases, from a larger lease if the store answers in time, or from
  * what another entry lends. Confined to the event loop.
  */
-public final class TokenDesk implements TokenSource, LeaseRenewer.Listener, Lenders.Lender {
+public final class TokenDesk implements TokenSource, LeaseRenewer.Listener {
     private static final long LONGEST_WAIT_MILLIS = 130;
     /** The first lease of a process is on its way for longer, and it has nothing else to offer. */
     private static final long FIRST_LEASE_WAIT_MILLIS = 200;
@@ -35,13 +35,8 @@
 
     private static final Duration UNTIL_TOKENS_RETURN = Duration.ofSeconds(1);
     private static final long LAST_TRY_MILLIS = 60;
-    private static final long LEND_AFTER_MILLIS = 25;
-    /** A note travels to another entry and back. */
-    private static final long NOTE_MILLIS = 8;
 
     private static final long EXPIRY_MILLIS = 20;
-    /** Idle tokens are of use to others soon, and small returns are not worth a frame each. */
-    private static final long RETURN_MILLIS = 300;
     /** A lender's write takes some 10 to 20 ms. */
     private static final long ASK_AGAIN_MILLIS = 20;
 
@@ -50,6 +45,7 @@
     private final LeaseRows rows;
     private final LeaseRenewer renewer;
     private final UseNotes notes;
+    private final LoanDesk loans;
     private final Supplier<Optional<RouteTable>> routes;
     private final AccountHomes homes;
     private final Lenders lenders;
@@ -90,13 +86,14 @@
         this.renewer =
                 new LeaseRenewer(loop, store, book, rows, routes, homes, entries, witnesses, clock, random, log, this);
         this.notes = new UseNotes(loop, book, witnesses, this::serveWaiters);
+        this.loans = new LoanDesk(loop, book, homes, renewer, notes, lenders, this::serveWaiters, log);
     }
 
     /** Starts to read and renew leases. */
     public void start() {
         renewer.start();
         notes.start();
-        loop.scheduleAtFixedRate(this::returnIdle, RETURN_MILLIS, RETURN_MILLIS, TimeUnit.MILLISECONDS);
+        loans.start();
         loop.scheduleAtFixedRate(this::expireWaiters, EXPIRY_MILLIS, EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -143,59 +140,9 @@
         return renewer.away() ? UNTIL_THE_STORE_IS_BACK : UNTIL_TOKENS_RETURN;
     }
 
-    /**
-     * Lends tokens to another entry; while the store answers, a larger lease is fetched first where needed.
-     *
-     * @param then told the outcome once
-     */
-    @Override
-    public void lend(String account, long asked, Consumer<Lenders.Loan> then) {
-        if (book.available(account) < asked && book.noteWouldHelp(account, asked)) {
-            lendAfter(NOTE_MILLIS, account, asked, then);
-            notes.sendSoon();
-        } else if (renewer.away() || book.available(account) >= asked) {
-            then.accept(lendNow(account, asked));
-        } else {
-            lendAfter(LEND_AFTER_MILLIS, account, asked, then);
-            renewer.renewSoon();
-        }
-    }
-
-    private void lendAfter(long millis, String account, long asked, Consumer<Lenders.Loan> then) {
-        book.addWaiting(account, asked);
-        loop.schedule(
-                () -> {
-                    book.addWaiting(account, -asked);
-                    then.accept(lendNow(account, asked));
-                },
-                millis,
-                TimeUnit.MILLISECONDS);
-    }
-
-    @Override
-    public void takeBack(String account, long tokens) {
-        if (tokens > 0) {
-            book.borrow(account, tokens);
-            serveWaiters();
-        }
-    }
-
-    /** Returns borrowed tokens that lie idle, where another entry holds the account's leases. */
-    private void returnIdle() {
-        for (String account : book.accounts()) {
-            if (!homes.isHome(account) && lenders.canReturn(account)) {
-                long idle = book.giveUpIdle(account);
-                if (idle > 0) {
-                    lenders.giveBack(account, idle);
-                    log.line("tokens_returned", "account", account, "tokens", idle);
-                }
-            }
-        }
-    }
-
-    private Lenders.Loan lendNow(String account, long asked) {
-        long tokens = homes.allAreHomes() ? book.lendWithSpare(account, asked) : book.lend(account, asked);
-        return new Lenders.Loan(tokens, !renewer.away());
+    /** Lends from this entry's leases to others. */
+    public Lenders.Lender lender() {
+        return loans;
     }
 
     @Override
