Tests that fail: renewals asked for during a write are forgotten, and large asks get half

A home entry in simulated time before a store that takes 40 ms to write. A request that comes during a write asks for a renewal, which is dropped: the next write follows after 0.9 s, and the request was refused after 190 ms. A borrower that asks for more than the marks leave is answered after 25 ms, before the write that it caused is confirmed.

--- /dev/null
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
@@ -0,0 +1,233 @@
+package org.streamring.direct.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+import java.util.stream.IntStream;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
+import org.streamring.direct.request.TokenSource.Outcome;
+import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.prepaid.PrepaidBook;
+import org.streamring.kernel.prepaid.PrepaidSettings;
+import org.streamring.kernel.route.RouteTable;
+import org.streamring.kernel.store.CommitResult;
+import org.streamring.kernel.store.RowChange;
+import org.streamring.kernel.store.RowKey;
+import org.streamring.kernel.store.RowPage;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StoredRow;
+import org.streamring.model.route.CallerLimits;
+import org.streamring.model.route.PrepaidAccount;
+import org.streamring.model.route.RoutingConfiguration;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A home entry of a fleet of 33 before a store that takes 40 ms to write, in simulated time. */
+public class TokenDeskTest {
+    private static final String ACCOUNT = "hotel";
+    private static final long LIMIT = 10_000_000;
+    /** More than marks leave without another write, and much less than the lease. */
+    private static final long LARGE = 400_000;
+
+    private static final long WRITE_MILLIS = 40;
+    /** A borrower goes on to the next lender then. */
+    private static final long ANSWER_MILLIS = 60;
+
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    private EmbeddedChannel time;
+    private EventLoop loop;
+    private long nowMillis;
+    private SlowRows rows;
+    private PrepaidBook book;
+    private TokenDesk desk;
+    private DecisionLog log;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new EmbeddedChannel();
+        time.freezeTime();
+        loop = time.eventLoop();
+        nowMillis = 0;
+        rows = new SlowRows();
+        log = new DecisionLog(OutputStream.nullOutputStream(), "entry");
+        List<String> names =
+                IntStream.range(0, 33).mapToObj(each -> "entry-" + each).toList();
+        AccountHomes view = new AccountHomes(names.get(0));
+        view.others(names);
+        AccountHomes homes = new AccountHomes(view.of(ACCOUNT).get(0));
+        homes.others(names);
+        book = new PrepaidBook("entry.a", PrepaidSettings.DEFAULT);
+        PrepaidAccount account =
+                new PrepaidAccount(ACCOUNT, List.of("key"), OptionalInt.empty(), OptionalLong.of(LIMIT));
+        RouteTable table = new RouteTable(
+                new RoutingConfiguration(1, List.of(), List.of(), List.of(account), CallerLimits.DEFAULT));
+        desk = new TokenDesk(
+                loop,
+                rows,
+                book,
+                "box",
+                () -> Optional.of(table),
+                homes,
+                () -> 33,
+                new NoLenders(),
+                new NoWitnesses(),
+                () -> nowMillis,
+                new Random(1),
+                new EntryMetrics(),
+                log);
+        desk.start();
+        advanceUntilAWriteBegins();
+        advance(WRITE_MILLIS);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void tearDown() throws InterruptedException {
+        time.close();
+        log.close();
+    }
+
+    /** Such requests were refused after 190 ms, as the renewal that they asked for was forgotten. */
+    @Test
+    public void aRequestThatComesDuringAWriteIsServedByTheNextOne() {
+        advanceUntilAWriteBegins();
+        advance(WRITE_MILLIS / 2);
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(2 * WRITE_MILLIS);
+        assertThat(outcomes).containsExactly(Outcome.RESERVED);
+    }
+
+    /** Lenders answered after 25 ms with what they had by then, so that nobody got enough. */
+    @Test
+    public void aBorrowerGetsAllOfALargeAskOnceTheStoreHasConfirmedIt() {
+        List<Lenders.Loan> loans = askForMuch();
+        advance(ANSWER_MILLIS);
+        assertThat(loans).extracting(Lenders.Loan::tokens).containsExactly(LARGE);
+    }
+
+    @Test
+    public void aBorrowerIsAnsweredInTimeWithWhatThereIsWhereTheStoreIsSilent() {
+        rows.answers = false;
+        List<Lenders.Loan> loans = askForMuch();
+        advance(ANSWER_MILLIS - 1);
+        assertThat(loans).hasSize(1);
+        assertThat(loans.get(0).tokens()).isBetween(1L, LARGE - 1);
+    }
+
+    private List<Lenders.Loan> askForMuch() {
+        advance(WRITE_MILLIS);
+        List<Lenders.Loan> loans = new ArrayList<>();
+        desk.lender().lend(ACCOUNT, LARGE, loans::add);
+        return loans;
+    }
+
+    private void advanceUntilAWriteBegins() {
+        int before = rows.begun;
+        for (int millis = 0; rows.begun == before && millis < LONGEST_PAUSE_MILLIS; millis++) {
+            advance(1);
+        }
+        assertThat(rows.begun).isGreaterThan(before);
+    }
+
+    private void advance(long millis) {
+        for (long each = 0; each < millis; each++) {
+            nowMillis++;
+            time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            time.runPendingTasks();
+        }
+    }
+
+    /** Rows in memory; a write is decided at once and answered late. */
+    private final class SlowRows implements RowStore {
+        private final Map<RowKey, StoredRow> stored = new HashMap<>();
+        private int begun;
+        private boolean answers = true;
+        private long version;
+
+        @Override
+        public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
+            CompletableFuture<CommitResult> answer = new CompletableFuture<>();
+            version++;
+            changes.forEach(each -> stored.put(each.key(), new StoredRow(each.key(), each.value(), version, false)));
+            CommitResult result = new CommitResult(true, version, nowMillis, List.of());
+            Runnable answering = () -> answer.complete(result);
+            if (answers) {
+                loop.schedule(answering, WRITE_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            begun++;
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<RowPage> list(String table, String partition) {
+            List<StoredRow> found = new ArrayList<>(stored.values());
+            found.removeIf(each -> !each.key().table().equals(table));
+            return CompletableFuture.completedFuture(new RowPage(found, version, nowMillis, false));
+        }
+
+        @Override
+        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    private static final class NoLenders implements Lenders {
+        @Override
+        public void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
+            atEnd.accept(Answers.NONE);
+        }
+
+        @Override
+        public boolean canReturn(String account) {
+            return false;
+        }
+
+        @Override
+        public void giveBack(String account, long tokens) {
+            throw new IllegalStateException("nobody is there");
+        }
+    }
+
+    private static final class NoWitnesses implements Witnesses {
+        @Override
+        public Set<String> choose(Set<String> present) {
+            return Set.of();
+        }
+
+        @Override
+        public void note(Set<String> witnesses, Map<String, Long> tokens, Consumer<String> acknowledged) {
+            throw new IllegalStateException("nobody is there");
+        }
+
+        @Override
+        public boolean gone(String witness) {
+            return true;
+        }
+
+        @Override
+        public void ask(String witness, String incarnation, BiConsumer<String, Map<String, Long>> answered) {
+            throw new IllegalStateException("nobody is there");
+        }
+    }
+}
