--- a/core/src/test/java/org/streamring/kernel/prepaid/BorrowingFleet.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/BorrowingFleet.java
@@ -22,7 +22,8 @@
     private static final long STEP_MILLIS = 10;
     private static final long NOTE_EVERY_MILLIS = 200;
     private static final long RETURN_EVERY_MILLIS = 300;
-    private static final double LIMIT_FACTOR = 1.3;
+    /** Requests are due to an account until this part of its limit is in use. */
+    private static final double DUE_PART = 0.97;
 
     private final Random random;
     private final long dayMillis;
@@ -36,6 +37,8 @@
     private final TreeMap<Long, Tally> bySize = new TreeMap<>();
     private final Tally whileAway = new Tally();
     private final Tally whileReachable = new Tally();
+    private final Tally due = new Tally();
+    private final Map<String, Long> inUse = new HashMap<>();
     private final List<Hot> hot = new ArrayList<>();
     private double lostAtSample;
     private long nowMillis;
@@ -223,7 +226,14 @@
         }
     }
 
-    BorrowingFleet(long seed, int count, int accountCount, long dayMillis, List<Outage> outages, long sampleMillis) {
+    BorrowingFleet(
+            long seed,
+            int count,
+            int accountCount,
+            long dayMillis,
+            double limitFactor,
+            List<Outage> outages,
+            long sampleMillis) {
 
         this.random = new Random(seed);
         this.dayMillis = dayMillis;
@@ -240,7 +250,7 @@
                 Arrays.stream(Kind.values()).mapToDouble(Kind::tokensPerSecond).sum();
         for (int each = 0; each < accountCount; each++) {
             weights[each] /= sum;
-            long limit = (long) (LIMIT_FACTOR * perSecond * weights[each] * dayMillis / 1_000);
+            long limit = (long) (limitFactor * perSecond * weights[each] * dayMillis / 1_000);
             rows.put(accounts.get(each), PrepaidRow.EMPTY.withLimit(limit, 1));
         }
         this.entries = IntStream.range(0, count)
@@ -300,6 +310,7 @@
             Running ended = running.poll();
             ended.entry().book.settle(ended.account(), ended.reserved(), ended.used());
             spent += ended.used();
+            inUse.merge(ended.account(), ended.used() - ended.reserved(), Long::sum);
         }
     }
 
@@ -332,7 +343,12 @@
         boolean served = entry.reserve(account, most);
         bySize.computeIfAbsent(Math.min(5, most / 4_000), key -> new Tally()).note(most, served);
         (away() ? whileAway : whileReachable).note(most, served);
+        long before = inUse.getOrDefault(account, 0L);
+        if (before + most <= DUE_PART * rows.get(account).limit()) {
+            due.note(most, served);
+        }
         if (served) {
+            inUse.merge(account, most, Long::sum);
             running.add(new Running(nowMillis + 200 + 5L * kind.answer, entry, account, most, prompt + kind.answer));
         }
     }
@@ -350,6 +366,11 @@
         return whileReachable;
     }
 
+    /** Requests that fitted into 97 in 100 of their account's limit. */
+    Tally due() {
+        return due;
+    }
+
     /** The part lost at the moment that was to be sampled. */
     double lostAtSample() {
         return lostAtSample;
--- a/core/src/test/java/org/streamring/kernel/prepaid/TokensThroughOutagesTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/TokensThroughOutagesTest.java
@@ -29,6 +29,7 @@
                                 33,
                                 40,
                                 DAY_MILLIS,
+                                1.3,
                                 List.of(
                                         new BorrowingFleet.Outage(5_800, 8_800),
                                         new BorrowingFleet.Outage(23_000, 8_100)),
@@ -61,6 +62,18 @@
         assertThat(mean(BorrowingFleet::lostAtSample)).isLessThan(0.05);
     }
 
+    /** What lies about at entries that borrowed it, up to 2,000 tokens each, is out of reach of the others. */
+    @Test
+    public void aBudgetIsOfUseToItsEnd() {
+        double refused = IntStream.range(0, SEEDS)
+                .mapToObj(seed -> new BorrowingFleet(seed, 33, 40, DAY_MILLIS, 0.6, List.of(), CALM_MILLIS).play())
+                .peek(day -> assertThat(day.withinLimits()).isTrue())
+                .mapToDouble(day -> day.due().refusedShare())
+                .average()
+                .orElseThrow();
+        assertThat(refused).isLessThan(0.003);
+    }
+
     @Test
     public void noAccountIsOverItsLimit() {
         assertThat(days).allMatch(BorrowingFleet::withinLimits);
