--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -21,8 +21,13 @@
     private static final int SPARE_PARTS = 4;
 
     private static final int SMALL_CHANGE_TOKENS = 500;
-    /** What an entry that holds no leases keeps of the tokens that it borrowed. */
-    private static final int KEPT_TOKENS = 2_000;
+    /** What an entry that holds no leases keeps of the tokens that it borrowed, at most: a short prompt. */
+    private static final long MOST_KEPT_TOKENS = 2_000;
+    /**
+     * All that such entries keep of an account is at most one part in this many of its limit. With 2,000 tokens kept by
+     * each of 33 entries, 34 in 1,000 of the requests that the limits allowed were refused as they ran out.
+     */
+    private static final int PARTS_KEPT = 50;
 
     private final String incarnation;
     private final PrepaidSettings settings;
@@ -189,11 +194,12 @@
     /**
      * Gives up borrowed tokens that lie idle, so that they can be returned to an entry that holds the account's leases.
      *
+     * @param kept tokens that stay here
      * @return tokens that are no longer available here
      */
-    public long giveUpIdle(String account) {
+    public long giveUpIdle(String account, long kept) {
         AccountLease lease = lease(account);
-        long idle = Math.min(-lease.used(), lease.available(usable(account, lease))) - KEPT_TOKENS;
+        long idle = Math.min(-lease.used(), lease.available(usable(account, lease))) - kept;
         if (idle <= 0 || lease.waiting() > 0) {
             return 0;
         }
@@ -201,6 +207,16 @@
         return idle;
     }
 
+    /**
+     * Tokens that an entry which holds no leases of an account keeps of what it borrowed, to save further questions.
+     *
+     * @param limit the account's limit
+     * @param entries live entries
+     */
+    public static long kept(long limit, int entries) {
+        return Math.min(MOST_KEPT_TOKENS, limit / PARTS_KEPT / Math.max(1, entries));
+    }
+
     /** Counts tokens that a request waits for; negative when it stops waiting. */
     public void addWaiting(String account, long tokens) {
         lease(account).addWaiting(tokens);
@@ -250,12 +266,13 @@
      * what was borrowed and not used goes back. All of it may be used, as no successor takes it back.
      *
      * @param row the row as last read, with the limit in force
+     * @param kept tokens that may stay here
      */
-    public Proposal planBorrower(String account, PrepaidRow row) {
+    public Proposal planBorrower(String account, PrepaidRow row, long kept) {
         AccountLease lease = lease(account);
         long held = heldIn(row);
         long used = lease.used();
-        boolean enough = lease.waiting() == 0 && held - used <= KEPT_TOKENS;
+        boolean enough = lease.waiting() == 0 && held - used <= kept;
         if (enough && !lease.uncertain()) {
             return new Proposal(account, Optional.empty(), held, Mark.of(held));
         }
--- a/core/src/test/java/org/streamring/kernel/prepaid/BorrowingFleet.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/BorrowingFleet.java
@@ -139,7 +139,7 @@
                 PrepaidRow row = rows.get(account);
                 PrepaidBook.Proposal proposal = homes.isHome(account)
                         ? book.plan(account, row, homes.of(account).size(), homes.shape())
-                        : book.planBorrower(account, row);
+                        : book.planBorrower(account, row, kept(account));
                 book.proposed(proposal);
                 proposal.row().ifPresent(changed -> rows.put(account, changed));
                 book.confirmed(proposal);
@@ -158,6 +158,10 @@
                     SETTINGS.cover().toMillis());
         }
 
+        private long kept(String account) {
+            return PrepaidBook.kept(rows.get(account).limit(), entries.size());
+        }
+
         private void note() {
             if (book.needsNotes()) {
                 book.noted("witness", book.wantedNotes());
@@ -213,7 +217,7 @@
         private void returnIdle() {
             for (String account : accounts) {
                 if (!homes.isHome(account)) {
-                    long idle = book.giveUpIdle(account);
+                    long idle = book.giveUpIdle(account, kept(account));
                     if (idle > 0) {
                         String home = homes.of(account)
                                 .get(random.nextInt(homes.of(account).size()));
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidBookTest.java
@@ -50,10 +50,10 @@
 
     @Test
     public void aBorrowerHoldsNoLeaseOfItsOwn() {
-        assertThat(book.planBorrower(ACCOUNT, row).row()).isEmpty();
+        assertThat(book.planBorrower(ACCOUNT, row, 2_000).row()).isEmpty();
 
         book.borrow(ACCOUNT, 1_500);
-        assertThat(book.planBorrower(ACCOUNT, row).row()).isEmpty();
+        assertThat(book.planBorrower(ACCOUNT, row, 2_000).row()).isEmpty();
         assertThat(book.available(ACCOUNT)).isEqualTo(1_500);
     }
 
@@ -61,7 +61,7 @@
     public void aBorrowerGivesBackWhatItDoesNotUse() {
         row = row.withHolding("entry-2.a", new Holding(9_000, 9_000));
         book.borrow(ACCOUNT, 9_000);
-        Proposal proposal = book.planBorrower(ACCOUNT, row);
+        Proposal proposal = book.planBorrower(ACCOUNT, row, 2_000);
         book.proposed(proposal);
 
         assertThat(proposal.row().orElseThrow().used()).isZero();
@@ -71,7 +71,7 @@
     @Test
     public void aBorrowerToWhomNobodyLendsLeasesWhatARequestNeeds() {
         book.addWaiting(ACCOUNT, 700);
-        Proposal proposal = book.planBorrower(ACCOUNT, row);
+        Proposal proposal = book.planBorrower(ACCOUNT, row, 2_000);
         book.proposed(proposal);
         book.confirmed(proposal);
 
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -291,7 +291,7 @@
         }
         PrepaidBook.Proposal proposal = homes.isHome(account)
                 ? book.plan(account, own, homes.of(account).size(), homes.shape())
-                : book.planBorrower(account, own);
+                : book.planBorrower(account, own, PrepaidBook.kept(own.limit(), entries.getAsInt()));
         return own.equals(row) ? proposal : proposal.orElseWrite(own);
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -27,6 +28,7 @@
     private final LeaseRenewer renewer;
     private final UseNotes notes;
     private final Lenders lenders;
+    private final ToLongFunction<String> kept;
     private final Runnable onTokens;
     private final DecisionLog log;
     private final List<Ask> waiting = new ArrayList<>();
@@ -34,6 +36,7 @@
     /**
      * Creates one; nothing is returned before {@link #start}.
      *
+     * @param kept tokens of an account that may lie idle here where others hold its leases
      * @param onTokens run when tokens came back
      */
     LoanDesk(
@@ -43,6 +46,7 @@
             LeaseRenewer renewer,
             UseNotes notes,
             Lenders lenders,
+            ToLongFunction<String> kept,
             Runnable onTokens,
             DecisionLog log) {
         this.loop = loop;
@@ -51,6 +55,7 @@
         this.renewer = renewer;
         this.notes = notes;
         this.lenders = lenders;
+        this.kept = kept;
         this.onTokens = onTokens;
         this.log = log;
     }
@@ -108,7 +113,7 @@
     private void returnIdle() {
         for (String account : book.accounts()) {
             if (!homes.isHome(account) && lenders.canReturn(account)) {
-                long idle = book.giveUpIdle(account);
+                long idle = book.giveUpIdle(account, kept.applyAsLong(account));
                 if (idle > 0) {
                     lenders.giveBack(account, idle);
                     log.line("tokens_returned", "account", account, "tokens", idle);
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -86,7 +86,16 @@
         this.renewer =
                 new LeaseRenewer(loop, store, book, rows, routes, homes, entries, witnesses, clock, random, log, this);
         this.notes = new UseNotes(loop, book, witnesses, this::serveWaiters);
-        this.loans = new LoanDesk(loop, book, homes, renewer, notes, lenders, this::serveWaiters, log);
+        this.loans = new LoanDesk(
+                loop,
+                book,
+                homes,
+                renewer,
+                notes,
+                lenders,
+                account -> PrepaidBook.kept(row(account).limit(), entries.getAsInt()),
+                this::serveWaiters,
+                log);
     }
 
     /** Starts to read and renew leases. */
