In fleets over forty entries, let 24 hold leases, whom all others reach, and pace them by their number

Cause, read in the code and worked out: an entry made forty connections, chosen by the hash of its own name, so before 300 entries a given home was connected with a chance of 0.25, and borrowers wrote rows one by one; renewals came each 400 ms + 15 ms an entry, 4.9 s at 300, beyond the patience of 3.2 s; each long prompt was told to all connected entries.

Change: up to forty entries nothing changes. Beyond, the homes of all accounts are among 24 holders; each entry connects to these first. Holders renew at the pace of their own number (0.76 s). Word of load goes to forty at most, four of them holders, once a second.

Tests: AccountHomesTest, PeerChoiceTest (75 in 100 entries did not reach a given holder: fails with the choice by the own name alone), RenewalPaceTest (fails at 100, 300 and 420 entries with the old pace). Not measured with processes.

--- a/core/src/test/java/org/streamring/kernel/prepaid/AccountHomesTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/AccountHomesTest.java
@@ -10,6 +10,9 @@
     private static final List<String> FLEET =
             IntStream.range(0, 30).mapToObj(number -> "entry-" + number).toList();
 
+    private static final List<String> HUNDREDS =
+            IntStream.range(0, 300).mapToObj(number -> "entry-" + number).toList();
+
     @Test
     public void anEntryThatKnowsNobodyIsHomeOfAll() {
         assertThat(new AccountHomes("entry-1").isHome("hospitals")).isTrue();
@@ -58,6 +61,34 @@
         }
     }
 
+    /** Beyond forty entries not all are connected; homes that a borrower does not reach refuse its callers. */
+    @Test
+    public void inAFleetOfHundredsTheHomesOfAllAccountsAreAmongAFewHolders() {
+        AccountHomes homes = homes("entry-1", HUNDREDS);
+        assertThat(homes.holders()).hasSize(24);
+        assertThat(IntStream.range(0, 200))
+                .allSatisfy(number -> assertThat(homes.holders()).containsAll(homes.of("account-" + number)));
+        assertThat(HUNDREDS)
+                .allSatisfy(name -> assertThat(homes(name, HUNDREDS).holders()).isEqualTo(homes.holders()));
+    }
+
+    @Test
+    public void whereAllAreConnectedAllMayHold() {
+        assertThat(homes("entry-1", FLEET).holders()).containsExactlyInAnyOrderElementsOf(FLEET);
+    }
+
+    @Test
+    public void aHolderThatIsGoneIsReplacedByOneOther() {
+        AccountHomes homes = homes("entry-1", HUNDREDS);
+        String gone = homes.holders().iterator().next();
+        List<String> left = HUNDREDS.stream().filter(name -> !name.equals(gone)).toList();
+        assertThat(homes(left.get(0), left).holders()).hasSize(24).doesNotContain(gone);
+        assertThat(homes(left.get(0), left).holders().stream()
+                        .filter(homes.holders()::contains)
+                        .count())
+                .isEqualTo(23);
+    }
+
     private static AccountHomes homes(String own, List<String> fleet) {
         AccountHomes homes = new AccountHomes(own);
         homes.others(fleet);
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/prepaid/RenewalPaceTest.java
@@ -0,0 +1,31 @@
+package org.streamring.kernel.prepaid;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class RenewalPaceTest {
+    private static final int HOLDERS = 24;
+    /** One partition of the store takes so many transactions a second. */
+    private static final double TRANSACTIONS_PER_SECOND = 200;
+
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{33}, {100}, {300}, {420}};
+    }
+
+    /** Beyond its patience an entry can use tokens only as fast as witnesses note them. */
+    @Test(dataProvider = "sizes")
+    public void aHolderRenewsThreeTimesWithinItsPatience(int entries) {
+        long interval = RenewalPace.millis(true, Math.min(HOLDERS, entries), entries);
+        assertThat(3 * interval).isLessThan(PrepaidSettings.DEFAULT.patience().toMillis());
+    }
+
+    @Test(dataProvider = "sizes")
+    public void allEntriesTogetherTakeLessThanHalfOfAPartition(int entries) {
+        double holders = HOLDERS * 1_000.0 / RenewalPace.millis(true, HOLDERS, entries);
+        double others = (entries - HOLDERS) * 1_000.0 / RenewalPace.millis(false, HOLDERS, entries);
+        assertThat(holders + others).isLessThan(TRANSACTIONS_PER_SECOND / 2);
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -95,7 +95,7 @@
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         AccountHomes homes = new AccountHomes(settings.nodeName());
-        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, metrics, log);
+        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, homes, metrics, log);
         this.witnesses = new UseWitnesses(peers, settings.nodeName());
         this.lending = new TokenLending(loop, peers, homes, random, metrics, log);
         this.members = new MemberRegister(
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -22,6 +22,7 @@
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidRow;
+import org.streamring.kernel.prepaid.RenewalPace;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.store.CommitResult;
 import org.streamring.kernel.store.RowChange;
@@ -35,8 +36,6 @@
  * with this box's marks. Confined to the event loop.
  */
 final class LeaseRenewer {
-    private static final long BASE_INTERVAL_MILLIS = 400;
-    private static final long INTERVAL_PER_ENTRY_MILLIS = 15;
     private static final long URGENT_MILLIS = 5;
     private static final long WATCH_MILLIS = 50;
     private static final long STORE_SILENT_MILLIS = 700;
@@ -229,7 +228,7 @@
     }
 
     private void renewLater() {
-        schedule(BASE_INTERVAL_MILLIS + INTERVAL_PER_ENTRY_MILLIS * entries.getAsInt());
+        schedule(RenewalPace.millis(homes.isHolder(), homes.holders().size(), entries.getAsInt()));
     }
 
     private void schedule(long delayMillis) {
@@ -348,7 +347,7 @@
             backoff.committed();
             renewLater();
         } else {
-            schedule(backoff.conflicted(entries.getAsInt()));
+            schedule(backoff.conflicted(homes.holders().size()));
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -9,12 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
-import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.peer.DisconnectReason;
@@ -27,11 +26,11 @@
 
 /** Connections to some of the other entries, and the frames that come over them. Confined to the event loop. */
 public final class EntryPeers {
-    private static final int MOST_PEERS = 40;
-
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final PeerIdentity own;
+    private final PeerChoice choice;
+    private final AccountHomes homes;
     private final EntryMetrics metrics;
     private final DecisionLog log;
     private final FleetKeyRow keyRow;
@@ -46,6 +45,7 @@
      *
      * @param address where this entry listens for others
      * @param own who this entry is
+     * @param homes which entries hold leases, which all others must reach
      */
     public EntryPeers(
             EventLoopGroup loops,
@@ -53,11 +53,14 @@
             RowStore store,
             InetSocketAddress address,
             PeerIdentity own,
+            AccountHomes homes,
             EntryMetrics metrics,
             DecisionLog log) {
         this.loops = loops;
         this.address = address;
         this.own = own;
+        this.choice = new PeerChoice(own.name());
+        this.homes = homes;
         this.metrics = metrics;
         this.log = log;
         this.keyRow = new FleetKeyRow(loop, store);
@@ -81,6 +84,14 @@
         return byEntry;
     }
 
+    /** One connection to each entry that hears of this one's load. */
+    List<PeerConnection> toldOfLoad() {
+        Map<String, PeerConnection> byEntry = byEntry();
+        return choice.toldOfLoad(byEntry.keySet(), homes.holders()).stream()
+                .map(byEntry::get)
+                .toList();
+    }
+
     /** Entries to which a connection is open. */
     public int connected() {
         return byEntry().size();
@@ -132,17 +143,11 @@
     }
 
     private List<InetSocketAddress> chosen() {
-        return Stream.concat(ordered(members.live()), ordered(members.absent()))
-                .limit(MOST_PEERS)
+        return choice.connectedTo(members, homes.holders()).stream()
+                .map(MemberRegister.Member::address)
                 .toList();
     }
 
-    private Stream<InetSocketAddress> ordered(List<MemberRegister.Member> entries) {
-        Map<String, InetSocketAddress> byName = new HashMap<>();
-        entries.forEach(each -> byName.put(each.name(), each.address()));
-        return RendezvousHash.order(own.name(), byName.keySet()).stream().map(byName::get);
-    }
-
     private final class Links implements PeerListener {
         @Override
         public void connected(PeerConnection connection) {
--- a/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
@@ -25,7 +25,10 @@
  * loop.
  */
 public final class PlacementExchange {
-    /** A fleet of four tells each other ten times a second; larger fleets more rarely, so that the frames stay few. */
+    /**
+     * A fleet of four tells each other ten times a second; larger ones more rarely, so that the frames stay few. No more
+     * than {@link PeerChoice#MOST_TOLD} are told, so that once a second is enough for any fleet.
+     */
     private static final long MILLIS_PER_ENTRY = 25;
 
     private static final long SOON_MILLIS = 10;
@@ -88,7 +91,7 @@
     }
 
     private long intervalMillis() {
-        return MILLIS_PER_ENTRY * Math.max(1, entries.getAsInt());
+        return MILLIS_PER_ENTRY * Math.max(1, Math.min(PeerChoice.MOST_TOLD, entries.getAsInt()));
     }
 
     private void tell() {
@@ -104,7 +107,7 @@
 
     /** A report that is lost is made good by the next. */
     private void tellAll(Frame frame) {
-        peers.byEntry().values().forEach(each -> each.send(frame));
+        peers.toldOfLoad().forEach(each -> each.send(frame));
     }
 
     private void forgetSilent() {
--- /dev/null
+++ b/direct/src/test/java/org/streamring/direct/peer/PeerChoiceTest.java
@@ -0,0 +1,67 @@
+package org.streamring.direct.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.streamring.direct.feed.MemberRegister.Member;
+import org.streamring.direct.feed.MemberRegister.Others;
+import org.testng.annotations.Test;
+
+public class PeerChoiceTest {
+    private static final int ENTRIES = 300;
+    private static final Set<String> HOLDERS =
+            IntStream.range(0, 24).mapToObj(each -> "entry-" + each * 12).collect(Collectors.toSet());
+
+    private final List<Member> all = IntStream.range(0, ENTRIES)
+            .mapToObj(each -> new Member("entry-" + each, InetSocketAddress.createUnresolved("10.0.0.1", each)))
+            .toList();
+
+    /** Chosen by the hash of their own name alone, 75 in 100 entries did not reach a given holder. */
+    @Test
+    public void everyEntryReachesEveryHolder() {
+        for (Member own : all) {
+            List<String> chosen = names(new PeerChoice(own.name()).connectedTo(others(own), HOLDERS));
+            Set<String> holders = new HashSet<>(HOLDERS);
+            holders.remove(own.name());
+            assertThat(chosen).containsAll(holders).hasSize(PeerChoice.MOST_CONNECTED);
+        }
+    }
+
+    @Test
+    public void whereAllCanBeConnectedAllAreTheAbsentOnesLast() {
+        Others others = new Others(all.subList(1, 20), all.subList(20, 33));
+        List<String> chosen = names(new PeerChoice("entry-0").connectedTo(others, HOLDERS));
+        assertThat(chosen).hasSize(32);
+        assertThat(chosen.subList(0, 19))
+                .containsExactlyInAnyOrderElementsOf(
+                        others.live().stream().map(Member::name).toList());
+    }
+
+    @Test
+    public void wordOfLoadGoesToAFewHoldersAndMostlyToOthers() {
+        Set<String> connected = all.stream().map(Member::name).collect(Collectors.toSet());
+        List<String> told = new PeerChoice("entry-1").toldOfLoad(connected, HOLDERS);
+        assertThat(told).hasSize(PeerChoice.MOST_TOLD);
+        assertThat(told.stream().filter(HOLDERS::contains).count()).isEqualTo(PeerChoice.HOLDERS_TOLD);
+    }
+
+    @Test
+    public void inAFleetWhereAllAreConnectedAllAreToldOfLoad() {
+        Set<String> connected = all.subList(1, 33).stream().map(Member::name).collect(Collectors.toSet());
+        assertThat(new PeerChoice("entry-0").toldOfLoad(connected, connected))
+                .containsExactlyInAnyOrderElementsOf(connected);
+    }
+
+    private Others others(Member own) {
+        return new Others(all.stream().filter(each -> !each.equals(own)).toList(), List.of());
+    }
+
+    private static List<String> names(List<Member> members) {
+        return members.stream().map(Member::name).toList();
+    }
+}
--- a/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
+++ b/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
@@ -72,7 +72,8 @@
             DecisionLog lines = new DecisionLog(log, name);
             EntryMetrics metrics = new EntryMetrics();
             PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, name, name + ".a");
-            peers = new EntryPeers(loops, loops.next(), new KeyStore(), address, own, metrics, lines);
+            peers = new EntryPeers(
+                    loops, loops.next(), new KeyStore(), address, own, new AccountHomes(own.name()), metrics, lines);
             AccountHomes homes = new AccountHomes(name);
             homes.others(List.of(other));
             lending = new TokenLending(loops.next(), peers, homes, new Random(1), metrics, lines);
