Tests that fail: short questions that begin alike wait for the slots of one replica

What a replica runs counts as room for an entry, but not as a wait, and 33 entries take two slots each of 32.

--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -181,6 +181,30 @@
         assertThat(placedBeside(60)).as("an even share is there in any case").isEqualTo(5 * 4);
     }
 
+    /**
+     * Short questions that begin alike all went to the replica that keeps their beginning, from 33 entries: 80 of 2,000
+     * waited for one of its 32 slots for a second and more, beside replicas that were a third full.
+     */
+    @Test
+    public void aReplicaWhoseSlotsAreTakenByAllEntriesTogetherIsPassedOver() {
+        PlacementQuery query = engineQuery(shared("q", 100, 100));
+        String preferred = choose(table, query);
+        for (int entry = 0; entry < 33; entry++) {
+            PlacementTable other = new PlacementTable(new Random(entry));
+            IntStream.range(0, 2).forEach(each -> start(other, query, preferred).answered(10_010));
+            table.reported("entry-" + entry, other.report(10_000), id -> ENGINE.memoryTokens(), 10_000);
+        }
+        assertThat(choose(table, query)).isNotEqualTo(preferred);
+    }
+
+    @Test
+    public void theWaitForASlotIsForecast() {
+        PlacementQuery query = engineQuery(shared("q", 100, 100));
+        IntStream.range(0, 80).forEach(each -> start(table, query, "i-1").answered(10_010));
+        assertThat(start(table, query, "i-1").forecast().firstEventMillis())
+                .isGreaterThan(start(table, query, "i-2").forecast().firstEventMillis() + 500);
+    }
+
     /** Requests that find a place at five replicas of 64 slots, where another entry runs so many at each. */
     private int placedBeside(int runningElsewhere) {
         PlacementTable own = new PlacementTable(new Random(1));
