--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -26,7 +26,6 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.store.CommitResult;
 import org.streamring.kernel.store.RowChange;
-import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StoreException;
 import org.streamring.model.route.PrepaidAccount;
@@ -35,16 +34,11 @@
  * Keeps the leases of prepaid tokens in the store: all accounts of this entry in one transaction at a time, each
  * with this box's marks. Confined to the event loop.
  */
-final class LeaseRenewer {
+final class LeaseRenewer implements LeaseReader.Listener {
     private static final long URGENT_MILLIS = 5;
     private static final long WATCH_MILLIS = 50;
     private static final long STORE_SILENT_MILLIS = 700;
     private static final long CLOSE_RETRY_MILLIS = 10;
-    /**
-     * A read that hangs does not hold up the next one. The store's return is noticed within 0.65 s in tests with
-     * processes; with one read at a time up to 1.6 s may pass, as a call is given up after 1.2 s.
-     */
-    private static final long READ_AGAIN_MILLIS = 300;
 
     private static final int MAX_CHANGES = 90;
 
@@ -60,12 +54,8 @@
     private final PredecessorLeases predecessor;
     private final DecisionLog log;
     private final Listener listener;
+    private final LeaseReader reader;
     private final ConflictBackoff backoff;
-    private boolean listed;
-    private @Nullable Future<?> nextRead;
-    /** Reads that were sent before the last write failed tell nothing of what became of it. */
-    private int failedWrites;
-
     private boolean writing;
     /** A request came during the write in progress, which was planned without it. */
     private boolean againSoon;
@@ -123,11 +113,12 @@
         this.clock = clock;
         this.log = log;
         this.listener = listener;
+        this.reader = new LeaseReader(loop, store, rows, clock, this);
         this.backoff = new ConflictBackoff(random);
     }
 
     void start() {
-        readAll();
+        reader.read();
         loop.scheduleAtFixedRate(this::watchStore, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -161,6 +152,7 @@
     /** Gives back all that is not spent; complete when the store said so or did not answer. */
     CompletableFuture<Void> close() {
         stopping = true;
+        reader.stop();
         CompletableFuture<Void> closed = new CompletableFuture<>();
         closeWhenIdle(closed);
         return closed;
@@ -179,7 +171,7 @@
                         rows.account(account).holding(book.incarnation()).isPresent())
                 .map(account -> book.planClose(account, rows.account(account)))
                 .toList();
-        if (proposals.isEmpty() || !listed) {
+        if (proposals.isEmpty() || !reader.listed()) {
             closed.complete(null);
             return;
         }
@@ -192,41 +184,22 @@
         });
     }
 
-    private void readAll() {
-        if (nextRead != null) {
-            nextRead.cancel(false);
-        }
-        if (listed || stopping) {
-            return;
-        }
-        nextRead = loop.schedule(this::readAll, READ_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
-        int failedBefore = failedWrites;
-        long sentMillis = clock.getAsLong();
-        CompletableFuture<RowPage> accounts = store.list(LeaseRows.ACCOUNTS, "");
-        CompletableFuture<RowPage> marks = store.list(LeaseRows.MARKS, "");
-        accounts.thenCombine(marks, (first, second) -> {
-                    read(first, second, sentMillis, failedBefore);
-                    return second;
-                })
-                .whenComplete((page, failure) -> {
-                    if (failure != null && !listed) {
-                        noAnswer(failure);
-                    }
-                });
+    @Override
+    public void readAnswered(long storeMillis, long sentMillis) {
+        predecessor.startedBefore(storeMillis - sentMillis);
     }
 
-    private void read(RowPage accounts, RowPage marks, long sentMillis, int failedBefore) {
-        predecessor.startedBefore(marks.storeMillis() - sentMillis);
-        if (listed || failedBefore != failedWrites) {
-            return;
-        }
-        rows.takeAll(accounts.rows());
-        rows.takeAll(marks.rows());
-        listed = true;
-        answered(marks.storeMillis());
+    @Override
+    public void rowsRead(long storeMillis) {
+        answered(storeMillis);
         renewSoon();
     }
 
+    @Override
+    public void readFailed(Throwable failure) {
+        noAnswer(failure);
+    }
+
     private void renewLater() {
         schedule(RenewalPace.millis(homes.isHolder(), homes.holders().size(), entries.getAsInt()));
     }
@@ -248,7 +221,7 @@
         if (writing || stopping) {
             return;
         }
-        if (!listed) {
+        if (!reader.listed()) {
             renewLater();
             return;
         }
@@ -366,7 +339,7 @@
             if (failure != null) {
                 result.completeExceptionally(failure);
                 noAnswer(failure);
-                rereadLater();
+                reader.readAgainLater();
                 return;
             }
             answered(answer.storeMillis());
@@ -389,14 +362,6 @@
         }
     }
 
-    private void rereadLater() {
-        if (!stopping) {
-            listed = false;
-            failedWrites++;
-            loop.schedule(this::readAll, READ_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
     private void answered(long storeMillis) {
         anchorStoreMillis = storeMillis;
         anchorLocalMillis = clock.getAsLong();
