Test that fails: an entry that is back refuses before it has met a lender

Around a loss and return of all entries of the large site 407 requests were refused with nobody asked.

--- a/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
@@ -63,8 +63,16 @@
     private TokenDesk desk;
     private DecisionLog log;
 
+    private Neighbours lenders;
+
     @BeforeMethod
     public void setUp() {
+        begin(true);
+        advanceUntilAWriteBegins();
+        advance(WRITE_MILLIS);
+    }
+
+    private void begin(boolean home) {
         time = new EmbeddedChannel();
         time.freezeTime();
         loop = time.eventLoop();
@@ -75,8 +83,13 @@
                 IntStream.range(0, 33).mapToObj(each -> "entry-" + each).toList();
         AccountHomes view = new AccountHomes(names.get(0));
         view.others(names);
-        AccountHomes homes = new AccountHomes(view.of(ACCOUNT).get(0));
+        String borrower = names.stream()
+                .filter(name -> !view.of(ACCOUNT).contains(name))
+                .findFirst()
+                .orElseThrow();
+        AccountHomes homes = new AccountHomes(home ? view.of(ACCOUNT).get(0) : borrower);
         homes.others(names);
+        lenders = new Neighbours();
         book = new PrepaidBook("entry.a", PrepaidSettings.DEFAULT);
         PrepaidAccount account =
                 new PrepaidAccount(ACCOUNT, List.of("key"), OptionalInt.empty(), OptionalLong.of(LIMIT));
@@ -90,15 +103,13 @@
                 () -> Optional.of(table),
                 homes,
                 () -> 33,
-                new NoLenders(),
+                lenders,
                 new NoWitnesses(),
                 () -> nowMillis,
                 new Random(1),
                 new EntryMetrics(),
                 log);
         desk.start();
-        advanceUntilAWriteBegins();
-        advance(WRITE_MILLIS);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -135,6 +146,41 @@
         assertThat(loans.get(0).tokens()).isBetween(1L, LARGE - 1);
     }
 
+    /** After a loss of all entries 407 requests were refused at once by entries that had not yet met a lender. */
+    @Test
+    public void anEntryThatIsBackWaitsForItsFirstLender() {
+        begin(false);
+        rows.answers = false;
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(100);
+        assertThat(outcomes).isEmpty();
+        lenders.connected = true;
+        advance(30);
+        assertThat(outcomes).containsExactly(Outcome.RESERVED);
+    }
+
+    @Test
+    public void anEntryThatMeetsNobodyRefusesSoon() {
+        begin(false);
+        rows.answers = false;
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(230);
+        assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
+    }
+
+    @Test
+    public void anEntryThatHasLostAllOthersRefusesAtOnce() {
+        begin(false);
+        advance(9_000);
+        rows.answers = false;
+        advance(4_000);
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
+    }
+
     private List<Lenders.Loan> askForMuch() {
         advance(WRITE_MILLIS);
         List<Lenders.Loan> loans = new ArrayList<>();
@@ -192,10 +238,17 @@
         }
     }
 
-    private static final class NoLenders implements Lenders {
+    /** Lend all that is asked for, once they are connected. */
+    private static final class Neighbours implements Lenders {
+        private boolean connected;
+
         @Override
         public void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
-            atEnd.accept(Answers.NONE);
+            if (connected) {
+                lent.accept(lacking.getAsLong());
+            }
+            int asked = connected ? 1 : 0;
+            atEnd.accept(new Answers(asked, asked, connected, false));
         }
 
         @Override
