--- a/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
@@ -19,7 +19,7 @@
     /** Bytes between failure domains have a price, which only decides between equals. */
     private static final double OTHER_DOMAIN_COST = 0.002;
 
-    /** Requests that other entries started since they last told are not known; a replica counts as full before it is. */
+    /** What other entries started since they last told is not known; a replica counts as full before it is. */
     private static final double FULL_PART = 0.75;
 
     private final EngineSpeed speed;
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -133,8 +133,8 @@
 
     /**
      * Room that whoever needs it uses, as long as the others leave it. Without it the entry that a busy account's
-     * callers reach refuses beside free replicas: 246 requests of 9,819 on a day on which one of forty accounts sent 2.7
-     * times its usual for six seconds to 33 entries.
+     * callers reach refuses beside free replicas: 246 requests of 9,819 on a day on which one of forty accounts sent
+     * 2.7 times its usual for six seconds to 33 entries.
      */
     private static int sharedRoom(int capacity) {
         return (int) (capacity * SHARED_PART);
