--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -35,8 +35,8 @@
 
     private static final Duration UNTIL_TOKENS_RETURN = Duration.ofSeconds(1);
     /**
-     * An entry that is back meets others within a second or two. Without a wait for the first one it refused at once, 407
-     * requests of 11,284 on a day on which all of 33 entries were lost and came back.
+     * An entry that is back meets others within a second or two. Without a wait for the first one it refused at once,
+     * 407 requests of 11,284 on a day on which all of 33 entries were lost and came back.
      */
     private static final long MEETING_MILLIS = 5_000;
 
--- a/direct/src/main/java/org/streamring/direct/peer/PeerChoice.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PeerChoice.java
@@ -23,7 +23,7 @@
     /** Frames that a report or a long prompt costs; they must not grow with the fleet. */
     static final int MOST_TOLD = AccountHomes.ALL_CONNECTED;
 
-    /** Every entry is connected to the holders; told by all, one of 24 before 300 entries would hear 500 reports a second. */
+    /** All are connected to the holders; told by all, one of 24 before 300 entries would hear 500 reports a second. */
     static final int HOLDERS_TOLD = 4;
 
     private final String own;
--- a/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
@@ -26,8 +26,8 @@
  */
 public final class PlacementExchange {
     /**
-     * A fleet of four tells each other ten times a second; larger ones more rarely, so that the frames stay few. No more
-     * than {@link PeerChoice#MOST_TOLD} are told, so that once a second is enough for any fleet.
+     * A fleet of four tells each other ten times a second; larger ones more rarely, so that the frames stay few. No
+     * more than {@link PeerChoice#MOST_TOLD} are told, so that once a second is enough for any fleet.
      */
     private static final long MILLIS_PER_ENTRY = 25;
 
