--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -34,6 +34,11 @@
     private long sampledMillis = -1;
     private double tokensPerMilli;
 
+    /** Tokens that the store holds for this incarnation, whatever becomes of the writes in progress. */
+    long granted() {
+        return granted.usable();
+    }
+
     /** Tokens that can be reserved at once. */
     long available(long usable) {
         return usable - used();
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -227,6 +227,17 @@
         return lease(account).available(usable(account, lease(account)));
     }
 
+    /** What this incarnation has of an account, for the log. */
+    public LeaseState state(String account) {
+        AccountLease lease = lease(account);
+        return new LeaseState(
+                lease.granted(),
+                lease.used(),
+                usable(account, lease),
+                lease.usableBeyondMark(silence),
+                lease.waiting());
+    }
+
     /** Notes the demand since the last call. */
     public void sample(long nowMillis) {
         leases.values().forEach(lease -> lease.sample(nowMillis, settings.rateWindow()));
--- a/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
@@ -8,6 +8,7 @@
 import java.util.function.ToLongFunction;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.prepaid.LeaseState;
 import org.streamring.kernel.prepaid.PrepaidBook;
 
 /**
@@ -124,9 +125,36 @@
 
     private Lenders.Loan lendNow(String account, long asked) {
         long tokens = homes.allAreHomes() ? book.lendWithSpare(account, asked) : book.lend(account, asked);
+        if (tokens < asked && homes.isHome(account)) {
+            logShort(account, asked, tokens);
+        }
         return new Lenders.Loan(tokens, !renewer.away());
     }
 
+    private void logShort(String account, long asked, long lent) {
+        LeaseState state = book.state(account);
+        log.line(
+                "loan_short",
+                "account",
+                account,
+                "asked",
+                asked,
+                "lent",
+                lent,
+                "granted",
+                state.granted(),
+                "used",
+                state.used(),
+                "usable",
+                state.usable(),
+                "usable_once_noted",
+                state.usableOnceNoted(),
+                "waiting",
+                state.waiting(),
+                "patience_left_ms",
+                renewer.patienceLeftMillis());
+    }
+
     /** Another entry that waits for an answer. */
     private final class Ask {
         private final String account;
