--- a/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
@@ -181,6 +181,14 @@
         assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
     }
 
+    /** Asked after both homes, it wrote leases of its own into the row, and the four waits outlasted the borrower's. */
+    @Test
+    public void anEntryThatIsNoHomeAnswersABorrowerAtOnce() {
+        begin(false);
+        advance(1_000);
+        assertThat(askForMuch()).extracting(Lenders.Loan::tokens).containsExactly(0L);
+    }
+
     private List<Lenders.Loan> askForMuch() {
         advance(WRITE_MILLIS);
         List<Lenders.Loan> loans = new ArrayList<>();
