Let only home entries fetch leases for borrowers

Cause: an entry that holds no leases of an account, asked for a loan, asked the store for one and answered after 45 ms. Change: it answers at once with what it has. The reason no_lender_met is said only where nobody was connected.

TokenDeskTest: anEntryThatIsNoHomeAnswersABorrowerAtOnce failed, passes.

--- a/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LoanDesk.java
@@ -66,7 +66,7 @@
     }
 
     /**
-     * Lends tokens to another entry; while the store answers, a larger lease is fetched first where needed.
+     * Lends tokens to another entry; while the store answers, a home entry fetches a larger lease first where needed.
      *
      * @param then told the outcome once
      */
@@ -77,7 +77,7 @@
         } else if (book.noteWouldHelp(account, asked)) {
             new Ask(account, asked, then).waitFor(NOTE_MILLIS);
             notes.sendSoon();
-        } else if (renewer.away()) {
+        } else if (renewer.away() || !homes.isHome(account)) {
             then.accept(lendNow(account, asked));
         } else {
             new Ask(account, asked, then).waitFor(LONGEST_WAIT_MILLIS);
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -230,6 +230,7 @@
         private boolean asked;
         private Lenders.Answers answers = Lenders.Answers.NONE;
         private boolean leasing;
+        private boolean metNobody;
 
         private Waiter(String account, long tokens, Consumer<Outcome> then) {
             this.account = account;
@@ -275,6 +276,7 @@
         /** Entries that hold leases of the account write its row; others only where those can't. */
         private void allAsked(Lenders.Answers received) {
             answers = received;
+            metNobody = received.asked() == 0;
             if (!waiters.contains(this)) {
                 return;
             }
@@ -300,7 +302,7 @@
 
         private void expire() {
             if (asked) {
-                end(Outcome.UNAVAILABLE, answers.asked() == 0 ? "no_lender_met" : "lease_not_in_time");
+                end(Outcome.UNAVAILABLE, metNobody ? "no_lender_met" : "lease_not_in_time");
             } else {
                 expiresMillis = clock.getAsLong() + LAST_TRY_MILLIS;
                 borrow();
