--- a/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
@@ -29,8 +29,8 @@
      * where accounts send now much, now little.
      *
      * <p>What a loss of all entries leaves used for good is then 4 in 100 of all tokens while the store answers, as
-     * with the other shape; in an outage 14 instead of 6 in its third second and 5 in its twelfth, where a release until
-     * the tenth second leaves 9.
+     * with the other shape; in an outage 14 instead of 6 in its third second and 5 in its twelfth, where a release
+     * until the tenth second leaves 9.
      */
     public static final LeaseShape FEW_HOLD = new LeaseShape(0.9, 2.6, 0.5, 0.5, Duration.ofSeconds(20));
 }
