--- a/core/src/test/java/org/streamring/kernel/prepaid/BorrowingFleet.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/BorrowingFleet.java
@@ -35,10 +35,10 @@
     private final List<Outage> outages;
     private final long sampleMillis;
     private final PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparingLong(Running::endMillis));
-    private final TreeMap<Long, Tally> bySize = new TreeMap<>();
-    private final Tally whileAway = new Tally();
-    private final Tally whileReachable = new Tally();
-    private final Tally due = new Tally();
+    private final TreeMap<Long, RequestTally> bySize = new TreeMap<>();
+    private final RequestTally whileAway = new RequestTally();
+    private final RequestTally whileReachable = new RequestTally();
+    private final RequestTally due = new RequestTally();
     private final Map<String, Long> inUse = new HashMap<>();
     private final List<Hot> hot = new ArrayList<>();
     private double lostAtSample;
@@ -46,40 +46,6 @@
     private long nowMillis;
     private long spent;
 
-    /** Tries and refusals, and the tokens that they asked for. */
-    static final class Tally {
-        private int tries;
-        private int refused;
-        private long tokens;
-        private long tokensRefused;
-
-        private void note(long asked, boolean served) {
-            tries++;
-            tokens += asked;
-            if (!served) {
-                refused++;
-                tokensRefused += asked;
-            }
-        }
-
-        int tries() {
-            return tries;
-        }
-
-        double refusedShare() {
-            return tries == 0 ? 0 : refused / (double) tries;
-        }
-
-        double refusedTokensShare() {
-            return tokens == 0 ? 0 : tokensRefused / (double) tokens;
-        }
-
-        @Override
-        public String toString() {
-            return String.format("%d of %d, tokens %.3f", refused, tries, refusedTokensShare());
-        }
-    }
-
     /** The store answers nobody for a while. */
     record Outage(long fromMillis, long forMillis) {
         private boolean holds(long millis) {
@@ -92,33 +58,6 @@
 
     private record Running(long endMillis, Entry entry, String account, long reserved, long used) {}
 
-    /** A kind of request: how many a second in all, and its tokens. */
-    private enum Kind {
-        LONG(46, 12_000, 0.8, 400),
-        SHORT(60, 830, 0.7, 300),
-        TAG(71, 2_400, 0.9, 25);
-
-        private final double perSecond;
-        private final double prompt;
-        private final double spread;
-        private final int answer;
-
-        Kind(double perSecond, double prompt, double spread, int answer) {
-            this.perSecond = perSecond;
-            this.prompt = prompt;
-            this.spread = spread;
-            this.answer = answer;
-        }
-
-        private long prompt(Random random) {
-            return (long) Math.max(50, prompt * Math.exp(spread * random.nextGaussian() - spread * spread / 2));
-        }
-
-        private double tokensPerSecond() {
-            return perSecond * (prompt + answer);
-        }
-    }
-
     private final class Entry {
         private final PrepaidBook book;
         private final AccountHomes homes;
@@ -250,8 +189,9 @@
                 .mapToDouble(each -> 1 / Math.pow(each + 1, 0.8))
                 .toArray();
         double sum = Arrays.stream(weights).sum();
-        double perSecond =
-                Arrays.stream(Kind.values()).mapToDouble(Kind::tokensPerSecond).sum();
+        double perSecond = Arrays.stream(RequestKind.values())
+                .mapToDouble(RequestKind::tokensPerSecond)
+                .sum();
         for (int each = 0; each < accountCount; each++) {
             weights[each] /= sum;
             long limit = (long) (limitFactor * perSecond * weights[each] * dayMillis / 1_000);
@@ -325,8 +265,8 @@
     }
 
     private void arrive() {
-        for (Kind kind : Kind.values()) {
-            double due = kind.perSecond * STEP_MILLIS / 1_000;
+        for (RequestKind kind : RequestKind.values()) {
+            double due = kind.perSecond() * STEP_MILLIS / 1_000;
             for (int each = 0; each < accounts.size(); each++) {
                 double expected = due * weights[each] * factor(accounts.get(each));
                 if (random.nextDouble() < expected) {
@@ -356,12 +296,13 @@
                 .orElse(1);
     }
 
-    private void request(Kind kind, String account) {
+    private void request(RequestKind kind, String account) {
         long prompt = kind.prompt(random);
-        long most = prompt + 2L * kind.answer;
+        long most = prompt + 2L * kind.answer();
         Entry entry = entries.get(random.nextInt(entries.size()));
         boolean served = entry.reserve(account, most);
-        bySize.computeIfAbsent(Math.min(5, most / 4_000), key -> new Tally()).note(most, served);
+        bySize.computeIfAbsent(Math.min(5, most / 4_000), key -> new RequestTally())
+                .note(most, served);
         (away() ? whileAway : whileReachable).note(most, served);
         long before = inUse.getOrDefault(account, 0L);
         if (before + most <= DUE_PART * rows.get(account).limit()) {
@@ -369,25 +310,26 @@
         }
         if (served) {
             inUse.merge(account, most, Long::sum);
-            running.add(new Running(nowMillis + 200 + 5L * kind.answer, entry, account, most, prompt + kind.answer));
+            running.add(
+                    new Running(nowMillis + 200 + 5L * kind.answer(), entry, account, most, prompt + kind.answer()));
         }
     }
 
     /** By size: 0 is under 4,000 tokens, 5 is 20,000 and more. */
-    Map<Long, Tally> bySize() {
+    Map<Long, RequestTally> bySize() {
         return bySize;
     }
 
-    Tally whileAway() {
+    RequestTally whileAway() {
         return whileAway;
     }
 
-    Tally whileReachable() {
+    RequestTally whileReachable() {
         return whileReachable;
     }
 
     /** Requests that fitted into 97 in 100 of their account's limit. */
-    Tally due() {
+    RequestTally due() {
         return due;
     }
 
