--- a/core/src/test/java/org/streamring/kernel/prepaid/RequestTally.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/RequestTally.java
@@ -16,10 +16,6 @@
         }
     }
 
-    int tries() {
-        return tries;
-    }
-
     double refusedShare() {
         return tries == 0 ? 0 : refused / (double) tries;
     }
@@ -27,9 +23,4 @@
     double refusedTokensShare() {
         return tokens == 0 ? 0 : tokensRefused / (double) tokens;
     }
-
-    @Override
-    public String toString() {
-        return String.format("%d of %d, tokens %.3f", refused, tries, refusedTokensShare());
-    }
 }
