Let home entries write first after a loss of all, and settle other accounts a few at a time

Cause: an entry that was killed stood in the rows of most accounts, and its successor took back what was left in its first write, with the rows of all accounts. Thirty-three such writes conflict with each other and with the homes'.

Change: in a large fleet a write settles the accounts whose home the entry is, and of others eight at once, each 0.6 to 1.2 s, none in the first. Small fleets as before.

--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -56,6 +56,7 @@
     private final Listener listener;
     private final LeaseReader reader;
     private final ConflictBackoff backoff;
+    private final SettlementTurns turns;
     private boolean writing;
     /** A request came during the write in progress, which was planned without it. */
     private boolean againSoon;
@@ -115,6 +116,7 @@
         this.listener = listener;
         this.reader = new LeaseReader(loop, store, rows, clock, this);
         this.backoff = new ConflictBackoff(random);
+        this.turns = new SettlementTurns(random);
     }
 
     void start() {
@@ -246,18 +248,20 @@
         if (table.isEmpty()) {
             return proposals;
         }
+        int othersToSettle = homes.allAreHomes() ? Integer.MAX_VALUE : turns.accounts(clock.getAsLong());
         for (PrepaidAccount account : table.get().configuration().accounts()) {
             if (account.prepaid().isPresent() && proposals.size() < MAX_CHANGES) {
                 PrepaidRow row = rows.account(account.name())
                         .withLimit(account.prepaid().getAsLong(), table.get().version());
-                proposals.add(plan(account.name(), row));
+                boolean settles = homes.isHome(account.name()) || takenBack.accounts() < othersToSettle;
+                proposals.add(plan(account.name(), row, settles));
             }
         }
         return proposals;
     }
 
-    private PrepaidBook.Proposal plan(String account, PrepaidRow row) {
-        PrepaidRow own = predecessor.without(account, row);
+    private PrepaidBook.Proposal plan(String account, PrepaidRow row, boolean settles) {
+        PrepaidRow own = settles ? predecessor.without(account, row) : row;
         if (!own.equals(row)) {
             takenBack = takenBack.plus(row, own);
         }
