--- a/direct/src/main/java/org/streamring/direct/ledger/SettlementTurns.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/SettlementTurns.java
@@ -3,10 +3,10 @@
 import java.util.Random;
 
 /**
- * When, and for how many accounts at once, an entry takes back what its predecessor left of accounts whose leases others
- * hold. Their home entries write the same rows, and come first: with the rows of all accounts in each first write, 12 of
- * 33 entries had one confirmed within five seconds of a loss of all, and homes went on without leases. Confined to one
- * thread.
+ * When, and for how many accounts at once, an entry takes back what its predecessor left of accounts whose leases
+ * others hold. Their home entries write the same rows, and come first: with the rows of all accounts in each first
+ * write, 12 of 33 entries had one confirmed within five seconds of a loss of all, and homes went on without leases.
+ * Confined to one thread.
  */
 final class SettlementTurns {
     /** With forty accounts and 33 entries, a row then changes some seven times a second for four seconds. */
