Let borrowers leave rows alone for small rests

Cause: the bound on what borrowers keep (a fiftieth of the limit, all together) also decided when they write the account's row to give rests back. Of an account of 500,000 tokens each of 33 entries did so above 303 tokens, at most ends of a request, and each such write makes the homes' next one fail.

Change: rows are written for rests above 2,000 tokens only, as before; smaller ones go back in frames.

--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -281,14 +281,16 @@
      * Plans the next write of an account whose leases others hold: only requests that could not borrow get a lease, and
      * what was borrowed and not used goes back. All of it may be used, as no successor takes it back.
      *
+     * <p>Small rests stay here until a frame returns them: the row is written by the home entries, and each other
+     * writer keeps them from committing.
+     *
      * @param row the row as last read, with the limit in force
-     * @param kept tokens that may stay here
      */
-    public Proposal planBorrower(String account, PrepaidRow row, long kept) {
+    public Proposal planBorrower(String account, PrepaidRow row) {
         AccountLease lease = lease(account);
         long held = heldIn(row);
         long used = lease.used();
-        boolean enough = lease.waiting() == 0 && held - used <= kept;
+        boolean enough = lease.waiting() == 0 && held - used <= MOST_KEPT_TOKENS;
         if (enough && !lease.uncertain()) {
             return new Proposal(account, Optional.empty(), held, Mark.of(held));
         }
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -267,7 +267,7 @@
         }
         PrepaidBook.Proposal proposal = homes.isHome(account)
                 ? book.plan(account, own, homes.of(account).size(), homes.shape())
-                : book.planBorrower(account, own, PrepaidBook.kept(own.limit(), entries.getAsInt()));
+                : book.planBorrower(account, own);
         return own.equals(row) ? proposal : proposal.orElseWrite(own);
     }
 
