--- a/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
@@ -8,7 +8,7 @@
  *
  * <p>Where few entries hold leases and many borrow, what lies with a holder is in everyone's reach, so that holding
  * nearly all costs no request its tokens. With the shape of a small fleet, 19 in 100 of the tokens asked for in two
- * outages of eight seconds were refused before 33 entries and 40 accounts, with this one 7 in 100 (mean of four days,
+ * outages of eight seconds were refused before 33 entries and 40 accounts, with this one 5 in 100 (mean of four days,
  * {@code TokensThroughOutagesTest}).
  *
  * @param idleShare part of an entry's even share of the rest that it holds without any demand
--- a/core/src/test/java/org/streamring/kernel/prepaid/TokensThroughOutagesTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/TokensThroughOutagesTest.java
@@ -32,7 +32,7 @@
         return new BorrowingFleet(seed, 33, 40, DAY_MILLIS, 1.3, outages, CALM_MILLIS).hot(6, 2.7, 16_000, 6_000);
     }
 
-    /** 0.194 where marks rise by 1.3 times the demand and homes hold a quarter of their share, 0.068 now. */
+    /** 0.194 where marks rise by 1.3 times the demand and homes hold a quarter of their share, 0.046 now. */
     @Test
     public void anOutageIsRiddenOut() {
         assertThat(mean(day -> day.whileAway().refusedTokensShare())).isLessThan(0.10);
