State once at what part a replica counts as full

Cause: PlacementTable and PlacementCost each had 0.75 for the same belief, that what other entries started since they last told is not known. Found by reading the diff. Change: one constant.

--- a/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementCost.java
@@ -20,7 +20,7 @@
     private static final double OTHER_DOMAIN_COST = 0.002;
 
     /** What other entries started since they last told is not known; a replica counts as full before it is. */
-    private static final double FULL_PART = 0.75;
+    static final double FULL_PART = 0.75;
 
     private final EngineSpeed speed;
     private final long nowMillis;
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -23,9 +23,6 @@
     /** Parts of prompts fill what running requests leave of a replica's memory. */
     private static final double PART_OF_MEMORY_FOR_PARTS = 0.8;
 
-    /** What others run is known a report late, and entries that find the same room free may use it together. */
-    private static final double SHARED_PART = 0.75;
-
     private final Random random;
     private final Map<String, ReplicaState> states = new HashMap<>();
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
@@ -137,7 +134,7 @@
      * 2.7 times its usual for six seconds to 33 entries.
      */
     private static int sharedRoom(int capacity) {
-        return (int) (capacity * SHARED_PART);
+        return (int) (capacity * PlacementCost.FULL_PART);
     }
 
     /** Nothing is learned of how long plain requests hold a slot, so no wait is forecast for them. */
