Send nothing new to an evacuated failure domain

Not told between entries: one that is cut from the store hears of it when it reaches the store again.

--- a/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
@@ -12,13 +12,15 @@
  * The backend servers of all services, fed from the platform's list.
  *
  * <p>An entry that lapsed around an outage of the list is kept for {@code keepLapsedMillis} after the list is back,
- * as its server may live; an incarnation that was seen leaving never takes new requests again. Confined to one thread.
+ * as its server may live; an incarnation that was seen leaving never takes new requests again. Servers of an evacuated
+ * failure domain take none until it is restored. Confined to one thread.
  */
 public final class BackendRegistry {
     private final long keepLapsedMillis;
     private final Map<String, BackendInstance> instances = new HashMap<>();
     private final Map<String, Long> lapsedUntil = new HashMap<>();
     private final Set<String> leaving = new HashSet<>();
+    private Set<String> evacuated = Set.of();
     private boolean listAway;
     private long listBackMillis = Long.MIN_VALUE / 2;
 
@@ -87,17 +89,26 @@
         return expired;
     }
 
+    /** Takes the failure domains whose servers get nothing new, in place of those named before. */
+    public void evacuated(Set<String> failureDomains) {
+        evacuated = Set.copyOf(failureDomains);
+    }
+
     /** Servers of a service that take new requests. */
     public List<BackendInstance> ready(String service) {
         return instances.values().stream()
                 .filter(instance -> instance.service().equals(service))
-                .filter(instance -> !leaving.contains(instance.id()))
+                .filter(this::takesNew)
                 .toList();
     }
 
     /** Whether a server may take new requests. */
     public boolean isReady(String id) {
-        return instances.containsKey(id) && !leaving.contains(id);
+        return find(id).filter(this::takesNew).isPresent();
+    }
+
+    private boolean takesNew(BackendInstance instance) {
+        return !leaving.contains(instance.id()) && !evacuated.contains(instance.failureDomain());
     }
 
     /** A server, if it is known. */
--- a/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -79,6 +80,18 @@
         assertThat(ids()).containsExactly("i-2");
     }
 
+    @Test
+    public void serversOfAnEvacuatedDomainTakeNothingNewUntilItIsRestored() {
+        registry.evacuated(Set.of("hall-1"));
+        registry.put(backend("i-3", true));
+        assertThat(ids()).isEmpty();
+        assertThat(registry.isReady("i-1")).isFalse();
+        assertThat(registry.find("i-1")).as("its streams run on").isPresent();
+
+        registry.evacuated(Set.of("hall-2"));
+        assertThat(ids()).containsExactlyInAnyOrder("i-1", "i-2", "i-3");
+    }
+
     private List<String> ids() {
         return registry.ready("assist").stream().map(BackendInstance::id).toList();
     }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -10,6 +10,7 @@
 import org.streamring.direct.caller.CallerServer;
 import org.streamring.direct.feed.BackendFeed;
 import org.streamring.direct.feed.ConfigurationFeed;
+import org.streamring.direct.feed.EvacuationFeed;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.feed.TableWatch;
 import org.streamring.direct.ledger.TokenDesk;
@@ -115,8 +116,12 @@
                 members::live,
                 () -> this.settings.retries());
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
-        this.configurationWatch =
-                new TableWatch(loop, platform.store(), platform.operatorRows().configurationTable(), configuration);
+        this.configurationWatch = new TableWatch(
+                loop,
+                platform.store(),
+                platform.operatorRows().configurationTable(),
+                configuration,
+                new EvacuationFeed(platform.operatorRows(), registry, log));
         this.backendWatch =
                 new TableWatch(loop, platform.store(), platform.operatorRows().backendTable(), backends);
         this.router = new RequestRouter(new RequestServices(
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/feed/EvacuationFeed.java
@@ -0,0 +1,60 @@
+package org.streamring.direct.feed;
+
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.kernel.store.StoredRow;
+import org.streamring.platform.node.OperatorRows;
+
+/**
+ * Keeps which failure domains the operator has evacuated. What was read last stands while the store is away. Confined
+ * to the event loop.
+ */
+public final class EvacuationFeed implements TableWatch.Listener {
+    private final OperatorRows rows;
+    private final BackendRegistry registry;
+    private final DecisionLog log;
+    private final Set<String> evacuated = new TreeSet<>();
+
+    /** Creates one that knows no evacuation. */
+    public EvacuationFeed(OperatorRows rows, BackendRegistry registry, DecisionLog log) {
+        this.rows = rows;
+        this.registry = registry;
+        this.log = log;
+    }
+
+    @Override
+    public void listed(List<StoredRow> list) {
+        Set<String> restored = new TreeSet<>(evacuated);
+        list.forEach(row -> rows.evacuated(row).ifPresent(restored::remove));
+        restored.forEach(domain -> restore(domain, "not_listed"));
+        list.forEach(this::changed);
+    }
+
+    @Override
+    public void changed(StoredRow row) {
+        rows.evacuated(row).ifPresent(domain -> {
+            if (row.removed()) {
+                restore(domain, "removed_by_" + row.version());
+            } else {
+                evacuate(domain, row.version());
+            }
+        });
+    }
+
+    private void evacuate(String domain, long version) {
+        if (evacuated.add(domain)) {
+            registry.evacuated(evacuated);
+            log.line("domain_evacuated", "domain", domain, "version", version);
+        }
+    }
+
+    private void restore(String domain, String cause) {
+        if (evacuated.remove(domain)) {
+            registry.evacuated(evacuated);
+            log.line("domain_restored", "domain", domain, "cause", cause);
+        }
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -28,7 +28,7 @@
     private final EventLoop loop;
     private final RowStore store;
     private final String table;
-    private final Listener listener;
+    private final List<Listener> listeners;
     private final Map<String, Long> versions = new HashMap<>();
     private long known = -1;
     private boolean listed;
@@ -43,19 +43,23 @@
         /** A row was written or removed. */
         void changed(StoredRow row);
 
-        /** The store can't be reached, since now. */
-        void lost(String reason);
+        /** The store can't be reached, since now; for those who keep what they know meanwhile, nothing follows. */
+        default void lost(String reason) {}
 
         /** The store can be reached again, and what follows is its state since then. */
-        void regained();
+        default void regained() {}
     }
 
-    /** Creates one; nothing happens before {@link #start}. */
-    public TableWatch(EventLoop loop, RowStore store, String table, Listener listener) {
+    /**
+     * Creates one; nothing happens before {@link #start}.
+     *
+     * @param listeners told in this order
+     */
+    public TableWatch(EventLoop loop, RowStore store, String table, Listener... listeners) {
         this.loop = loop;
         this.store = store;
         this.table = table;
-        this.listener = listener;
+        this.listeners = List.of(listeners);
     }
 
     /** Starts to follow. */
@@ -88,7 +92,7 @@
         listed = true;
         known = page.version();
         page.rows().forEach(row -> versions.merge(row.key().key(), row.version(), Math::max));
-        listener.listed(page.rows());
+        listeners.forEach(each -> each.listed(page.rows()));
         watch();
     }
 
@@ -116,7 +120,7 @@
             long before = versions.getOrDefault(row.key().key(), -1L);
             if (row.version() > before) {
                 versions.put(row.key().key(), row.version());
-                listener.changed(row);
+                listeners.forEach(each -> each.changed(row));
             }
         }
         watch();
@@ -125,14 +129,15 @@
     private void reached() {
         if (away) {
             away = false;
-            listener.regained();
+            listeners.forEach(Listener::regained);
         }
     }
 
     private void failed(Throwable failure) {
         if (!away) {
             away = true;
-            listener.lost(String.valueOf(failure.getMessage()));
+            String reason = String.valueOf(failure.getMessage());
+            listeners.forEach(each -> each.lost(reason));
         }
         later();
     }
--- a/net/src/main/java/org/streamring/platform/node/OperatorRows.java
+++ b/net/src/main/java/org/streamring/platform/node/OperatorRows.java
@@ -7,7 +7,7 @@
 
 /** Reads what the operator and the backend servers write to the store. */
 public interface OperatorRows {
-    /** Table that holds the configuration. */
+    /** Table that holds the configuration and the evacuations. */
     String configurationTable();
 
     /** Table that holds the backend servers, by their identifier. */
@@ -21,6 +21,13 @@
      */
     Optional<RoutingConfiguration> configuration(StoredRow row) throws MalformedRowException;
 
+    /**
+     * Reads an evacuation: while its row is there, nothing new goes to the backend servers of a failure domain.
+     *
+     * @return the failure domain; empty if the row holds something else
+     */
+    Optional<String> evacuated(StoredRow row);
+
     /**
      * Reads a backend server's entry.
      *
