Send cold replicas no more than they bear, by owners that need not hear each other

Change: ColdReplicas (kernel, no input or output) hears each replica's own word, with the latest end counting; while it is cold only three entries, chosen by rendezvous among all that may be alive, send it anything, each a fixed part (3 in 1.5 s where 20 in a second is the most). The window is longer than the second by the 500 ms that a connection may take. Which entries may be alive is told by readings of their rows, not by time: after an outage of the store all rows are old. Retries, resumed streams and prompts whose parts are kept are placed by the same choice. Ruled out: an even part for each entry, which is less than one request a second for thirty entries and so none or too many.

--- a/core/src/main/java/org/streamring/kernel/route/RouteTable.java
+++ b/core/src/main/java/org/streamring/kernel/route/RouteTable.java
@@ -81,7 +81,7 @@
 
     /** What is known of a service. */
     public ServiceTraits service(String name) {
-        return services.getOrDefault(name, new ServiceTraits(name, Integer.MAX_VALUE, 0, 0));
+        return services.getOrDefault(name, new ServiceTraits(name, Integer.MAX_VALUE, 0, 0, 0));
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/placement/ColdReplicasTest.java
@@ -0,0 +1,142 @@
+package org.streamring.kernel.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ColdReplicasTest {
+    /** Bears 10 requests a second, and may fall over beyond 20. */
+    private static final ColdLimit LIMIT = new ColdLimit(10, 20);
+
+    private static final int ENTRIES = 30;
+    private static final int REPLICAS = 12;
+
+    private Set<String> all;
+
+    @BeforeMethod
+    public void setUp() {
+        all = names(ENTRIES);
+    }
+
+    @Test
+    public void aWarmReplicaTakesAnyNumber() {
+        ColdReplicas cold = new ColdReplicas("entry-1", () -> all);
+        IntStream.range(0, 1_000).forEach(each -> cold.placed("i-1", 0));
+        assertThat(cold.takes("i-1", LIMIT, 0)).isTrue();
+    }
+
+    @Test
+    public void whereTheSheetNamesNoRateAnyNumberIsTaken() {
+        ColdReplicas cold = new ColdReplicas("entry-1", Set::of);
+        cold.heard("i-1", 3_000, 0);
+        assertThat(cold.takes("i-1", ColdLimit.NONE, 0)).isTrue();
+    }
+
+    @Test
+    public void theLatestEndCountsAndAWarmWordDoesNotEndIt() {
+        ColdReplicas cold = new ColdReplicas("entry-1", () -> all);
+        cold.heard("i-1", 3_000, 1_000);
+        cold.heard("i-1", 500, 2_000);
+        cold.heard("i-1", 0, 2_500);
+        assertThat(cold.isCold("i-1", 3_999)).isTrue();
+        assertThat(cold.isCold("i-1", 4_000)).isFalse();
+    }
+
+    @Test
+    public void anEntryThatKnowsNoOtherYetSendsAColdReplicaNothing() {
+        ColdReplicas cold = new ColdReplicas("entry-1", Set::of);
+        cold.heard("i-1", 3_000, 0);
+        assertThat(cold.takes("i-1", LIMIT, 100)).isFalse();
+    }
+
+    @Test
+    public void aRateTooSmallForItsOwnersIsNotUsed() {
+        assertThat(ColdReplicas.part(new ColdLimit(0.5, 5.75))).isZero();
+        assertThat(ColdReplicas.part(new ColdLimit(1, 6.5))).isEqualTo(1);
+        assertThat(ColdReplicas.part(LIMIT)).isEqualTo(3);
+        assertThat(ColdReplicas.part(new ColdLimit(100, 155))).isEqualTo(25);
+    }
+
+    /** Thirty entries with the whole demand at once; each placement leaves up to 500 ms later. */
+    @Test
+    public void aDozenReplicasThatComeBackColdTogetherBearWhatTheyGet() {
+        List<Long> most = mostInAnySecond(number -> all, false);
+        assertThat(most).allMatch(each -> each <= LIMIT.mostInSecond() / 2);
+        assertThat(most).as("they are of use meanwhile").allMatch(each -> each >= 3);
+    }
+
+    /** Half of the entries were cut off before the other half was replaced by ones with other names. */
+    @Test
+    public void viewsThatShareNoOwnerStayWithinWhatIsBorne() {
+        Set<String> others = new TreeSet<>();
+        IntStream.range(0, ENTRIES).forEach(number -> others.add("new-" + number));
+        Set<String> both = new HashSet<>(all);
+        both.addAll(others);
+        assertThat(mostInAnySecond(number -> number % 2 == 0 ? all : others, true))
+                .allMatch(each -> each <= LIMIT.mostInSecond());
+        assertThat(mostInAnySecond(number -> number % 2 == 0 ? all : both, true))
+                .allMatch(each -> each <= LIMIT.mostInSecond());
+    }
+
+    private static List<Long> mostInAnySecond(IntFunction<Set<String>> view, boolean twoFleets) {
+        List<Long> most = new ArrayList<>();
+        for (int replica = 0; replica < REPLICAS; replica++) {
+            most.add(mostInAnySecond("i-" + replica, view, twoFleets, new Random(replica)));
+        }
+        return most;
+    }
+
+    private static long mostInAnySecond(
+            String replica, IntFunction<Set<String>> view, boolean twoFleets, Random random) {
+        List<ColdReplicas> fleet = new ArrayList<>();
+        for (int number = 0; number < ENTRIES; number++) {
+            Set<String> known = view.apply(number);
+            fleet.add(new ColdReplicas("entry-" + number, () -> known));
+            if (twoFleets) {
+                Set<String> others = view.apply(number + 1);
+                fleet.add(new ColdReplicas("new-" + number, () -> others));
+            }
+        }
+        fleet.forEach(each -> each.heard(replica, 10_000, 0));
+        List<Long> sent = new ArrayList<>();
+        for (long now = 0; now < 6_000; now += 10) {
+            for (ColdReplicas entry : fleet) {
+                while (entry.takes(replica, LIMIT, now)) {
+                    entry.placed(replica, now);
+                    sent.add(now + random.nextInt(500));
+                }
+            }
+        }
+        return mostInAnySecond(sent);
+    }
+
+    private static long mostInAnySecond(List<Long> sent) {
+        Deque<Long> window = new ArrayDeque<>();
+        long most = 0;
+        for (long time : sent.stream().sorted().toList()) {
+            window.addLast(time);
+            while (window.peekFirst() <= time - 1_000) {
+                window.removeFirst();
+            }
+            most = Math.max(most, window.size());
+        }
+        return most;
+    }
+
+    private static Set<String> names(int count) {
+        Set<String> names = new TreeSet<>();
+        IntStream.range(0, count).forEach(number -> names.add("entry-" + number));
+        return names;
+    }
+}
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -14,8 +14,8 @@
 import org.testng.annotations.Test;
 
 public class PlacementTableTest {
-    private static final ServiceTraits ENGINE = new ServiceTraits("assist", 100, 3, 200_000);
-    private static final ServiceTraits PLAIN = new ServiceTraits("portal", 100, 0, 0);
+    private static final ServiceTraits ENGINE = new ServiceTraits("assist", 100, 3, 200_000, 0);
+    private static final ServiceTraits PLAIN = new ServiceTraits("portal", 100, 0, 0, 0);
 
     private final List<BackendInstance> replicas =
             IntStream.range(0, 5).mapToObj(PlacementTableTest::replica).toList();
@@ -162,7 +162,7 @@
     @Test
     public void aReplicaNeverGetsMoreThanItsSlots() {
         start(table, plainQuery(), "i-0");
-        BackendInstance small = new BackendInstance("i-0", "assist", "10.0.0.1", 1, "hall", 1, true);
+        BackendInstance small = new BackendInstance("i-0", "assist", "10.0.0.1", 1, "hall", 1, true, 0);
         assertThat(table.choose(plainQuery(), PLAIN, List.of(small), 1, 0)).isEmpty();
     }
 
@@ -254,6 +254,6 @@
     }
 
     private static BackendInstance replica(int number) {
-        return new BackendInstance("i-" + number, "assist", "10.0.0." + number, 8_080, "hall", 64, true);
+        return new BackendInstance("i-" + number, "assist", "10.0.0." + number, 8_080, "hall", 64, true, 0);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -23,6 +24,7 @@
 import org.streamring.direct.request.Fleet;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
+import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidSettings;
@@ -91,7 +93,8 @@
         String incarnation = Incarnation.create(settings.nodeName());
         this.registry = new BackendRegistry(settings.keepLapsed().toMillis());
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
-        this.backends = new BackendFeed(platform.operatorRows(), registry, clock, log);
+        ColdReplicas cold = new ColdReplicas(settings.nodeName(), this::entriesThatMayLive);
+        this.backends = new BackendFeed(platform.operatorRows(), registry, cold, clock, log);
         EntryMetrics metrics = new EntryMetrics();
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
@@ -110,11 +113,13 @@
         this.fleet = new Fleet(
                 loop,
                 registry,
+                cold,
                 random,
                 platform.headers().requestId(),
                 clock,
                 members::live,
-                () -> this.settings.retries());
+                () -> this.settings.retries(),
+                () -> this.settings.cold());
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         this.configurationWatch = new TableWatch(
                 loop,
@@ -161,6 +166,10 @@
                 log);
     }
 
+    private Set<String> entriesThatMayLive() {
+        return members.mayLive();
+    }
+
     /** Memory of a replica in tokens; 0 if it is not known. */
     private long memoryOf(String replica) {
         return registry.find(replica)
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.store.StoredRow;
@@ -14,14 +15,17 @@
 public final class BackendFeed implements TableWatch.Listener {
     private final OperatorRows rows;
     private final BackendRegistry registry;
+    private final ColdReplicas cold;
     private final LongSupplier clock;
     private final DecisionLog log;
     private boolean known;
 
     /** Creates one. */
-    public BackendFeed(OperatorRows rows, BackendRegistry registry, LongSupplier clock, DecisionLog log) {
+    public BackendFeed(
+            OperatorRows rows, BackendRegistry registry, ColdReplicas cold, LongSupplier clock, DecisionLog log) {
         this.rows = rows;
         this.registry = registry;
+        this.cold = cold;
         this.clock = clock;
         this.log = log;
     }
@@ -61,6 +65,8 @@
                     instance.service(),
                     "ready",
                     instance.ready(),
+                    "cold_ms",
+                    instance.coldMillis(),
                     "version",
                     row.version());
         }
@@ -68,7 +74,9 @@
 
     private void read(StoredRow row, List<BackendInstance> into) {
         try {
-            into.add(rows.backend(row));
+            BackendInstance instance = rows.backend(row);
+            into.add(instance);
+            cold.heard(instance.id(), instance.coldMillis(), clock.getAsLong());
         } catch (MalformedRowException e) {
             log.line("backend_unreadable", "backend", row.key().key(), "reason", e.getMessage());
         }
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -3,9 +3,11 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -28,6 +30,11 @@
     private static final long BASE_MILLIS = 2_000;
     private static final long MILLIS_PER_ENTRY = 20;
     private static final int MISSED_BEATS = 3;
+    /**
+     * Readings of the table in which an entry's row did not change until it is surely gone, about two minutes. Readings
+     * are counted, not time: after an outage of the store all rows are old.
+     */
+    private static final int READINGS_UNTIL_GONE = 45;
 
     private final EventLoop loop;
     private final RowStore store;
@@ -39,9 +46,14 @@
     private final Map<String, Seen> seen = new HashMap<>();
     private long ownVersion;
     private int live = 1;
+    private Set<String> mayLive = Set.of();
     private boolean stopping;
 
-    private record Seen(long version, long changedMillis, String value) {
+    private record Seen(long version, long changedMillis, String value, int readings) {
+        Seen readAgain() {
+            return new Seen(version, changedMillis, value, readings + 1);
+        }
+
         boolean live(long oldestMillis) {
             return !value.startsWith(STOPPED) && changedMillis >= oldestMillis;
         }
@@ -102,6 +114,21 @@
         return live;
     }
 
+    /** Names of the entries that may be alive, this one among them; empty before the table was read. */
+    public Set<String> mayLive() {
+        return mayLive;
+    }
+
+    private Set<String> namesThatMayLive() {
+        Set<String> names = new HashSet<>(Set.of(ownKey.key()));
+        seen.forEach((name, row) -> {
+            if (row.readings() < READINGS_UNTIL_GONE) {
+                names.add(name);
+            }
+        });
+        return Set.copyOf(names);
+    }
+
     /** Tells the others that this entry stops. */
     public void stop() {
         stopping = true;
@@ -133,12 +160,15 @@
             }
             Seen before = seen.get(row.key().key());
             if (before == null || before.version() != row.version()) {
-                seen.put(row.key().key(), new Seen(row.version(), now, row.value()));
+                seen.put(row.key().key(), new Seen(row.version(), now, row.value(), 0));
+            } else {
+                seen.put(row.key().key(), before.readAgain());
             }
         }
         long oldest = now - interval() * MISSED_BEATS;
         Others others = new Others(members(each -> each.live(oldest)), members(each -> !each.live(oldest)));
         live = 1 + others.live().size();
+        mayLive = namesThatMayLive();
         onChange.accept(others);
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -13,6 +14,8 @@
 import java.util.function.Supplier;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.kernel.limit.FleetRetryBudget;
+import org.streamring.kernel.placement.ColdLimit;
+import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.PlacedPrompt;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.placement.PlacementTable;
@@ -27,27 +30,35 @@
     private final EventLoop loop;
     private final BackendRegistry registry;
     private final PlacementTable placement;
+    private final ColdReplicas cold;
     private final String requestIdHeader;
     private final LongSupplier clock;
     private final IntSupplier entries;
     private final Supplier<NodeSettings.RetryLimit> retryLimit;
+    private final Supplier<NodeSettings.ColdMargin> coldMargin;
     private final Map<String, BackendPool> pools = new HashMap<>();
     private final Map<String, FleetRetryBudget> retries = new HashMap<>();
 
     /**
      * Creates one without connections.
      *
+     * @param cold which replicas are cold
      * @param entries number of live entries
+     * @param coldMargin what a cold replica bears beyond its rate
      */
     public Fleet(
             EventLoop loop,
             BackendRegistry registry,
+            ColdReplicas cold,
             Random random,
             String requestIdHeader,
             LongSupplier clock,
             IntSupplier entries,
-            Supplier<NodeSettings.RetryLimit> retryLimit) {
+            Supplier<NodeSettings.RetryLimit> retryLimit,
+            Supplier<NodeSettings.ColdMargin> coldMargin) {
         this.loop = loop;
+        this.cold = cold;
+        this.coldMargin = coldMargin;
         this.registry = registry;
         this.placement = new PlacementTable(random);
         this.requestIdHeader = requestIdHeader;
@@ -58,11 +69,22 @@
 
     /** Chooses a replica of a service. */
     Optional<BackendInstance> choose(ServiceTraits service, PlacementQuery query) {
-        return placement.choose(query, service, registry.ready(service.name()), entries.getAsInt(), clock.getAsLong());
+        long now = clock.getAsLong();
+        ColdLimit limit = limit(service);
+        List<BackendInstance> ready = registry.ready(service.name()).stream()
+                .filter(instance -> cold.takes(instance.id(), limit, now))
+                .toList();
+        return placement.choose(query, service, ready, entries.getAsInt(), now);
+    }
+
+    private ColdLimit limit(ServiceTraits service) {
+        double perSecond = service.coldPerSecond();
+        return new ColdLimit(perSecond, coldMargin.get().mostInSecond(perSecond));
     }
 
     /** Notes that a request begins at a replica. */
     PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance) {
+        cold.placed(instance.id(), clock.getAsLong());
         return placement.started(query, service, instance, clock.getAsLong());
     }
 
@@ -114,6 +136,7 @@
         Set<String> known = new HashSet<>();
         registry.all().forEach(instance -> known.add(instance.id()));
         placement.keepOnly(known);
+        cold.keepOnly(known);
         pools.entrySet().removeIf(entry -> {
             if (known.contains(entry.getKey()) && registry.isReady(entry.getKey())) {
                 entry.getValue().closeStale();
--- a/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -68,6 +68,18 @@
         assertThat(rows.written.poll(5, TimeUnit.SECONDS)).isEqualTo("stopped 127.0.0.1:7340");
     }
 
+    @Test
+    public void anEntryThatStoppedOrFellSilentMayLiveForAWhile() throws InterruptedException {
+        assertThat(register.mayLive())
+                .as("nothing is known before the table was read")
+                .isEmpty();
+        rows.has("entry-2", "entry-2.a 127.0.0.2:7340");
+        rows.has("entry-3", "stopped 127.0.0.3:7340");
+        loop.execute(register::start);
+        told.poll(5, TimeUnit.SECONDS);
+        assertThat(register.mayLive()).containsExactlyInAnyOrder("entry-1", "entry-2", "entry-3");
+    }
+
     @Test
     public void rowsThatCannotBeReadNameNobody() throws InterruptedException {
         rows.has("entry-2", "stopped");
--- a/net/src/main/java/org/streamring/platform/node/NodeSettings.java
+++ b/net/src/main/java/org/streamring/platform/node/NodeSettings.java
@@ -15,6 +15,7 @@
  * @param grace time from the signal to stop to the forced end
  * @param keepLapsed how long a backend server's lapsed entry is kept after the store is back
  * @param retries limit on retries that all entries share
+ * @param cold what a cold backend server bears beyond its rate
  */
 public record NodeSettings(
         String nodeName,
@@ -25,7 +26,8 @@
         InetSocketAddress metrics,
         Duration grace,
         Duration keepLapsed,
-        RetryLimit retries) {
+        RetryLimit retries,
+        ColdMargin cold) {
 
     /**
      * A limit on retries: in every window, retries &le; ratio × requests + slack.
@@ -35,4 +37,17 @@
      * @param window length of the window
      */
     public record RetryLimit(double ratio, double slack, Duration window) {}
+
+    /**
+     * What a cold backend server bears in any second: factor × its rate + slack.
+     *
+     * @param factor of its rate
+     * @param slack requests besides
+     */
+    public record ColdMargin(double factor, double slack) {
+        /** Requests in any second beyond which the server may fall over. */
+        public double mostInSecond(double perSecond) {
+            return factor * perSecond + slack;
+        }
+    }
 }
