--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -121,13 +121,7 @@
                 () -> this.settings.retries(),
                 () -> this.settings.cold());
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
-        this.configurationWatch = new TableWatch(
-                loop,
-                platform.store(),
-                platform.operatorRows().configurationTable(),
-                TableWatch.AfterGap.LIST,
-                configuration,
-                new EvacuationFeed(platform.operatorRows(), registry, log));
+        this.configurationWatch = watchOperator();
         this.backendWatch = new TableWatch(
                 loop, platform.store(), platform.operatorRows().backendTable(), TableWatch.AfterGap.CHANGES, backends);
         this.router = new RequestRouter(new RequestServices(
@@ -149,6 +143,16 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
+    private TableWatch watchOperator() {
+        return new TableWatch(
+                loop,
+                platform.store(),
+                platform.operatorRows().configurationTable(),
+                TableWatch.AfterGap.LIST,
+                configuration,
+                new EvacuationFeed(platform.operatorRows(), registry, log));
+    }
+
     private TokenDesk tokenDesk(PrepaidBook book, AccountHomes homes, Random random, EntryMetrics metrics) {
         return new TokenDesk(
                 loop,
