Log each write of leases that others' writes came before

Cause: entries without a confirmed write beside a store that answers could not be explained, as no line said which rows conflicted. Change: write_conflicted with the accounts whose rows had changed, how many rows the write held, and for how long this entry's marks are unconfirmed.

--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -362,10 +362,22 @@
         if (answer.committed()) {
             rows.written(changed, marks, answer.version());
         } else {
+            logConflict(rows.outdated(answer.current()), changed.size());
             rows.takeAll(answer.current());
         }
     }
 
+    private void logConflict(List<String> outdated, int rowsInWrite) {
+        log.line(
+                "write_conflicted",
+                "accounts",
+                String.join(",", outdated),
+                "rows_in_write",
+                rowsInWrite,
+                "unconfirmed_ms",
+                clock.getAsLong() - confirmedSentMillis);
+    }
+
     private void answered(long storeMillis) {
         anchorStoreMillis = storeMillis;
         anchorLocalMillis = clock.getAsLong();
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRows.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRows.java
@@ -79,6 +79,15 @@
         return new RowChange(ownMarks, marksVersion, PrepaidRowCodec.writeMarks(marks));
     }
 
+    /** Accounts whose rows are not as known, among rows that were just read. */
+    List<String> outdated(List<StoredRow> current) {
+        return current.stream()
+                .filter(row -> row.key().table().equals(ACCOUNTS))
+                .filter(row -> row.version() != known(row.key().key()).version())
+                .map(row -> row.key().key())
+                .toList();
+    }
+
     /** Takes what was written. */
     void written(Map<String, PrepaidRow> changed, MarkRow marks, long version) {
         changed.forEach((name, row) -> accounts.put(name, new Known(row, version)));
