--- a/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
@@ -1,8 +1,6 @@
 package org.streamring.kernel.placement;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * What this entry knows of one replica: its health, the requests that it runs for this entry and, as far as they told,
@@ -22,21 +20,13 @@
     private final ReplicaHealth health = new ReplicaHealth();
     private final KeptParts kept = new KeptParts();
     private final RunningMedian eventGap = new RunningMedian(INITIAL_GAP_MILLIS, GAP_STEP);
-    private final Map<String, ToldShare> others = new HashMap<>();
+    private final OthersLoad others = new OthersLoad();
     private int running;
     private long unreadTokens;
     private double weightOfStreams;
     private double recentPauses;
     private long recentMillis;
 
-    /** A share as another entry told it, and when. */
-    private record ToldShare(ReplicaShare share, long toldMillis) {
-        /** Prompts go on being read while nothing new is told. */
-        double unreadTokens(long nowMillis, double tokensPerMilli) {
-            return Math.max(0, share.unreadTokens() - (nowMillis - toldMillis) * tokensPerMilli);
-        }
-    }
-
     /** Notes a request that begins here. */
     PlacedPrompt started(
             PlacementQuery query,
@@ -61,12 +51,12 @@
 
     /** Takes what another entry told of its requests here. */
     void told(String entry, ReplicaShare share, long nowMillis) {
-        others.put(entry, new ToldShare(share, nowMillis));
+        others.told(entry, share, nowMillis);
     }
 
     /** Forgets what another entry told. */
     void forget(String entry) {
-        others.remove(entry);
+        others.forget(entry);
     }
 
     /** This entry's part of the load. */
@@ -102,10 +92,7 @@
 
     /** Pauses that prompts of all entries cause here, in a millisecond on average. */
     double pausesPerMilli(long nowMillis) {
-        double told = others.values().stream()
-                .mapToDouble(each -> each.share().recentPauses())
-                .sum();
-        return (ownRecentPauses(nowMillis) + told) / RECENT_MILLIS;
+        return (ownRecentPauses(nowMillis) + others.recentPauses()) / RECENT_MILLIS;
     }
 
     /** Tokens of a prompt that are not kept here. */
@@ -115,18 +102,12 @@
 
     /** Prompt tokens of all entries that were sent and are likely not yet read. */
     double unreadTokens(long nowMillis, double tokensPerMilli) {
-        double told = others.values().stream()
-                .mapToDouble(each -> each.unreadTokens(nowMillis, tokensPerMilli))
-                .sum();
-        return unreadTokens + told;
+        return unreadTokens + others.unreadTokens(nowMillis, tokensPerMilli);
     }
 
     /** Streams of all entries that a pause would make late, by weight. */
     double weightOfStreams() {
-        return weightOfStreams
-                + others.values().stream()
-                        .mapToDouble(each -> each.share().weightOfStreams())
-                        .sum();
+        return weightOfStreams + others.weightOfStreams();
     }
 
     /** Usual time between two events; 0 if too few came. */
@@ -156,10 +137,7 @@
 
     /** Attempts of all entries in progress, as far as they told. */
     int runningOfAll() {
-        return running
-                + others.values().stream()
-                        .mapToInt(each -> each.share().running())
-                        .sum();
+        return running + others.running();
     }
 
     /** Attempts of this entry in progress. */
