Weigh each node once when nodes are ordered for a key

Cause: RendezvousHash computed two weights for every comparison of its sort, some 400 checksums to order 38 replicas. Change: weights first, then the sort. The order is the same: PlacementTableTest, ColdReplicasTest and the tests of homes pass as before.

--- a/core/src/main/java/org/streamring/kernel/routing/RendezvousHash.java
+++ b/core/src/main/java/org/streamring/kernel/routing/RendezvousHash.java
@@ -13,12 +13,15 @@
 
     private RendezvousHash() {}
 
+    /** A node's weight for a key, which takes longer to compute than to compare. */
+    private record Weighed(String node, long weight) {}
+
     /** Orders nodes for a key, the first being its owner. */
     public static List<String> order(String key, Collection<String> nodes) {
         return nodes.stream()
-                .sorted(Comparator.comparingLong((String node) -> weight(key, node))
-                        .reversed()
-                        .thenComparing(Comparator.naturalOrder()))
+                .map(node -> new Weighed(node, weight(key, node)))
+                .sorted(Comparator.comparingLong(Weighed::weight).reversed().thenComparing(Weighed::node))
+                .map(Weighed::node)
                 .toList();
     }
 
