Hold no connection that this box is too late for against a replica

Change: OwnLateness (kernel, no input or output) hears how long new connections take; where half or more of at least three servers took over 100 ms within 400 ms, the box itself is late and a connection that fails is no replica's fault. A dark failure domain of a third of the servers still is.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.backend;
 
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -9,6 +10,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.process.TcpClient;
@@ -24,6 +26,7 @@
     private final InetSocketAddress address;
     private final String requestIdHeader;
     private final LongSupplier clock;
+    private final LongConsumer onConnecting;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
     private final RecentAnswers answers = new RecentAnswers();
@@ -34,12 +37,19 @@
      *
      * @param requestIdHeader header by which an answer names its request
      * @param clock milliseconds of a steady clock
+     * @param onConnecting told how long each new connection took, or was waited for in vain, in milliseconds
      */
-    public BackendPool(EventLoop loop, InetSocketAddress address, String requestIdHeader, LongSupplier clock) {
+    public BackendPool(
+            EventLoop loop,
+            InetSocketAddress address,
+            String requestIdHeader,
+            LongSupplier clock,
+            LongConsumer onConnecting) {
         this.loop = loop;
         this.address = address;
         this.requestIdHeader = requestIdHeader;
         this.clock = clock;
+        this.onConnecting = onConnecting;
         this.heardMillis = clock.getAsLong();
     }
 
@@ -144,6 +154,7 @@
 
     private void connect(BackendRequest request, BackendAttempt attempt) {
         BackendConnection connection = new BackendConnection(this, requestIdHeader);
+        long beganMillis = clock.getAsLong();
         ChannelFuture connecting =
                 TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, created -> created.pipeline()
                         .addLast(
@@ -151,6 +162,9 @@
                                 new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
                                 connection));
         connecting.addListener(done -> {
+            if (done.isSuccess() || done.cause() instanceof ConnectTimeoutException) {
+                onConnecting.accept(clock.getAsLong() - beganMillis);
+            }
             if (!done.isSuccess()) {
                 attempt.notSent(String.valueOf(done.cause()));
                 return;
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -216,7 +216,9 @@
     @Override
     public void onFailure(AttemptFailure failure, String reason) {
         if (failure == AttemptFailure.NOT_SENT) {
-            state.unreachable(services.clock().getAsLong());
+            if (!services.fleet().ownBoxLate()) {
+                state.unreachable(services.clock().getAsLong());
+            }
             release();
             owner.attemptEnded(AttemptEnd.notSent("not_connected"));
             return;
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.backend.BackendPool;
+import org.streamring.kernel.admission.OwnLateness;
 import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.ColdLimit;
 import org.streamring.kernel.placement.ColdReplicas;
@@ -31,6 +32,7 @@
     private final BackendRegistry registry;
     private final PlacementTable placement;
     private final ColdReplicas cold;
+    private final OwnLateness lateness = new OwnLateness();
     private final String requestIdHeader;
     private final LongSupplier clock;
     private final IntSupplier entries;
@@ -101,7 +103,18 @@
     /** Connections to a replica. */
     BackendPool pool(BackendInstance instance) {
         return pools.computeIfAbsent(
-                instance.id(), id -> new BackendPool(loop, addressOf(instance), requestIdHeader, clock));
+                instance.id(),
+                id -> new BackendPool(
+                        loop,
+                        addressOf(instance),
+                        requestIdHeader,
+                        clock,
+                        took -> lateness.connecting(id, took, clock.getAsLong())));
+    }
+
+    /** Whether this box itself is late, so that what takes long is not the replicas' fault. */
+    boolean ownBoxLate() {
+        return lateness.late(clock.getAsLong());
     }
 
     private static InetSocketAddress addressOf(BackendInstance instance) {
