--- a/core/src/main/java/org/streamring/kernel/admission/OwnLateness.java
+++ b/core/src/main/java/org/streamring/kernel/admission/OwnLateness.java
@@ -7,8 +7,8 @@
  * Whether this box itself is late, by its link or its processor: then new connections to most backend servers take
  * long at the same time, where otherwise they take a few milliseconds, or only those to some servers fail.
  *
- * <p>The load pattern that it answers: the balancer hands each caller to an entry by a hash, so a busy account's callers
- * can bring one entry many times what the others get. Confined to one thread.
+ * <p>The load pattern that it answers: the balancer hands each caller to an entry by a hash, so a busy account's
+ * callers can bring one entry many times what the others get. Confined to one thread.
  */
 public final class OwnLateness {
     /** Connections of the last moments tell; a link that is full for 100 ms drains in 100 ms. */
