--- a/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
@@ -36,8 +36,8 @@
      * Creates one that has found nothing.
      *
      * @param clock milliseconds on a steady clock
-     * @param processAge milliseconds since the runtime of this process began to start; asked only where a predecessor is
-     *     found, as the first answer takes some 50 ms of a core
+     * @param processAge milliseconds since the runtime of this process began to start; asked only where a predecessor
+     *     is found, as the first answer takes some 50 ms of a core
      */
     PredecessorLeases(
             PrepaidBook book, Witnesses witnesses, LongSupplier clock, LongSupplier processAge, DecisionLog log) {
@@ -67,9 +67,9 @@
     }
 
     /**
-     * Time of the store by which the predecessor had ended, or later. The runtime starts for a second and more on a small
-     * box before the clock begins, and by then the predecessor was gone: without that time the marks of 24 of 30 entries
-     * that were all killed counted 2 s of silence and more, where 0.5 to 1 s were over.
+     * Time of the store by which the predecessor had ended, or later. The runtime starts for a second and more on a
+     * small box before the clock begins, and the predecessor was gone by then. Without this the marks of most of 30
+     * entries that were all killed counted 2 s of silence and more.
      */
     private long endStoreMillis() {
         return startStoreMillis - bootMillis;
