Let a marks row tell its own time, so that a successor reckons with less silence

Cause: a row told the time of the write before it, as only that was confirmed when it was sent. Change: DurableRise; a row tells its own time, and until its outcome is known no more is used than it and the one before allow, each rising since its own time (DurableMark). While an outcome is not known, further rows tell the same time.

--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountLease.java
@@ -21,9 +21,7 @@
     private static final double NOTED_AHEAD_MILLIS = 1_000;
 
     private final DurableAmount granted = new DurableAmount();
-    private final DurableAmount markStart = new DurableAmount();
-    private final DurableAmount markAtOnce = new DurableAmount();
-    private final DurableAmount markAtPatience = new DurableAmount();
+    private final DurableMark mark = new DurableMark();
     private long spent;
     private long reserved;
     private long lent;
@@ -46,21 +44,17 @@
 
     /** Tokens of the grant that may be used while the marks bind. */
     long usableBelowMark(StoreSilence silence) {
-        return Math.min(granted.usable(), silence.usable(mark()));
+        return Math.min(granted.usable(), mark.usable(silence));
     }
 
     /** Tokens of the grant that may be used once the marks no longer bind. */
     long usableBeyondMark(StoreSilence silence) {
-        return silence.released(mark(), granted.usable());
+        return silence.released(mark.least(), granted.usable());
     }
 
     /** Tokens of the grant that may be used once the marks no longer bind, up to those noted at a witness. */
     long usableUpTo(long noted, StoreSilence silence) {
-        return Math.min(usableBeyondMark(silence), Math.max(markAtPatience.usable(), noted));
-    }
-
-    private Mark mark() {
-        return new Mark(markStart.usable(), markAtOnce.usable(), markAtPatience.usable());
+        return Math.min(usableBeyondMark(silence), Math.max(mark.least().atPatience(), noted));
     }
 
     /** What is to be noted at the witnesses, so that requests of the next moments find tokens. */
@@ -111,23 +105,17 @@
 
     void proposed(long newGranted, Mark newMark) {
         granted.proposed(newGranted);
-        markStart.proposed(newMark.start());
-        markAtOnce.proposed(newMark.atOnce());
-        markAtPatience.proposed(newMark.atPatience());
+        mark.proposed(newMark);
     }
 
     void confirmed(long newGranted, Mark newMark) {
         granted.confirmed(newGranted);
-        markStart.confirmed(newMark.start());
-        markAtOnce.confirmed(newMark.atOnce());
-        markAtPatience.confirmed(newMark.atPatience());
+        mark.confirmed(newMark);
     }
 
     void refused() {
         granted.refused();
-        markStart.refused();
-        markAtOnce.refused();
-        markAtPatience.refused();
+        mark.refused();
     }
 
     /**
@@ -139,9 +127,7 @@
         if (rowChanged) {
             granted.unanswered();
         }
-        markStart.unanswered();
-        markAtOnce.unanswered();
-        markAtPatience.unanswered();
+        mark.unanswered();
     }
 
     boolean uncertain() {
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -35,7 +35,7 @@
     private final DurableWitnesses witnesses = new DurableWitnesses();
     private final Map<String, Map<String, Long>> notedAt = new HashMap<>();
     private final DurableRelease release;
-    private long silentMillis;
+    private StoreSilence silence;
     private boolean releasing;
 
     /** How a reservation ended. */
@@ -71,6 +71,7 @@
         this.incarnation = incarnation;
         this.settings = settings;
         this.release = new DurableRelease(settings.cover().toMillis());
+        this.silence = new StoreSilence(0, 0, settings.patience().toMillis(), release.usableMillis());
     }
 
     /** Whose leases these are. */
@@ -89,11 +90,22 @@
      * @param elapsedMillis time since the last confirmed write was sent, or less
      */
     public void storeSilentFor(long elapsedMillis) {
-        silentMillis = elapsedMillis;
+        storeSilentFor(elapsedMillis, elapsedMillis);
+    }
+
+    /**
+     * Says for how long the store has confirmed no write.
+     *
+     * @param newestMillis time since the newest write was sent that may have taken effect, or less
+     * @param inForceMillis time since the last confirmed write was sent, or less; not less than the time before
+     */
+    public void storeSilentFor(long newestMillis, long inForceMillis) {
+        silence = new StoreSilence(
+                newestMillis, inForceMillis, settings.patience().toMillis(), release.usableMillis());
     }
 
     private StoreSilence silence() {
-        return new StoreSilence(silentMillis, settings.patience().toMillis(), release.usableMillis());
+        return silence.withCover(release.usableMillis());
     }
 
     /** Until when leases are released while the store is silent. */
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidUnderFaultsTest.java
@@ -121,7 +121,7 @@
         private final PrepaidBook book;
         private final long startMillis;
         private boolean reclaimed;
-        private long confirmedSentMillis;
+        private final DurableRise rise = new DurableRise();
         private boolean cutOff;
         private final WitnessNotes kept = new WitnessNotes();
         private Optional<MarkRow> predecessor = Optional.empty();
@@ -131,7 +131,6 @@
             this.box = box;
             this.incarnation = incarnation;
             this.startMillis = startMillis;
-            this.confirmedSentMillis = startMillis;
             this.book = new PrepaidBook(incarnation, PrepaidSettings.DEFAULT);
         }
     }
@@ -180,7 +179,9 @@
         private void act(Entry entry) {
             entry.book.sample(nowMillis);
             if (entry.reclaimed) {
-                entry.book.storeSilentFor(nowMillis - entry.confirmedSentMillis);
+                entry.book.storeSilentFor(
+                        nowMillis - entry.rise.usable().localMillis(),
+                        nowMillis - entry.rise.inForce().localMillis());
             }
             sendNotes(entry);
             askWitnesses(entry);
@@ -227,12 +228,9 @@
             entry.book.witnesses().proposed(named);
             long releaseMillis = shape().release().toMillis();
             entry.book.release().proposed(releaseMillis);
+            DurableRise.RiseStart start = entry.rise.proposed(new DurableRise.RiseStart(nowMillis, nowMillis));
             MarkRow newMarks = new MarkRow(
-                    entry.incarnation,
-                    entry.confirmedSentMillis,
-                    Map.of(ACCOUNT, proposal.mark()),
-                    named,
-                    releaseMillis);
+                    entry.incarnation, start.storeMillis(), Map.of(ACCOUNT, proposal.mark()), named, releaseMillis);
             int fate = random.nextInt(10);
             if (fate == 0) {
                 long due = nowMillis + random.nextInt(6_000);
@@ -240,19 +238,22 @@
                 entry.book.unanswered(proposal);
                 entry.book.witnesses().unanswered();
                 entry.book.release().unanswered();
+                entry.rise.unanswered();
             } else if (fate == 1) {
                 commit(entry.box, proposal.row(), newMarks);
                 entry.book.unanswered(proposal);
                 entry.book.witnesses().unanswered();
                 entry.book.release().unanswered();
+                entry.rise.unanswered();
             } else if (fate == 2) {
                 entry.book.refused(proposal);
                 entry.book.witnesses().refused();
                 entry.book.release().refused();
+                entry.rise.refused();
             } else {
                 commit(entry.box, proposal.row(), newMarks);
-                entry.confirmedSentMillis = nowMillis;
-                entry.book.storeSilentFor(0);
+                entry.rise.confirmed();
+                entry.book.storeSilentFor(nowMillis - start.localMillis());
                 entry.book.confirmed(proposal);
                 entry.book.witnesses().confirmed(named);
                 entry.book.release().confirmed(releaseMillis);
@@ -272,7 +273,8 @@
             commit(entry.box, changed, new MarkRow(entry.incarnation, 0, Map.of(), Set.of(), COVER_MILLIS));
             entry.predecessor = left.filter(each -> changed.isEmpty());
             entry.reclaimed = true;
-            entry.confirmedSentMillis = nowMillis;
+            entry.rise.proposed(new DurableRise.RiseStart(nowMillis, nowMillis));
+            entry.rise.confirmed();
         }
 
         /** What counts as used of a dead incarnation is never less than what it used. */
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -18,6 +18,8 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.limit.ConflictBackoff;
 import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.prepaid.DurableRise;
+import org.streamring.kernel.prepaid.DurableRise.RiseStart;
 import org.streamring.kernel.prepaid.Mark;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -70,8 +72,7 @@
     private TakenBack takenBack = TakenBack.NOTHING;
 
     private long writeSentMillis;
-    private long confirmedSentMillis;
-    private long confirmedStoreMillis;
+    private final DurableRise rise = new DurableRise();
     private long anchorStoreMillis;
     private long anchorLocalMillis;
 
@@ -138,7 +139,12 @@
 
     /** Milliseconds until tokens beyond the marks may be used if the store stays silent. */
     long patienceLeftMillis() {
-        return Math.max(0, book.settings().patience().toMillis() - (clock.getAsLong() - confirmedSentMillis));
+        return Math.max(0, book.settings().patience().toMillis() - silentMillis());
+    }
+
+    /** Time for which the marks have been rising. */
+    private long silentMillis() {
+        return clock.getAsLong() - rise.usable().localMillis();
     }
 
     /** Writes as soon as possible, also where a later write is planned already. */
@@ -285,7 +291,10 @@
         book.witnesses().proposed(named);
         long releaseMillis = homes.shape().release().toMillis();
         book.release().proposed(releaseMillis);
-        MarkRow marksRow = new MarkRow(book.incarnation(), confirmedStoreMillis, marks, named, releaseMillis);
+        long sentMillis = clock.getAsLong();
+        RiseStart start = rise.proposed(new RiseStart(sentMillis, anchorStoreMillis + sentMillis - anchorLocalMillis));
+        sayHowLongSilent();
+        MarkRow marksRow = new MarkRow(book.incarnation(), start.storeMillis(), marks, named, releaseMillis);
         return commit(changed, marksRow).whenComplete((committed, failure) -> {
             if (failure != null) {
                 boolean nothingDone = failure instanceof StoreException store && store.nothingDone();
@@ -295,6 +304,8 @@
                     proposals.forEach(book::confirmed);
                     book.witnesses().confirmed(named);
                     book.release().confirmed(releaseMillis);
+                    rise.confirmed();
+                    sayHowLongSilent();
                     predecessor.tookBack(takenBack);
                 } else {
                     notConfirmed(proposals, true);
@@ -311,10 +322,12 @@
             proposals.forEach(book::refused);
             book.witnesses().refused();
             book.release().refused();
+            rise.refused();
         } else {
             proposals.forEach(book::unanswered);
             book.witnesses().unanswered();
             book.release().unanswered();
+            rise.unanswered();
         }
     }
 
@@ -333,9 +346,7 @@
     private CompletableFuture<Boolean> commit(Map<String, PrepaidRow> changed, MarkRow marks) {
         writing = true;
         againSoon = false;
-        long sentMillis = clock.getAsLong();
-        writeSentMillis = sentMillis;
-        long sentStoreMillis = anchorStoreMillis + sentMillis - anchorLocalMillis;
+        writeSentMillis = clock.getAsLong();
         List<RowChange> changes = new ArrayList<>();
         changed.forEach((account, row) -> changes.add(rows.accountChange(account, row)));
         changes.add(rows.marksChange(marks));
@@ -350,11 +361,6 @@
             }
             answered(answer.storeMillis());
             take(answer, changed, marks);
-            if (answer.committed()) {
-                confirmedSentMillis = sentMillis;
-                confirmedStoreMillis = sentStoreMillis;
-                book.storeSilentFor(clock.getAsLong() - sentMillis);
-            }
             result.complete(answer.committed());
         });
         return result;
@@ -377,7 +383,7 @@
                 "rows_in_write",
                 rowsInWrite,
                 "unconfirmed_ms",
-                clock.getAsLong() - confirmedSentMillis);
+                silentMillis());
     }
 
     private void answered(long storeMillis) {
@@ -403,7 +409,13 @@
             noAnswer(new StoreException("renew leases", "no answer for long", false));
         }
         if (renewedOnce) {
-            book.storeSilentFor(now - confirmedSentMillis);
+            sayHowLongSilent();
         }
     }
+
+    private void sayHowLongSilent() {
+        long now = clock.getAsLong();
+        book.storeSilentFor(
+                now - rise.usable().localMillis(), now - rise.inForce().localMillis());
+    }
 }
