--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -53,9 +53,6 @@
         if (!services.takes().test(route)) {
             return refuse(request, writer, OwnAnswer.later("entry_stops", ELSEWHERE));
         }
-        if (services.fleet().ownBoxLate()) {
-            return refuse(request, writer, OwnAnswer.later("entry_late", ELSEWHERE));
-        }
         String service = RouteTable.pickService(route, services.random().nextDouble());
         RequestPlan plan = RequestPlan.of(request, route, table.service(service), account, services.names());
         Runnable onOver = route.stream() ? () -> runningStreams-- : () -> {};
