Forget how long connections to servers took that are gone

Cause: OwnLateness dropped old entries only when it was asked, which is when a connection fails; found by reading the diff. Change: dropped with each new one as well. Figures: serversThatAreGoneAreForgottenAlsoWhereNobodyAsks, 500 remembered before, 1 after.

--- a/core/src/main/java/org/streamring/kernel/admission/OwnLateness.java
+++ b/core/src/main/java/org/streamring/kernel/admission/OwnLateness.java
@@ -30,15 +30,25 @@
      * @param server identifier of the server
      */
     public void connecting(String server, long tookMillis, long nowMillis) {
+        forgetOld(nowMillis);
         newest.put(server, new Connecting(tookMillis, nowMillis));
     }
 
     /** Whether this box is late now: half or more of the servers that were connected to lately took long. */
     public boolean late(long nowMillis) {
-        newest.values().removeIf(each -> nowMillis - each.endedMillis() > WINDOW_MILLIS);
+        forgetOld(nowMillis);
         long slow = newest.values().stream()
                 .filter(each -> each.tookMillis() > LATE_MILLIS)
                 .count();
         return newest.size() >= LEAST_SERVERS && 2 * slow >= newest.size();
     }
+
+    private void forgetOld(long nowMillis) {
+        newest.values().removeIf(each -> nowMillis - each.endedMillis() > WINDOW_MILLIS);
+    }
+
+    /** Servers whose connections are remembered. */
+    int remembered() {
+        return newest.size();
+    }
 }
--- a/core/src/test/java/org/streamring/kernel/admission/OwnLatenessTest.java
+++ b/core/src/test/java/org/streamring/kernel/admission/OwnLatenessTest.java
@@ -56,4 +56,10 @@
         IntStream.range(0, 10).forEach(server -> own.connecting("i-" + server, SLOW, 1_000));
         assertThat(own.late(1_000 + OwnLateness.WINDOW_MILLIS + 1)).isFalse();
     }
+
+    @Test
+    public void serversThatAreGoneAreForgottenAlsoWhereNobodyAsks() {
+        IntStream.range(0, 500).forEach(server -> own.connecting("i-" + server, SOON, 1_000L * server));
+        assertThat(own.remembered()).isEqualTo(1);
+    }
 }
