--- a/core/src/main/java/org/streamring/kernel/admission/package-info.java
+++ b/core/src/main/java/org/streamring/kernel/admission/package-info.java
@@ -1,4 +1,4 @@
-/** Whether a request is taken on at all. */
+/** What this box can do itself at the moment. */
 @NullMarked
 package org.streamring.kernel.admission;
 
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidBook.java
@@ -35,7 +35,8 @@
     private final DurableWitnesses witnesses = new DurableWitnesses();
     private final Map<String, Map<String, Long>> notedAt = new HashMap<>();
     private final DurableRelease release;
-    private StoreSilence silence;
+    private long newestMillis;
+    private long inForceMillis;
     private boolean releasing;
 
     /** How a reservation ended. */
@@ -71,7 +72,6 @@
         this.incarnation = incarnation;
         this.settings = settings;
         this.release = new DurableRelease(settings.cover().toMillis());
-        this.silence = new StoreSilence(0, 0, settings.patience().toMillis(), release.usableMillis());
     }
 
     /** Whose leases these are. */
@@ -100,12 +100,12 @@
      * @param inForceMillis time since the last confirmed write was sent, or less; not less than the time before
      */
     public void storeSilentFor(long newestMillis, long inForceMillis) {
-        silence = new StoreSilence(
-                newestMillis, inForceMillis, settings.patience().toMillis(), release.usableMillis());
+        this.newestMillis = newestMillis;
+        this.inForceMillis = inForceMillis;
     }
 
     private StoreSilence silence() {
-        return silence.withCover(release.usableMillis());
+        return new StoreSilence(newestMillis, inForceMillis, settings.patience().toMillis(), release.usableMillis());
     }
 
     /** Until when leases are released while the store is silent. */
--- a/core/src/main/java/org/streamring/kernel/prepaid/StoreSilence.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/StoreSilence.java
@@ -9,11 +9,6 @@
  * @param coverMillis after this time all of a grant may be used
  */
 public record StoreSilence(long elapsedMillis, long inForceMillis, long patienceMillis, long coverMillis) {
-    /** This silence with another time after which all of a grant may be used. */
-    StoreSilence withCover(long millis) {
-        return new StoreSilence(elapsedMillis, inForceMillis, patienceMillis, millis);
-    }
-
     /** Whether the marks no longer bind. */
     boolean outOfPatience() {
         return elapsedMillis >= patienceMillis;
