Take the decision to wait for a place out of the request, as a policy without input or output

Cause: how long a request waits and when a refused caller comes back stood between writes to sockets, so that two ways could not be compared. Change: kernel.admission.WaitPolicy with today's way, FixedWindow (a fifth of the target, 250 ms), asked by PlaceQueue with what it knows: time waited, target, time left, requests ahead, and the pace at which places became free (PlacePace).

--- /dev/null
+++ b/core/src/main/java/org/streamring/kernel/admission/WaitQuery.java
@@ -0,0 +1,12 @@
+package org.streamring.kernel.admission;
+
+/**
+ * What is known of a request for which no place is free.
+ *
+ * @param waitedMillis time since it arrived
+ * @param targetMillis time within which its first answer counts fully, from its arrival
+ * @param leftMillis time until it must have its final answer
+ * @param ahead requests that wait here and go before it
+ * @param freedPerMilli places that became free for this entry lately, in a millisecond on average
+ */
+public record WaitQuery(long waitedMillis, long targetMillis, long leftMillis, int ahead, double freedPerMilli) {}
--- a/core/src/main/java/org/streamring/kernel/admission/package-info.java
+++ b/core/src/main/java/org/streamring/kernel/admission/package-info.java
@@ -1,4 +1,4 @@
-/** What this box can do itself at the moment. */
+/** Whether a request waits or is turned away, and what this box can do itself at the moment. */
 @NullMarked
 package org.streamring.kernel.admission;
 
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -13,6 +13,7 @@
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.caller.RequestSink;
+import org.streamring.kernel.admission.WaitDecision;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
@@ -28,7 +29,6 @@
     private static final int PARTS_OF_TIME_LEFT = 3;
 
     private static final int MAX_UNSENT = 8;
-    private static final int WAIT_PARTS = 5;
     private static final long LEAST_TIME_MILLIS = 30;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
     /** More than a replica makes in the half second in which it must notice. */
@@ -51,6 +51,7 @@
     private @Nullable Future<?> deadlineTimer;
     private String newestReplica = "";
     private Optional<PlacementForecast> forecast = Optional.empty();
+    private Duration retryAfter = RETRY_SOON;
     private AttemptEnd lastEnd = AttemptEnd.notRun("not_tried");
     private int sent;
     private int unsent;
@@ -137,16 +138,13 @@
             send(chosen.get(), query);
             return true;
         }
-        if (waitedLongEnough()) {
-            conclude(lastEnd.reason().equals("not_tried") ? AttemptEnd.notRun("no_place") : lastEnd);
-            return true;
+        WaitDecision decision = places.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis());
+        if (decision.waits()) {
+            return false;
         }
-        return false;
-    }
-
-    private boolean waitedLongEnough() {
-        long longest = plan.route().targetLatency().toMillis() / WAIT_PARTS;
-        return elapsed() >= longest;
+        retryAfter = decision.retryAfter();
+        conclude(lastEnd.reason().equals("not_tried") ? AttemptEnd.notRun("no_place") : lastEnd);
+        return true;
     }
 
     private void send(BackendInstance instance, PlacementQuery query) {
@@ -200,6 +198,7 @@
         }
         lastEnd = end;
         run = null;
+        places.freed();
         logAttempt(end);
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
             finish("answered", 200);
@@ -263,7 +262,7 @@
             writer.whole(answer.head().status(), filter.forCaller(answer.head().headers()), answer.body());
             return;
         }
-        end(mayHaveRun ? OwnAnswer.unknown(502, end.reason()) : OwnAnswer.later(end.reason(), RETRY_SOON));
+        end(mayHaveRun ? OwnAnswer.unknown(502, end.reason()) : OwnAnswer.later(end.reason(), retryAfter));
     }
 
     private void onDeadline() {
@@ -299,6 +298,7 @@
 
     private void giveUp(AttemptRun running) {
         running.cancel();
+        places.freed();
         reservation.ifPresent(
                 each -> each.givenUp(EVENTS_UNTIL_NOTICED, plan.service().tokensPerEvent()));
     }
--- a/direct/src/main/java/org/streamring/direct/request/PlaceQueue.java
+++ b/direct/src/main/java/org/streamring/direct/request/PlaceQueue.java
@@ -1,16 +1,25 @@
 package org.streamring.direct.request;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.streamring.kernel.admission.PlacePace;
+import org.streamring.kernel.admission.WaitDecision;
+import org.streamring.kernel.admission.WaitPolicy;
+import org.streamring.kernel.admission.WaitQuery;
 
 /** Requests that wait for a place at a replica; the most urgent and oldest goes first. Confined to the event loop. */
 final class PlaceQueue {
     private static final long TICK_MILLIS = 15;
 
     private final EventLoop loop;
+    private final LongSupplier clock;
+    private final WaitPolicy policy;
+    private final PlacePace pace = new PlacePace();
     private final List<Waiting> waiting = new ArrayList<>();
     private boolean ticking;
 
@@ -23,8 +32,31 @@
         boolean tryPlace();
     }
 
-    PlaceQueue(EventLoop loop) {
+    PlaceQueue(EventLoop loop, LongSupplier clock, WaitPolicy policy) {
         this.loop = loop;
+        this.clock = clock;
+        this.policy = policy;
+    }
+
+    /** Decides whether a request for which no place is free waits. */
+    WaitDecision decide(Waiting request, long waitedMillis, Duration target, long deadlineMillis) {
+        long now = clock.getAsLong();
+        return policy.decide(new WaitQuery(
+                waitedMillis, target.toMillis(), deadlineMillis - now, ahead(request), pace.perMilli(now)));
+    }
+
+    private int ahead(Waiting request) {
+        int own = waiting.indexOf(request);
+        return own >= 0
+                ? own
+                : (int) waiting.stream()
+                        .filter(each -> each.rank() <= request.rank())
+                        .count();
+    }
+
+    /** Notes that an attempt is over and its place free. */
+    void freed() {
+        pace.freed(clock.getAsLong());
     }
 
     void add(Waiting request) {
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -6,6 +6,7 @@
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.caller.RequestSink;
+import org.streamring.kernel.admission.FixedWindow;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.PrepaidAccount;
 import org.streamring.model.route.Route;
@@ -26,7 +27,7 @@
     public RequestRouter(RequestServices services) {
         this.services = services;
         this.filter = new HeaderFilter(services.names());
-        this.places = new PlaceQueue(services.loop());
+        this.places = new PlaceQueue(services.loop(), services.clock(), new FixedWindow());
     }
 
     @Override
