Compare ways of deciding on a model of engines and entries, in simulated time

Change: standin.model (engines in batches that read prompts in pieces, keep parts and turn slow, dark or cold; plain services with places and a line; entries with links and processors as queues, callers that keep to an entry and come back once; word of load between entries), decided by the kernel's PlacementTable, ColdReplicas and WaitPolicy. Two scenarios from a real sheet. Missing: tokens and the store in the same model, entries that die, plots.

--- a/standin/src/main/java/org/streamring/standin/StandinMain.java
+++ b/standin/src/main/java/org/streamring/standin/StandinMain.java
@@ -7,10 +7,11 @@
 import org.streamring.net.process.StopSignal;
 import org.streamring.standin.engine.EngineSettings;
 import org.streamring.standin.engine.EngineStandin;
-import org.streamring.standin.experiment.LoadCommand;
 import org.streamring.standin.experiment.MeasureCommand;
+import org.streamring.standin.experiment.OverheadCommand;
 import org.streamring.standin.experiment.SlopesCommand;
 import org.streamring.standin.experiment.routing.RoutingCommand;
+import org.streamring.standin.model.LoadCommand;
 import org.streamring.standin.platform.PlatformStandin;
 import org.streamring.standin.proxy.FaultProxy;
 import org.streamring.standin.service.ServiceStandin;
@@ -31,6 +32,7 @@
                 .withCommand(ProxyCommand.class)
                 .withCommand(MeasureCommand.class)
                 .withCommand(SlopesCommand.class)
+                .withCommand(OverheadCommand.class)
                 .withCommand(LoadCommand.class)
                 .withCommand(RoutingCommand.class)
                 .build();
--- a/standin/src/main/java/org/streamring/standin/experiment/LoadCommand.java
+++ b/standin/src/main/java/org/streamring/standin/experiment/OverheadCommand.java
@@ -16,9 +16,9 @@
 
 /** Sends streamed completions through an entry and, in turn, directly to an engine, and compares. */
 @Command(
-        name = "load",
+        name = "overhead",
         description = "Send completions through an entry and directly to an engine in turn, and compare")
-public final class LoadCommand implements Runnable {
+public final class OverheadCommand implements Runnable {
     private static final String FORMAT = "%-10s %8s %8s %14s %14s %14s %14s%n";
     private static final long MAX_MICROS = 600_000_000L;
 
