Name the replica and a keyed digest of the request where an attempt broke off

Cause: an incident's logs couldn't tell whether replicas ended under the same request, as attempts named neither the replica nor anything of the body. Change: attempt_failed tells the replica, and for attempts that broke off a digest of path, account and body, keyed by a secret derived from the fleet's key, so that it is the same at every entry and tells nothing of the body. No decision rests on it yet.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -23,6 +23,7 @@
 import org.streamring.direct.peer.TokenLending;
 import org.streamring.direct.peer.UseWitnesses;
 import org.streamring.direct.request.Fleet;
+import org.streamring.direct.request.RequestDigests;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
 import org.streamring.kernel.placement.ColdReplicas;
@@ -47,6 +48,7 @@
  * <p>All its state is confined to one event loop, so there are no locks; only the log has a thread of its own.
  */
 final class DirectEntry {
+    private static final String DIGEST_PURPOSE = "digests of requests";
     private static final long TIDY_MILLIS = 250;
     private static final long RELOAD_MILLIS = 5_000;
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
@@ -134,6 +136,7 @@
                 configuration::inForce,
                 fleet,
                 tokens,
+                new RequestDigests(() -> peers.key().map(key -> key.derive(DIGEST_PURPOSE))),
                 this::takes,
                 metrics,
                 log));
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.feed.MemberRegister;
@@ -97,6 +98,11 @@
         return byEntry().size();
     }
 
+    /** The fleet's key; empty until it was read from the store. */
+    public Optional<FleetKey> key() {
+        return Optional.ofNullable(key);
+    }
+
     /** Starts to listen and to connect, once the fleet's key is known. */
     public void start() {
         keyRow.fetch(fetched -> {
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -17,6 +17,7 @@
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
+import org.streamring.kernel.suspect.RequestDigest;
 import org.streamring.platform.node.ForwardingHeaders;
 
 /**
@@ -346,7 +347,16 @@
             return;
         }
         services.metrics().attemptFailed(end.kind().name());
-        log.attemptFailed(end, elapsed());
+        log.attemptFailed(end, newestReplica, digestIfBroken(end), elapsed());
+    }
+
+    private String digestIfBroken(AttemptEnd end) {
+        return end.kind() == AttemptEnd.Kind.BROKEN
+                ? services.digests()
+                        .of(request, plan.account())
+                        .map(RequestDigest::text)
+                        .orElse("")
+                : "";
     }
 
     private RequestLog.Course course() {
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/RequestDigests.java
@@ -0,0 +1,33 @@
+package org.streamring.direct.request;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.streamring.direct.caller.CallerRequest;
+import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.RequestDigester;
+import org.streamring.model.route.PrepaidAccount;
+
+/** Digests of callers' requests, once the secret for them is known. Confined to the event loop. */
+public final class RequestDigests {
+    private final Supplier<Optional<byte[]>> secret;
+    private @Nullable RequestDigester digester;
+
+    /**
+     * Creates one.
+     *
+     * @param secret what all entries share; empty until it was read
+     */
+    public RequestDigests(Supplier<Optional<byte[]>> secret) {
+        this.secret = secret;
+    }
+
+    /** Digest of a request; empty while the secret is not known. */
+    Optional<RequestDigest> of(CallerRequest request, Optional<PrepaidAccount> account) {
+        if (digester == null) {
+            digester = secret.get().map(RequestDigester::new).orElse(null);
+        }
+        String name = account.map(PrepaidAccount::name).orElse("");
+        return Optional.ofNullable(digester).map(each -> each.digest(request.target(), name, request.body()));
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -34,7 +34,13 @@
         this.plan = plan;
     }
 
-    void attemptFailed(AttemptEnd end, long millis) {
+    /**
+     * Logs an attempt without a success.
+     *
+     * @param replica where it was tried
+     * @param digest what the request is known by when it comes again; empty if the request can't have harmed the replica
+     */
+    void attemptFailed(AttemptEnd end, String replica, String digest, long millis) {
         log.line(
                 "attempt_failed",
                 "request",
@@ -45,6 +51,10 @@
                 end.kind(),
                 "reason",
                 end.reason(),
+                "replica",
+                replica,
+                "digest",
+                digest,
                 "ms",
                 millis);
     }
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -23,6 +23,7 @@
  * @param routes configuration in force; empty until one is known
  * @param fleet backend servers
  * @param tokens prepaid tokens
+ * @param digests by what requests are known again
  * @param takes whether a request on a route that begins now could end before a planned stop
  * @param metrics counters
  * @param log decisions
@@ -36,6 +37,7 @@
         Supplier<Optional<RouteTable>> routes,
         Fleet fleet,
         TokenSource tokens,
+        RequestDigests digests,
         Predicate<Route> takes,
         EntryMetrics metrics,
         DecisionLog log) {}
--- a/net/src/main/java/org/streamring/net/peer/FleetKey.java
+++ b/net/src/main/java/org/streamring/net/peer/FleetKey.java
@@ -22,6 +22,17 @@
         key = new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM);
     }
 
+    /** Derives a secret that serves one purpose only, and tells nothing of this key. */
+    public byte[] derive(String purpose) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(key);
+            return mac.doFinal(purpose.getBytes(StandardCharsets.UTF_8));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(ALGORITHM + " is part of every Java runtime", e);
+        }
+    }
+
     /** A fresh nonce. */
     static ByteString nonce() {
         byte[] nonce = new byte[NONCE_BYTES];
