Read when a backend server's process started

Cause: a server may start again under its identifier, so the identifier alone doesn't tell which of its lives ended. Change: the start is read from its entry, 0 where it says none, and names an incarnation. No decision rests on it yet. Conclusion: crashes of one identifier can be told apart.

--- a/core/src/main/java/org/streamring/kernel/registry/BackendInstance.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendInstance.java
@@ -1,9 +1,9 @@
 package org.streamring.kernel.registry;
 
 /**
- * One incarnation of a backend server, as it registered itself.
+ * A backend server, as it registered itself.
  *
- * @param id identifier of the incarnation
+ * @param id its identifier, which may outlive its process
  * @param service service it belongs to
  * @param host IP address
  * @param port TCP port
@@ -11,6 +11,7 @@
  * @param slots requests that it works on at once
  * @param ready whether it takes new requests; false while it leaves
  * @param coldMillis how long it stays cold from when it said so, in milliseconds; 0 if it is warm
+ * @param bornMillis when its process started, in milliseconds of its own time of day; 0 if it doesn't say
  */
 public record BackendInstance(
         String id,
@@ -20,4 +21,11 @@
         String failureDomain,
         int slots,
         boolean ready,
-        long coldMillis) {}
+        long coldMillis,
+        long bornMillis) {
+
+    /** Names this life of its process: one that starts again under its identifier is another incarnation. */
+    public String incarnation() {
+        return id + "@" + bornMillis;
+    }
+}
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -162,7 +162,7 @@
     @Test
     public void aReplicaNeverGetsMoreThanItsSlots() {
         start(table, plainQuery(), "i-0");
-        BackendInstance small = new BackendInstance("i-0", "assist", "10.0.0.1", 1, "hall", 1, true, 0);
+        BackendInstance small = new BackendInstance("i-0", "assist", "10.0.0.1", 1, "hall", 1, true, 0, 0);
         assertThat(table.choose(plainQuery(), PLAIN, List.of(small), 1, 0)).isEmpty();
     }
 
@@ -254,6 +254,6 @@
     }
 
     private static BackendInstance replica(int number) {
-        return new BackendInstance("i-" + number, "assist", "10.0.0." + number, 8_080, "hall", 64, true, 0);
+        return new BackendInstance("i-" + number, "assist", "10.0.0." + number, 8_080, "hall", 64, true, 0, 0);
     }
 }
--- a/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -97,6 +97,6 @@
     }
 
     private static BackendInstance backend(String id, boolean ready) {
-        return new BackendInstance(id, "assist", "10.0.0.1", 8_080, "hall-1", 64, ready, 0);
+        return new BackendInstance(id, "assist", "10.0.0.1", 8_080, "hall-1", 64, ready, 0, 0);
     }
 }
--- a/standin/src/main/java/org/streamring/standin/model/ModelFleet.java
+++ b/standin/src/main/java/org/streamring/standin/model/ModelFleet.java
@@ -74,7 +74,7 @@
     }
 
     private static BackendInstance instance(String id, String service, int number, int slots) {
-        return new BackendInstance(id, service, id, 1, "domain-" + number % DOMAINS, slots, true, 0);
+        return new BackendInstance(id, service, id, 1, "domain-" + number % DOMAINS, slots, true, 0, 0);
     }
 
     private static double turn(List<Double> values, int number) {
