Decide which requests are no longer sent, as servers end under them

Cause: nobody knows a request again that crashes what runs it. Change: a table without input or output, not yet used: requests that ran where a server ended are suspects, in rounds (one more than the latest round in which a server was known to have ended under them); three crashes, those of the last round counted once, block a request; a whole answer clears it and speaks for it for 30 s; a block ends with one trial at one entry.

--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
@@ -0,0 +1,182 @@
+package org.streamring.kernel.suspect;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class SuspectTableTest {
+    private static final SuspectLimits LIMITS = new SuspectLimits(3, 60_000, 480_000, 600_000, 30_000, 4, 8);
+    private static final RequestDigest REQUEST = new RequestDigest("request");
+
+    private final List<String> told = new ArrayList<>();
+    private boolean triesHere;
+    private SuspectTable table;
+    private SuspectTable other;
+
+    @BeforeMethod
+    public void setUp() {
+        told.clear();
+        triesHere = true;
+        table = new SuspectTable(LIMITS, request -> triesHere, new Told());
+        other = new SuspectTable(LIMITS, request -> false, new Told());
+    }
+
+    @Test
+    public void aRequestIsBlockedOnceThreeServersHaveEndedUnderIt() {
+        crash(table, "s-1@1", 0);
+        crash(table, "s-2@1", 100);
+        assertThat(table.decide(REQUEST, 200).sends()).isTrue();
+        crash(table, "s-1@2", 200);
+        assertThat(table.decide(REQUEST, 201)).isEqualTo(new SuspectDecision(false, 3, 59_999));
+        assertThat(told).containsExactly("blocked request 3");
+    }
+
+    @Test
+    public void whatIsNotYetKnownToHaveEndedCountsUntilItIsKnownToLive() {
+        crash(table, "s-1@1", 0);
+        crash(table, "s-2@1", 100);
+        table.brokeOff(REQUEST, "s-3@1", table.sent(REQUEST), 200);
+        assertThat(table.decide(REQUEST, 201).sends()).isFalse();
+        table.refuted("s-3@1");
+        assertThat(table.decide(REQUEST, 202).sends()).isTrue();
+        assertThat(table.report().crashes()).containsOnlyKeys("s-1@1", "s-2@1");
+    }
+
+    @Test
+    public void serversThatEndTogetherUnderManyOfItsAttemptsCountAsOneRound() {
+        int round = table.sent(REQUEST);
+        for (int server = 0; server < 4; server++) {
+            table.brokeOff(REQUEST, "s-" + server + "@1", round, 0);
+        }
+        assertThat(table.decide(REQUEST, 1).sends()).isTrue();
+        crash(table, "s-5@1", 1_000);
+        assertThat(table.decide(REQUEST, 1_001).sends())
+                .as("ended again, alone")
+                .isFalse();
+    }
+
+    @Test
+    public void aWholeAnswerClearsARequestAndSpeaksForItForAWhile() {
+        crash(table, "s-1@1", 0);
+        crash(table, "s-2@1", 100);
+        table.answered(REQUEST, 200);
+        for (int server = 3; server < 9; server++) {
+            crash(table, "s-" + server + "@1", 300);
+        }
+        assertThat(table.decide(REQUEST, 400).sends()).isTrue();
+        for (int server = 1; server <= 3; server++) {
+            crash(table, "s-" + server + "@2", 200 + LIMITS.answerMillis());
+        }
+        assertThat(table.decide(REQUEST, 31_000).sends()).isFalse();
+    }
+
+    @Test
+    public void crashesSeenByDifferentEntriesAddUp() {
+        crash(table, "s-1@1", 0);
+        other.heard(table.report(), 50);
+        crash(other, "s-2@1", 100);
+        table.heard(other.report(), 150);
+        crash(table, "s-3@1", 200);
+        other.heard(table.report(), 250);
+        assertThat(other.decide(REQUEST, 300).sends()).isFalse();
+        other.heard(table.report(), 40_000);
+        assertThat(other.decide(REQUEST, 40_000).retryAfterMillis())
+                .as("heard twice")
+                .isEqualTo(20_250);
+    }
+
+    @Test
+    public void aWholeAnswerAtAnyEntryEndsABlockAtAll() {
+        for (int server = 1; server <= 3; server++) {
+            crash(table, "s-" + server + "@1", 0);
+        }
+        other.heard(table.report(), 10);
+        other.answered(REQUEST, 20);
+        assertThat(other.hasNews()).isTrue();
+        table.heard(other.report(), 30);
+        assertThat(table.decide(REQUEST, 40).sends()).isTrue();
+        assertThat(told).contains("unblocked request");
+    }
+
+    @Test
+    public void aBlockEndsWithASingleTrialAtOneEntryAndComesBackTwiceAsLong() {
+        for (int server = 1; server <= 3; server++) {
+            crash(table, "s-" + server + "@1", 0);
+        }
+        other.heard(table.report(), 0);
+        assertThat(other.decide(REQUEST, 60_000).sends())
+                .as("tried at another entry")
+                .isFalse();
+        assertThat(table.decide(REQUEST, 60_000).sends()).isTrue();
+        int round = table.sent(REQUEST);
+        assertThat(table.decide(REQUEST, 60_001).sends()).as("one at a time").isFalse();
+        table.ended(REQUEST);
+        table.brokeOff(REQUEST, "s-4@1", round, 60_100);
+        assertThat(table.decide(REQUEST, 60_200).retryAfterMillis()).isEqualTo(119_900);
+    }
+
+    @Test
+    public void aStartedEntryGoesOnTellingWhatItsBoxHasSeen() {
+        crash(table, "s-1@1", 0);
+        SuspectTable started = new SuspectTable(LIMITS, request -> true, new Told());
+        started.resume(table.report(), 0);
+        assertThat(started.hasChanged()).isFalse();
+        crash(started, "s-2@1", 100);
+        assertThat(started.report().crashes()).containsOnlyKeys("s-1@1", "s-2@1");
+    }
+
+    @Test
+    public void whatIsLongAgoIsForgotten() {
+        for (int server = 1; server <= 3; server++) {
+            crash(table, "s-" + server + "@1", 0);
+        }
+        table.expire(LIMITS.keptMillis() - 1);
+        assertThat(table.suspects()).isEqualTo(1);
+        table.expire(LIMITS.keptMillis());
+        assertThat(table.suspects()).isZero();
+        assertThat(table.blocked()).isZero();
+        assertThat(table.report().crashes()).isEmpty();
+    }
+
+    @Test
+    public void thoseWithFewCrashesGiveWayWhereTooManyAreSuspected() {
+        for (int server = 1; server <= 3; server++) {
+            crash(table, "s-" + server + "@1", 0);
+        }
+        for (int number = 0; number < 20; number++) {
+            table.brokeOff(new RequestDigest("other-" + number), "s-9@1", 1, number);
+        }
+        assertThat(table.suspects()).isEqualTo(LIMITS.mostRequests());
+        assertThat(table.decide(REQUEST, 100).sends()).isFalse();
+    }
+
+    @Test
+    public void requestsThatWereAnsweredAreNoLongerToldAsSuspects() {
+        crash(table, "s-1@1", 0);
+        table.answered(REQUEST, 10);
+        assertThat(table.report().crashes().get("s-1@1")).isEmpty();
+    }
+
+    private static void crash(SuspectTable where, String server, long nowMillis) {
+        int round = where.sent(REQUEST);
+        where.ended(REQUEST);
+        where.brokeOff(REQUEST, server, round, nowMillis);
+        where.confirmed(server, nowMillis);
+    }
+
+    private final class Told implements SuspectEvents {
+        @Override
+        public void blocked(RequestDigest request, Set<String> servers) {
+            told.add("blocked " + request.text() + " " + servers.size());
+        }
+
+        @Override
+        public void unblocked(RequestDigest request) {
+            told.add("unblocked " + request.text());
+        }
+    }
+}
