Send a request no more under which three servers have ended, at any entry

Cause: a caller's repeat of a request that crashes what runs it was a new request to every entry, so it took one server after the other for as long as the caller came back. Change: each entry asks the table of suspects on arrival and before each attempt, tells it how attempts end, and finds out after a broken one whether the server's process has ended (no connection left, a new one refused). What entries see they tell in a row of their own, which all watch, and which a started entry reads first.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -26,12 +26,19 @@
 import org.streamring.direct.request.RequestDigests;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
+import org.streamring.direct.request.SuspectGuard;
+import org.streamring.direct.suspect.SuspectExchange;
+import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidSettings;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
+import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.SuspectLimits;
+import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.model.route.Route;
 import org.streamring.model.route.ServiceTraits;
@@ -49,6 +56,12 @@
  */
 final class DirectEntry {
     private static final String DIGEST_PURPOSE = "digests of requests";
+    /**
+     * Half a call a second. A row is known some 20 ms after it was written; where a call hangs, this and the store's
+     * 1.2 s later, which is as long as the rows of the other entries take to tell that one is alive.
+     */
+    private static final Duration SUSPECTS_WAIT = Duration.ofSeconds(2);
+
     private static final long TIDY_MILLIS = 250;
     private static final long RELOAD_MILLIS = 5_000;
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
@@ -74,6 +87,8 @@
     private final PlacementExchange exchange;
     private final TableWatch configurationWatch;
     private final TableWatch backendWatch;
+    private final TableWatch suspectWatch;
+    private final SuspectExchange suspectExchange;
     private final RequestRouter router;
     private final CallerServer callers;
     private boolean stopping;
@@ -126,7 +141,23 @@
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         this.configurationWatch = watchOperator();
         this.backendWatch = new TableWatch(
-                loop, platform.store(), platform.operatorRows().backendTable(), TableWatch.AfterGap.CHANGES, backends);
+                loop,
+                platform.store(),
+                platform.operatorRows().backendTable(),
+                TableWatch.AfterGap.CHANGES,
+                TableWatch.WAIT,
+                backends);
+        SuspectTable suspects = new SuspectTable(SuspectLimits.DEFAULT, this::triesHere, new SuspectLog(log));
+        this.suspectExchange = new SuspectExchange(loop, platform.store(), settings.nodeName(), suspects, clock, log);
+        this.suspectWatch = new TableWatch(
+                loop,
+                platform.store(),
+                SuspectExchange.TABLE,
+                TableWatch.AfterGap.LIST,
+                SUSPECTS_WAIT,
+                suspectExchange);
+        RequestDigests digests = new RequestDigests(() -> peers.key().map(key -> key.derive(DIGEST_PURPOSE)));
+        SuspectGuard guard = new SuspectGuard(digests, suspects, suspectExchange, registry, clock, log);
         this.router = new RequestRouter(new RequestServices(
                 loop,
                 clock,
@@ -136,13 +167,15 @@
                 configuration::inForce,
                 fleet,
                 tokens,
-                new RequestDigests(() -> peers.key().map(key -> key.derive(DIGEST_PURPOSE))),
+                guard,
                 this::takes,
                 metrics,
                 log));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
         showState(metrics);
+        metrics.gauge("suspects", suspects::suspects);
+        metrics.gauge("suspects.blocked", suspects::blocked);
         new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
@@ -153,6 +186,7 @@
                 platform.store(),
                 platform.operatorRows().configurationTable(),
                 TableWatch.AfterGap.LIST,
+                TableWatch.WAIT,
                 configuration,
                 new EvacuationFeed(platform.operatorRows(), registry, log));
     }
@@ -179,6 +213,14 @@
         return ManagementFactory.getRuntimeMXBean().getUptime();
     }
 
+    /** One entry of the fleet tries a request whose block is over; before the entries are known, none does. */
+    private boolean triesHere(RequestDigest request) {
+        return RendezvousHash.order(request.text(), members.mayLive()).stream()
+                .findFirst()
+                .filter(settings.nodeName()::equals)
+                .isPresent();
+    }
+
     private Set<String> entriesThatMayLive() {
         return members.mayLive();
     }
@@ -203,6 +245,8 @@
     void start() {
         configurationWatch.start();
         backendWatch.start();
+        suspectWatch.start();
+        suspectExchange.start();
         members.start();
         lending.start(tokens.lender());
         witnesses.start();
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -10,6 +10,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +31,7 @@
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
     private final RecentAnswers answers = new RecentAnswers();
+    private final EndCheck endCheck;
     private long heardMillis;
 
     /**
@@ -51,6 +53,7 @@
         this.clock = clock;
         this.onConnecting = onConnecting;
         this.heardMillis = clock.getAsLong();
+        this.endCheck = new EndCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> !open.isEmpty());
     }
 
     /** Starts an attempt; the result is for cancelling it. */
@@ -84,6 +87,11 @@
         return quiet && (overtaken || (unheard && connection.reused())) ? Silence.CONNECTION : Silence.NONE;
     }
 
+    /** Finds out whether the server's process has ended, after an attempt broke off. */
+    public void checkEnded(Consumer<Boolean> then) {
+        endCheck.ask(then);
+    }
+
     /** Closes idle connections that were last used by then, as they may have fallen silent since. */
     public void closeIdleUnheardSince(long millis) {
         idle.removeIf(each -> {
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -21,7 +21,7 @@
      * A call that the store does not answer holds up the next change by this and the store's time for a call, 1.8 s in
      * all; with 2 s here the leaving of a replica became known up to 3.2 s late, of 2 s that are left for it.
      */
-    private static final Duration WAIT = Duration.ofMillis(600);
+    public static final Duration WAIT = Duration.ofMillis(600);
 
     private static final long RETRY_MILLIS = 200;
 
@@ -29,6 +29,7 @@
     private final RowStore store;
     private final String table;
     private final AfterGap afterGap;
+    private final Duration wait;
     private final List<Listener> listeners;
     private final Map<String, Long> versions = new HashMap<>();
     private long known = -1;
@@ -66,13 +67,17 @@
     /**
      * Creates one; nothing happens before {@link #start}.
      *
+     * @param wait longest wait of a call for changes; the longer, the fewer calls, and the later a change is known where
+     *     a call hangs
      * @param listeners told in this order
      */
-    public TableWatch(EventLoop loop, RowStore store, String table, AfterGap afterGap, Listener... listeners) {
+    public TableWatch(
+            EventLoop loop, RowStore store, String table, AfterGap afterGap, Duration wait, Listener... listeners) {
         this.loop = loop;
         this.store = store;
         this.table = table;
         this.afterGap = afterGap;
+        this.wait = wait;
         this.listeners = List.of(listeners);
     }
 
@@ -114,7 +119,7 @@
         if (stopped) {
             return;
         }
-        store.watch(table, known, WAIT).whenComplete((page, failure) -> {
+        store.watch(table, known, wait).whenComplete((page, failure) -> {
             if (failure != null) {
                 failed(failure);
             } else if (page.historyLost()) {
--- a/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
@@ -21,6 +21,8 @@
         FAILED,
         /** No sound answer came; it may have run. */
         BROKEN,
+        /** Nothing came, and nothing over other connections to the backend server; it may have run. */
+        SILENT,
         /** Its connection fell silent; it may have run, and its replica may be asked again over another connection. */
         UNHEARD
     }
@@ -45,6 +47,10 @@
         return new AttemptEnd(Kind.UNHEARD, "connection_silent", Optional.empty());
     }
 
+    static AttemptEnd silent() {
+        return new AttemptEnd(Kind.SILENT, "replica_silent", Optional.empty());
+    }
+
     static AttemptEnd broken(String reason) {
         return new AttemptEnd(Kind.BROKEN, reason, Optional.empty());
     }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -122,7 +122,7 @@
             state.unreachable(services.clock().getAsLong());
         }
         silent.cancel();
-        endAfterSending(replicaSilent ? AttemptEnd.broken("replica_silent") : AttemptEnd.unheard());
+        endAfterSending(replicaSilent ? AttemptEnd.silent() : AttemptEnd.unheard());
     }
 
     /** A replica that reads long prompts answers nothing meanwhile. */
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -17,7 +17,6 @@
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
-import org.streamring.kernel.suspect.RequestDigest;
 import org.streamring.platform.node.ForwardingHeaders;
 
 /**
@@ -29,6 +28,9 @@
     /** Callers wait for this part of the time that they have left, at most. */
     private static final int PARTS_OF_TIME_LEFT = 3;
 
+    /** Reason of a refusal: servers have ended under this request, at this entry or at others. */
+    private static final String CRASHES_SERVERS = "request_crashes_servers";
+
     private static final int MAX_UNSENT = 8;
     private static final long LEAST_TIME_MILLIS = 30;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
@@ -46,11 +48,12 @@
     private final AnswerRelay relay;
     private final StreamTiming timing;
     private final Optional<Reservation> reservation;
+    private final SuspectGuard.Watched suspect;
     private final Set<String> tried = new HashSet<>();
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun run;
     private @Nullable Future<?> deadlineTimer;
-    private String newestReplica = "";
+    private Optional<BackendInstance> newest = Optional.empty();
     private Optional<PlacementForecast> forecast = Optional.empty();
     private Duration retryAfter = RETRY_SOON;
     private AttemptEnd lastEnd = AttemptEnd.notRun("not_tried");
@@ -83,12 +86,16 @@
                 Optional.ofNullable(request.headers().get(services.names().lastEventId())),
                 timing);
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
+        this.suspect = services.suspects().watch(request, plan.id(), plan.account());
     }
 
     void start() {
         services.fleet().retries(plan.service().name()).request(now());
         long left = Math.max(0, plan.deadlineMillis() - now() - DEADLINE_MARGIN_MILLIS);
         deadlineTimer = services.loop().schedule(this::onDeadline, left, TimeUnit.MILLISECONDS);
+        if (refusedAsSuspect()) {
+            return;
+        }
         if (reservation.isPresent()) {
             pendingTokens = reservation.get().reserve(this::onTokens);
         } else {
@@ -133,6 +140,9 @@
         if (over) {
             return true;
         }
+        if (refusedAsSuspect()) {
+            return true;
+        }
         PlacementQuery query = plan.placement(services.failureDomain(), tried);
         Optional<BackendInstance> chosen = services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
@@ -148,9 +158,20 @@
         return true;
     }
 
+    /** Asked on arrival and before each attempt: what was learned since may forbid one that waits, or a retry. */
+    private boolean refusedAsSuspect() {
+        Optional<Duration> refused = suspect.refusedFor();
+        refused.ifPresent(after -> {
+            retryAfter = after;
+            conclude(AttemptEnd.notRun(CRASHES_SERVERS));
+        });
+        return refused.isPresent();
+    }
+
     private void send(BackendInstance instance, PlacementQuery query) {
         tried.add(instance.id());
-        newestReplica = instance.id();
+        newest = Optional.of(instance);
+        suspect.sent();
         run = new AttemptRun(services, plan, instance, relay, this);
         run.begin(backendRequest(instance), query);
         forecast = run.forecast();
@@ -199,9 +220,11 @@
         }
         lastEnd = end;
         run = null;
+        suspect.ended();
         places.freed();
         logAttempt(end);
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
+            suspect.answered();
             finish("answered", 200);
         } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
             findAnotherOrConclude(end);
@@ -226,8 +249,11 @@
         if (end.kind() != AttemptEnd.Kind.FAILED) {
             reservation.ifPresent(Reservation::useUnknown);
         }
+        if (end.kind() == AttemptEnd.Kind.BROKEN) {
+            newest.ifPresent(server -> suspect.brokeOff(server, services.fleet().pool(server)));
+        }
         if (end.kind() == AttemptEnd.Kind.UNHEARD) {
-            tried.remove(newestReplica);
+            newest.map(BackendInstance::id).ifPresent(tried::remove);
         }
         retryOrConclude(end, plan.route().repeatable());
     }
@@ -299,6 +325,7 @@
 
     private void giveUp(AttemptRun running) {
         running.cancel();
+        suspect.ended();
         places.freed();
         reservation.ifPresent(
                 each -> each.givenUp(EVENTS_UNTIL_NOTICED, plan.service().tokensPerEvent()));
@@ -347,21 +374,16 @@
             return;
         }
         services.metrics().attemptFailed(end.kind().name());
-        log.attemptFailed(end, newestReplica, digestIfBroken(end), elapsed());
-    }
-
-    private String digestIfBroken(AttemptEnd end) {
-        return end.kind() == AttemptEnd.Kind.BROKEN
-                ? services.digests()
-                        .of(request, plan.account())
-                        .map(RequestDigest::text)
-                        .orElse("")
-                : "";
+        log.attemptFailed(end, newestReplica(), suspect.digest(), elapsed());
     }
 
     private RequestLog.Course course() {
         long tokens = reservation.map(Reservation::used).orElse(0L);
-        return new RequestLog.Course(sent, unsent, tokens, newestReplica, forecast, timing, elapsed());
+        return new RequestLog.Course(sent, unsent, tokens, newestReplica(), forecast, timing, elapsed());
+    }
+
+    private String newestReplica() {
+        return newest.map(BackendInstance::id).orElse("");
     }
 
     private long elapsed() {
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -23,7 +23,7 @@
  * @param routes configuration in force; empty until one is known
  * @param fleet backend servers
  * @param tokens prepaid tokens
- * @param digests by what requests are known again
+ * @param suspects keeps requests from being sent that crash what runs them
  * @param takes whether a request on a route that begins now could end before a planned stop
  * @param metrics counters
  * @param log decisions
@@ -37,7 +37,7 @@
         Supplier<Optional<RouteTable>> routes,
         Fleet fleet,
         TokenSource tokens,
-        RequestDigests digests,
+        SuspectGuard suspects,
         Predicate<Route> takes,
         EntryMetrics metrics,
         DecisionLog log) {}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -0,0 +1,151 @@
+package org.streamring.direct.suspect;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.streamring.direct.feed.TableWatch;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.store.CommitResult;
+import org.streamring.kernel.store.RowChange;
+import org.streamring.kernel.store.RowKey;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StoredRow;
+import org.streamring.kernel.suspect.SuspectTable;
+
+/**
+ * Tells all entries which requests ran where a server ended, and hears it from them. Each entry has a row of its own,
+ * which also tells what its box saw before its last start. Confined to the event loop.
+ */
+public final class SuspectExchange implements TableWatch.Listener {
+    /** Table of the rows, which are named by their entries. */
+    public static final String TABLE = "streamring-suspects";
+
+    /** A server's end breaks off many requests within a few milliseconds; they share a row. */
+    private static final long SOON_MILLIS = 10;
+    /** What can wait is told at this pace, and what the store did not take is written again. */
+    private static final long TICK_MILLIS = 1_000;
+
+    private final EventLoop loop;
+    private final RowStore store;
+    private final RowKey ownKey;
+    private final SuspectTable table;
+    private final LongSupplier clock;
+    private final DecisionLog log;
+    private final SuspectRowCodec codec = new SuspectRowCodec();
+    private long ownVersion;
+    private boolean listed;
+    private boolean writing;
+    private boolean unwritten;
+    private boolean writingSoon;
+
+    /** Creates one; nothing is written before {@link #start}. */
+    public SuspectExchange(
+            EventLoop loop, RowStore store, String nodeName, SuspectTable table, LongSupplier clock, DecisionLog log) {
+        this.loop = loop;
+        this.store = store;
+        this.ownKey = new RowKey(TABLE, "", nodeName);
+        this.table = table;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Starts to tell. */
+    public void start() {
+        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells what is news, if there is any. */
+    public void tellNews() {
+        if (table.hasNews() && !writingSoon) {
+            writingSoon = true;
+            loop.schedule(this::writeSoon, SOON_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void writeSoon() {
+        writingSoon = false;
+        write();
+    }
+
+    private void tick() {
+        table.expire(clock.getAsLong());
+        write();
+    }
+
+    private void write() {
+        boolean changed = unwritten || table.hasChanged();
+        if (!changed || writing || !listed) {
+            return;
+        }
+        writing = true;
+        unwritten = false;
+        String value = codec.write(table.report());
+        store.commit(List.of(new RowChange(ownKey, ownVersion, value)))
+                .whenComplete((result, failure) -> written(result, failure));
+    }
+
+    private void written(CommitResult result, Throwable failure) {
+        writing = false;
+        if (failure == null && result.committed()) {
+            ownVersion = result.version();
+            tellNews();
+            return;
+        }
+        unwritten = true;
+        if (failure == null) {
+            result.current().stream()
+                    .filter(row -> row.key().equals(ownKey))
+                    .forEach(row -> ownVersion = row.version());
+        }
+        log.line("suspects_not_told", "reason", failure == null ? "conflict" : String.valueOf(failure.getMessage()));
+    }
+
+    @Override
+    public void listed(List<StoredRow> rows) {
+        rows.forEach(this::hear);
+        listed = true;
+        tellNews();
+    }
+
+    @Override
+    public void changed(StoredRow row) {
+        hear(row);
+        tellNews();
+    }
+
+    private void hear(StoredRow row) {
+        if (row.removed()) {
+            return;
+        }
+        boolean own = row.key().equals(ownKey);
+        if (own) {
+            ownVersion = Math.max(ownVersion, row.version());
+        }
+        codec.read(row.value())
+                .ifPresentOrElse(
+                        report -> {
+                            if (own && !listed) {
+                                table.resume(report, clock.getAsLong());
+                            } else if (!own) {
+                                table.heard(report, clock.getAsLong());
+                            }
+                        },
+                        () -> log.line(
+                                "row_unreadable",
+                                "table",
+                                TABLE,
+                                "row",
+                                row.key().key()));
+    }
+
+    @Override
+    public void lost(String reason) {
+        log.line("store_lost", "by", "suspects", "reason", reason);
+    }
+
+    @Override
+    public void regained() {
+        log.line("store_regained", "by", "suspects");
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectLog.java
@@ -0,0 +1,27 @@
+package org.streamring.direct.suspect;
+
+import java.util.Set;
+import java.util.TreeSet;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.SuspectEvents;
+
+/** Logs which requests are no longer sent. */
+public final class SuspectLog implements SuspectEvents {
+    private final DecisionLog log;
+
+    /** Creates one. */
+    public SuspectLog(DecisionLog log) {
+        this.log = log;
+    }
+
+    @Override
+    public void blocked(RequestDigest request, Set<String> servers) {
+        log.line("suspect_blocked", "digest", request.text(), "servers", new TreeSet<>(servers));
+    }
+
+    @Override
+    public void unblocked(RequestDigest request) {
+        log.line("suspect_unblocked", "digest", request.text());
+    }
+}
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectRowCodec.java
@@ -0,0 +1,80 @@
+package org.streamring.direct.suspect;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.SuspectReport;
+
+/**
+ * Text form of a report: {@code {"crashes": {server: {request: round, …}, …}, "cleared": {request: [server, …], …}}}.
+ * Parts of another form are passed over, as a newer entry may write them.
+ */
+final class SuspectRowCodec {
+    private static final String CRASHES = "crashes";
+    private static final String CLEARED = "cleared";
+
+    private final ObjectMapper json = new ObjectMapper();
+
+    String write(SuspectReport report) {
+        ObjectNode tree = json.createObjectNode();
+        ObjectNode crashes = tree.putObject(CRASHES);
+        new TreeMap<>(report.crashes()).forEach((server, requests) -> {
+            ObjectNode rounds = crashes.putObject(server);
+            requests.forEach((request, round) -> rounds.put(request.text(), round));
+        });
+        ObjectNode cleared = tree.putObject(CLEARED);
+        report.cleared().forEach((request, servers) -> {
+            ArrayNode names = cleared.putArray(request.text());
+            new TreeSet<>(servers).forEach(names::add);
+        });
+        return tree.toString();
+    }
+
+    /** Reads a report; empty if the text is not of this form. */
+    Optional<SuspectReport> read(String text) {
+        try {
+            JsonNode tree = json.readTree(text);
+            return tree.isObject()
+                    ? Optional.of(new SuspectReport(crashes(tree.path(CRASHES)), cleared(tree.path(CLEARED))))
+                    : Optional.empty();
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static Map<String, Map<RequestDigest, Integer>> crashes(JsonNode tree) {
+        Map<String, Map<RequestDigest, Integer>> crashes = new HashMap<>();
+        tree.fields().forEachRemaining(server -> {
+            Map<RequestDigest, Integer> rounds = new HashMap<>();
+            server.getValue().fields().forEachRemaining(request -> {
+                if (request.getValue().canConvertToInt() && request.getValue().asInt() > 0) {
+                    rounds.put(
+                            new RequestDigest(request.getKey()),
+                            request.getValue().asInt());
+                }
+            });
+            crashes.put(server.getKey(), rounds);
+        });
+        return crashes;
+    }
+
+    private static Map<RequestDigest, Set<String>> cleared(JsonNode tree) {
+        Map<RequestDigest, Set<String>> cleared = new HashMap<>();
+        tree.fields().forEachRemaining(request -> {
+            Set<String> servers = new HashSet<>();
+            request.getValue().forEach(server -> servers.add(server.asText()));
+            cleared.put(new RequestDigest(request.getKey()), servers);
+        });
+        return cleared;
+    }
+}
