Tell suspects over the connections between entries too

Cause: while the store is away entries could not tell each other, so each of them lost its own three servers to one crashing request. Change: what an entry tells in its row it also sends in a frame to each connected entry.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -148,7 +148,8 @@
                 TableWatch.WAIT,
                 backends);
         SuspectTable suspects = new SuspectTable(SuspectLimits.DEFAULT, this::triesHere, new SuspectLog(log));
-        this.suspectExchange = new SuspectExchange(loop, platform.store(), settings.nodeName(), suspects, clock, log);
+        this.suspectExchange =
+                new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch = new TableWatch(
                 loop,
                 platform.store(),
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -93,6 +93,11 @@
                 .toList();
     }
 
+    /** Sends a frame to each connected entry. */
+    public void tellAll(Frame frame) {
+        byEntry().values().forEach(peer -> peer.send(frame));
+    }
+
     /** Entries to which a connection is open. */
     public int connected() {
         return byEntry().size();
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -6,16 +6,21 @@
 import java.util.function.LongSupplier;
 import org.streamring.direct.feed.TableWatch;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.peer.EntryPeers;
 import org.streamring.kernel.store.CommitResult;
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StoredRow;
 import org.streamring.kernel.suspect.SuspectTable;
+import org.streamring.net.generated.Wire.Frame;
+import org.streamring.net.generated.Wire.SuspectNews;
+import org.streamring.net.peer.PeerConnection;
 
 /**
- * Tells all entries which requests ran where a server ended, and hears it from them. Each entry has a row of its own,
- * which also tells what its box saw before its last start. Confined to the event loop.
+ * Tells all entries which requests ran where a server ended, and hears it from them: over connections, which also works
+ * while the store is away, and by a row of each entry, which reaches those that aren't connected and tells what its box
+ * saw before its last start. Confined to the event loop.
  */
 public final class SuspectExchange implements TableWatch.Listener {
     /** Table of the rows, which are named by their entries. */
@@ -28,6 +33,7 @@
 
     private final EventLoop loop;
     private final RowStore store;
+    private final EntryPeers peers;
     private final RowKey ownKey;
     private final SuspectTable table;
     private final LongSupplier clock;
@@ -37,37 +43,63 @@
     private boolean listed;
     private boolean writing;
     private boolean unwritten;
-    private boolean writingSoon;
+    private boolean tellingSoon;
 
     /** Creates one; nothing is written before {@link #start}. */
     public SuspectExchange(
-            EventLoop loop, RowStore store, String nodeName, SuspectTable table, LongSupplier clock, DecisionLog log) {
+            EventLoop loop,
+            RowStore store,
+            EntryPeers peers,
+            String nodeName,
+            SuspectTable table,
+            LongSupplier clock,
+            DecisionLog log) {
         this.loop = loop;
         this.store = store;
+        this.peers = peers;
         this.ownKey = new RowKey(TABLE, "", nodeName);
         this.table = table;
         this.clock = clock;
         this.log = log;
     }
 
-    /** Starts to tell. */
+    /** Starts to tell and to listen. */
     public void start() {
+        peers.listen(this::received);
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Tells what is news, if there is any. */
     public void tellNews() {
-        if (table.hasNews() && !writingSoon) {
-            writingSoon = true;
-            loop.schedule(this::writeSoon, SOON_MILLIS, TimeUnit.MILLISECONDS);
+        if (table.hasNews() && !tellingSoon) {
+            tellingSoon = true;
+            loop.schedule(this::tell, SOON_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void writeSoon() {
-        writingSoon = false;
+    private void tell() {
+        tellingSoon = false;
+        String report = codec.write(table.report());
+        peers.tellAll(Frame.newBuilder()
+                .setSuspectNews(SuspectNews.newBuilder().setReport(report))
+                .build());
+        unwritten = true;
         write();
     }
 
+    private void received(PeerConnection connection, Frame frame) {
+        if (frame.hasSuspectNews()) {
+            codec.read(frame.getSuspectNews().getReport())
+                    .ifPresentOrElse(
+                            report -> table.heard(report, clock.getAsLong()),
+                            () -> log.line(
+                                    "frame_unreadable",
+                                    "peer",
+                                    connection.remote().name()));
+            tellNews();
+        }
+    }
+
     private void tick() {
         table.expire(clock.getAsLong());
         write();
@@ -89,7 +121,7 @@
         writing = false;
         if (failure == null && result.committed()) {
             ownVersion = result.version();
-            tellNews();
+            write();
             return;
         }
         unwritten = true;
