Bound what an entry tells of crashes by what a row holds

Cause: 48 crashes with 64 requests each and 256 cleared ones take more than the 64 kB of a row. Change: 16 crashes are told whole, 32 older ones with those requests only that were under suspicion before, and 64 cleared requests. Figures: a new test, 18 crashes told of 103. Conclusion: a row stays below 55 kB by the constants.

--- a/core/src/main/java/org/streamring/kernel/suspect/OwnSightings.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/OwnSightings.java
@@ -8,15 +8,14 @@
 
 /** What this entry tells the others of crashes that it has seen. Confined to one thread. */
 final class OwnSightings {
-    /**
-     * Crashes that an entry tells; a report of them with 20 requests each is some 20 kB. Beyond it the oldest are
-     * dropped.
-     */
-    private static final int MOST_CRASHES = 48;
+    /** Crashes that are told with all their requests; a row of the store holds 64 kB, these take 22 kB at most. */
+    private static final int MOST_CRASHES = 16;
+    /** Older ones are told with those requests only that were under suspicion before. */
+    private static final int MOST_OLDER_CRASHES = 32;
     /** Requests that are told with one crash; an entry rarely runs more on one server. */
     private static final int MOST_REQUESTS = 64;
     /** Requests that are told as cleared. */
-    private static final int MOST_CLEARED = 256;
+    private static final int MOST_CLEARED = 64;
 
     /** The oldest first. */
     private final Map<String, Sighting> crashes = new LinkedHashMap<>();
@@ -39,11 +38,19 @@
             }
         });
         crashes.put(server, new Sighting(told, nowMillis));
-        dropOldest(crashes, MOST_CRASHES);
+        thinOlder();
         news = true;
         changed = true;
     }
 
+    private void thinOlder() {
+        crashes.values().stream()
+                .limit(Math.max(0, crashes.size() - MOST_CRASHES))
+                .forEach(older -> older.requests().values().removeIf(round -> round == 1));
+        crashes.values().removeIf(sighting -> sighting.requests().isEmpty());
+        dropOldest(crashes, MOST_CRASHES + MOST_OLDER_CRASHES);
+    }
+
     void cleared(RequestDigest request, Set<String> servers) {
         boolean added = cleared.computeIfAbsent(request, any -> new HashSet<>()).addAll(servers);
         news |= added;
--- a/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
@@ -161,6 +161,19 @@
         assertThat(table.report().crashes().get("s-1@1")).isEmpty();
     }
 
+    @Test
+    public void whatIsToldStaysBoundedAndKeepsWhatWasUnderSuspicionBefore() {
+        for (int server = 1; server <= 3; server++) {
+            crash(table, "s-" + server + "@1", 0);
+        }
+        for (int number = 0; number < 100; number++) {
+            String server = "t-" + number + "@1";
+            table.brokeOff(new RequestDigest("other-" + number), server, 1, number);
+            table.confirmed(server, number);
+        }
+        assertThat(table.report().crashes()).hasSize(18).containsKeys("s-2@1", "s-3@1", "t-99@1");
+    }
+
     private static void crash(SuspectTable where, String server, long nowMillis) {
         int round = where.sent(REQUEST);
         where.ended(REQUEST);
