--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectLimits.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectLimits.java
@@ -3,11 +3,13 @@
 /**
  * When a request is no longer sent.
  *
- * <p>Three crashes: over 3,000 simulated days of 50 s with random faults, requests that only ran beside a crashing one were
- * refused 0.34 times a day; 10.9 times with two crashes, and with four each crashing request ended one server more.
+ * <p>Three crashes: over 3,000 simulated days of 50 s with random faults, requests that only ran beside a crashing one
+ * were refused 0.34 times a day; 10.9 times with two crashes, and with four each crashing request ended one server
+ * more.
  *
  * @param crashes server crashes under a request, without an answer since, from which on it is blocked
- * @param firstBlockMillis how long it is blocked after the crash that reached the limit; each further crash doubles that
+ * @param firstBlockMillis how long it is blocked after the crash that reached the limit; each further crash doubles
+ *     that
  * @param longestBlockMillis longest time for which it is blocked
  * @param keptMillis how long a crash is remembered; longer than any block, so that a request on trial is still known
  * @param answerMillis how long a whole answer speaks for a request against the crashes that follow
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectReport.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectReport.java
@@ -8,8 +8,8 @@
  * What one entry has seen of crashes, for all others. Reports only add up, so it does not matter in which order or how
  * often they arrive.
  *
- * @param crashes by incarnation of a server that ended, the requests that ran there and the round in which each was sent: one
- *     more than the latest round in which a server was known to have ended under it
+ * @param crashes by incarnation of a server that ended, the requests that ran there and the round in which each was
+ *     sent: one more than the latest round in which a server was known to have ended under it
  * @param cleared by request, the incarnations of which it is cleared, as it was answered whole elsewhere
  */
 public record SuspectReport(Map<String, Map<RequestDigest, Integer>> crashes, Map<RequestDigest, Set<String>> cleared) {
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -12,9 +12,9 @@
  * Decides which requests are no longer sent, as servers end under them.
  *
  * <p>Whatever ran on a server that ended is a suspect, and all entries tell each other which. A request is blocked once
- * enough servers have ended under it, one after the other: a popular request runs on many servers, which may end together
- * for another reason. A whole answer clears a request of the crashes so far and speaks
- * for it for a while. A block ends after a while with a single trial, at one entry. Confined to one thread.
+ * enough servers have ended under it, one after the other: a popular request runs on many servers, which may end
+ * together for another reason. A whole answer clears a request of the crashes so far and speaks for it for a while. A
+ * block ends after a while with a single trial, at one entry. Confined to one thread.
  */
 public final class SuspectTable {
     /** A request that waits for another entry's trial asks again after this time. */
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -88,6 +88,7 @@
     private final TableWatch configurationWatch;
     private final TableWatch backendWatch;
     private final TableWatch suspectWatch;
+    private final SuspectTable suspects;
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
     private final CallerServer callers;
@@ -140,26 +141,53 @@
                 () -> this.settings.cold());
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         this.configurationWatch = watchOperator();
-        this.backendWatch = new TableWatch(
+        this.backendWatch = watchBackends();
+        this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::triesHere, new SuspectLog(log));
+        this.suspectExchange =
+                new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
+        this.suspectWatch = watchSuspects();
+        this.router = new RequestRouter(requestServices(random, metrics));
+        this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
+        new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
+        showState(metrics);
+        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
+        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
+    }
+
+    private TableWatch watchOperator() {
+        return new TableWatch(
+                loop,
+                platform.store(),
+                platform.operatorRows().configurationTable(),
+                TableWatch.AfterGap.LIST,
+                TableWatch.WAIT,
+                configuration,
+                new EvacuationFeed(platform.operatorRows(), registry, log));
+    }
+
+    private TableWatch watchBackends() {
+        return new TableWatch(
                 loop,
                 platform.store(),
                 platform.operatorRows().backendTable(),
                 TableWatch.AfterGap.CHANGES,
                 TableWatch.WAIT,
                 backends);
-        SuspectTable suspects = new SuspectTable(SuspectLimits.DEFAULT, this::triesHere, new SuspectLog(log));
-        this.suspectExchange =
-                new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
-        this.suspectWatch = new TableWatch(
+    }
+
+    private TableWatch watchSuspects() {
+        return new TableWatch(
                 loop,
                 platform.store(),
                 SuspectExchange.TABLE,
                 TableWatch.AfterGap.LIST,
                 SUSPECTS_WAIT,
                 suspectExchange);
+    }
+
+    private RequestServices requestServices(Random random, EntryMetrics metrics) {
         RequestDigests digests = new RequestDigests(() -> peers.key().map(key -> key.derive(DIGEST_PURPOSE)));
-        SuspectGuard guard = new SuspectGuard(digests, suspects, suspectExchange, registry, clock, log);
-        this.router = new RequestRouter(new RequestServices(
+        return new RequestServices(
                 loop,
                 clock,
                 random,
@@ -168,28 +196,10 @@
                 configuration::inForce,
                 fleet,
                 tokens,
-                guard,
+                new SuspectGuard(digests, suspects, suspectExchange, registry, clock, log),
                 this::takes,
                 metrics,
-                log));
-        this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
-        new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
-        showState(metrics);
-        metrics.gauge("suspects", suspects::suspects);
-        metrics.gauge("suspects.blocked", suspects::blocked);
-        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
-        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
-    }
-
-    private TableWatch watchOperator() {
-        return new TableWatch(
-                loop,
-                platform.store(),
-                platform.operatorRows().configurationTable(),
-                TableWatch.AfterGap.LIST,
-                TableWatch.WAIT,
-                configuration,
-                new EvacuationFeed(platform.operatorRows(), registry, log));
+                log);
     }
 
     private TokenDesk tokenDesk(PrepaidBook book, AccountHomes homes, Random random, EntryMetrics metrics) {
@@ -239,6 +249,8 @@
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
         metrics.gauge("entries.live", members::live);
         metrics.gauge("entries.connected", peers::connected);
+        metrics.gauge("suspects", suspects::suspects);
+        metrics.gauge("suspects.blocked", suspects::blocked);
         metrics.gauge("log.lines.dropped", log::dropped);
     }
 
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -67,8 +67,8 @@
     /**
      * Creates one; nothing happens before {@link #start}.
      *
-     * @param wait longest wait of a call for changes; the longer, the fewer calls, and the later a change is known where
-     *     a call hangs
+     * @param wait longest wait of a call for changes; the longer, the fewer calls, and the later a change is known
+     *     where a call hangs
      * @param listeners told in this order
      */
     public TableWatch(
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -4,9 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.backend.BackendRequest;
@@ -49,17 +47,12 @@
     private final StreamTiming timing;
     private final Optional<Reservation> reservation;
     private final SuspectGuard.Watched suspect;
-    private final Set<String> tried = new HashSet<>();
+    private final AttemptHistory attempts = new AttemptHistory();
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun run;
     private @Nullable Future<?> deadlineTimer;
-    private Optional<BackendInstance> newest = Optional.empty();
     private Optional<PlacementForecast> forecast = Optional.empty();
     private Duration retryAfter = RETRY_SOON;
-    private AttemptEnd lastEnd = AttemptEnd.notRun("not_tried");
-    private int sent;
-    private int unsent;
-    private boolean mayHaveRun;
     private boolean over;
 
     DirectRequest(
@@ -143,7 +136,7 @@
         if (refusedAsSuspect()) {
             return true;
         }
-        PlacementQuery query = plan.placement(services.failureDomain(), tried);
+        PlacementQuery query = plan.placement(services.failureDomain(), attempts.tried());
         Optional<BackendInstance> chosen = services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
             send(chosen.get(), query);
@@ -154,7 +147,7 @@
             return false;
         }
         retryAfter = decision.retryAfter();
-        conclude(lastEnd.reason().equals("not_tried") ? AttemptEnd.notRun("no_place") : lastEnd);
+        conclude(attempts.lastEnd().orElseGet(() -> AttemptEnd.notRun("no_place")));
         return true;
     }
 
@@ -169,8 +162,7 @@
     }
 
     private void send(BackendInstance instance, PlacementQuery query) {
-        tried.add(instance.id());
-        newest = Optional.of(instance);
+        attempts.chosen(instance);
         suspect.sent();
         run = new AttemptRun(services, plan, instance, relay, this);
         run.begin(backendRequest(instance), query);
@@ -203,7 +195,7 @@
 
     @Override
     public void attemptSent() {
-        sent++;
+        attempts.sent();
         reservation.ifPresent(Reservation::ran);
     }
 
@@ -218,7 +210,7 @@
         if (over) {
             return;
         }
-        lastEnd = end;
+        attempts.ended(end);
         run = null;
         suspect.ended();
         places.freed();
@@ -236,8 +228,7 @@
     }
 
     private void findAnotherOrConclude(AttemptEnd end) {
-        unsent++;
-        if (unsent <= MAX_UNSENT && timeLeft()) {
+        if (attempts.unsent() <= MAX_UNSENT && timeLeft()) {
             place();
         } else {
             conclude(end);
@@ -245,22 +236,23 @@
     }
 
     private void afterPossibleRun(AttemptEnd end) {
-        mayHaveRun = true;
         if (end.kind() != AttemptEnd.Kind.FAILED) {
             reservation.ifPresent(Reservation::useUnknown);
         }
         if (end.kind() == AttemptEnd.Kind.BROKEN) {
-            newest.ifPresent(server -> suspect.brokeOff(server, services.fleet().pool(server)));
-        }
-        if (end.kind() == AttemptEnd.Kind.UNHEARD) {
-            newest.map(BackendInstance::id).ifPresent(tried::remove);
+            attempts.newest()
+                    .ifPresent(
+                            server -> suspect.brokeOff(server, services.fleet().pool(server)));
         }
         retryOrConclude(end, plan.route().repeatable());
     }
 
     private void retryOrConclude(AttemptEnd end, boolean allowed) {
+        if (allowed && refusedAsSuspect()) {
+            return;
+        }
         boolean retry = allowed
-                && sent < plan.route().maxAttempts()
+                && attempts.attempts() < plan.route().maxAttempts()
                 && timeLeft()
                 && services.fleet().tryRetry(plan.service().name());
         if (retry) {
@@ -289,7 +281,7 @@
             writer.whole(answer.head().status(), filter.forCaller(answer.head().headers()), answer.body());
             return;
         }
-        end(mayHaveRun ? OwnAnswer.unknown(502, end.reason()) : OwnAnswer.later(end.reason(), retryAfter));
+        end(attempts.mayHaveRun() ? OwnAnswer.unknown(502, end.reason()) : OwnAnswer.later(end.reason(), retryAfter));
     }
 
     private void onDeadline() {
@@ -298,7 +290,7 @@
         }
         AttemptRun running = run;
         if (running != null) {
-            mayHaveRun |= running.sent();
+            attempts.givenUp(running.sent());
             giveUp(running);
         }
         if (relay.begun()) {
@@ -307,7 +299,10 @@
             writer.abort();
             return;
         }
-        end(mayHaveRun ? OwnAnswer.unknown(504, "deadline") : OwnAnswer.later("deadline_not_run", RETRY_SOON));
+        end(
+                attempts.mayHaveRun()
+                        ? OwnAnswer.unknown(504, "deadline")
+                        : OwnAnswer.later("deadline_not_run", RETRY_SOON));
     }
 
     @Override
@@ -374,16 +369,13 @@
             return;
         }
         services.metrics().attemptFailed(end.kind().name());
-        log.attemptFailed(end, newestReplica(), suspect.digest(), elapsed());
+        log.attemptFailed(end, attempts.newestId(), suspect.digest(), elapsed());
     }
 
     private RequestLog.Course course() {
         long tokens = reservation.map(Reservation::used).orElse(0L);
-        return new RequestLog.Course(sent, unsent, tokens, newestReplica(), forecast, timing, elapsed());
-    }
-
-    private String newestReplica() {
-        return newest.map(BackendInstance::id).orElse("");
+        return new RequestLog.Course(
+                attempts.attempts(), attempts.unsent(), tokens, attempts.newestId(), forecast, timing, elapsed());
     }
 
     private long elapsed() {
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -38,7 +38,7 @@
      * Logs an attempt without a success.
      *
      * @param replica where it was tried
-     * @param digest what the request is known by when it comes again; empty if the request can't have harmed the replica
+     * @param digest what the request is known by when it comes again; empty if it can't be computed yet
      */
     void attemptFailed(AttemptEnd end, String replica, String digest, long millis) {
         log.line(
