Check a server's end only where it matters, and read rows of suspects item by item

Change: one line a check, with the number of requests; none where nothing hangs on it; rounds above 1,000 and items of other forms are passed over.

--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -87,32 +87,38 @@
      *
      * @param server incarnation of the server
      * @param round what {@link #sent} said of the attempt
+     * @return whether it matters if the server has ended
      */
-    public void brokeOff(RequestDigest request, String server, int round, long nowMillis) {
+    public boolean brokeOff(RequestDigest request, String server, int round, long nowMillis) {
         if (answers.speakFor(request, nowMillis)) {
-            return;
+            return false;
         }
         unconfirmed.computeIfAbsent(server, any -> new HashMap<>()).merge(request, round, Math::max);
         add(request, server, round, nowMillis);
         review(request);
+        return true;
     }
 
-    /** Notes that a server has ended under the requests that broke off there. */
-    public void confirmed(String server, long nowMillis) {
-        Map<RequestDigest, Integer> requests = unconfirmed.remove(server);
-        if (requests != null) {
+    /** Notes that a server has ended under the requests that broke off there; returns how many these are. */
+    public int confirmed(String server, long nowMillis) {
+        Map<RequestDigest, Integer> requests = takeUnconfirmed(server);
+        if (!requests.isEmpty()) {
             own.ended(server, requests, nowMillis);
         }
+        return requests.size();
     }
 
-    /** Notes that a server has not ended, or not by itself. */
-    public void refuted(String server) {
-        Map<RequestDigest, Integer> requests = unconfirmed.remove(server);
-        if (requests == null) {
-            return;
-        }
+    /** Notes that a server has not ended; returns how many requests broke off there for another reason. */
+    public int refuted(String server) {
+        Map<RequestDigest, Integer> requests = takeUnconfirmed(server);
         requests.keySet().forEach(request -> takeBack(request, server));
         requests.keySet().forEach(this::review);
+        return requests.size();
+    }
+
+    private Map<RequestDigest, Integer> takeUnconfirmed(String server) {
+        Map<RequestDigest, Integer> requests = unconfirmed.remove(server);
+        return requests == null ? Map.of() : requests;
     }
 
     private void takeBack(RequestDigest request, String server) {
--- a/direct/src/main/java/org/streamring/direct/request/SuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/SuspectGuard.java
@@ -48,13 +48,11 @@
     }
 
     private void checked(String server, boolean ended) {
-        if (ended) {
-            table.confirmed(server, clock.getAsLong());
+        int requests = ended ? table.confirmed(server, clock.getAsLong()) : table.refuted(server);
+        if (requests > 0) {
+            log.line("server_end_checked", "server", server, "ended", ended, "requests", requests);
             exchange.tellNews();
-        } else {
-            table.refuted(server);
         }
-        log.line("server_end_checked", "server", server, "ended", ended);
     }
 
     /** One that leaves as planned, or whose entry is gone, ends for a reason of its own. */
@@ -126,8 +124,9 @@
                 return;
             }
             String server = instance.incarnation();
-            table.brokeOff(digest.get(), server, round, clock.getAsLong());
-            pool.checkEnded(ended -> checked(server, ended));
+            if (table.brokeOff(digest.get(), server, round, clock.getAsLong())) {
+                pool.checkEnded(ended -> checked(server, ended));
+            }
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectRowCodec.java
@@ -22,6 +22,8 @@
 final class SuspectRowCodec {
     private static final String CRASHES = "crashes";
     private static final String CLEARED = "cleared";
+    /** A request is blocked long before; a larger number is not one of ours. */
+    private static final int MOST_ROUNDS = 1_000;
 
     private final ObjectMapper json = new ObjectMapper();
 
@@ -57,7 +59,7 @@
         tree.fields().forEachRemaining(server -> {
             Map<RequestDigest, Integer> rounds = new HashMap<>();
             server.getValue().fields().forEachRemaining(request -> {
-                if (request.getValue().canConvertToInt() && request.getValue().asInt() > 0) {
+                if (isRound(request.getValue())) {
                     rounds.put(
                             new RequestDigest(request.getKey()),
                             request.getValue().asInt());
@@ -68,6 +70,10 @@
         return crashes;
     }
 
+    private static boolean isRound(JsonNode value) {
+        return value.isInt() && value.asInt() > 0 && value.asInt() <= MOST_ROUNDS;
+    }
+
     private static Map<RequestDigest, Set<String>> cleared(JsonNode tree) {
         Map<RequestDigest, Set<String>> cleared = new HashMap<>();
         tree.fields().forEachRemaining(request -> {
