--- a/core/src/main/java/org/streamring/kernel/suspect/OwnSightings.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/OwnSightings.java
@@ -12,7 +12,7 @@
     private static final int MOST_CRASHES = 16;
     /** Older ones are told with those requests only that were under suspicion before. */
     private static final int MOST_OLDER_CRASHES = 32;
-    /** Requests that are told with one crash; an entry rarely runs more on one server. */
+    /** Requests that are told with one crash: those that ran on an engine of 64 slots. */
     private static final int MOST_REQUESTS = 64;
     /** Requests that are told as cleared. */
     private static final int MOST_CLEARED = 64;
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -57,8 +57,8 @@
 final class DirectEntry {
     private static final String DIGEST_PURPOSE = "digests of requests";
     /**
-     * Half a call a second. A row is known some 20 ms after it was written; where a call hangs, this and the store's
-     * 1.2 s later, which is as long as the rows of the other entries take to tell that one is alive.
+     * Half a call a second where nothing changes. A change ends the wait at once; where a call hangs, it is known this
+     * and the store's time for a call later, 3.2 s by the constants.
      */
     private static final Duration SUSPECTS_WAIT = Duration.ofSeconds(2);
 
