Count open crashes in one place, and make room among suspects in a method of its own

Cause: read in the diff: two ways to tell which crashes are open, and a lookup that also evicts. Change: the count is that of the set; the eviction is named. Same behaviour.

--- a/core/src/main/java/org/streamring/kernel/suspect/Evidence.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/Evidence.java
@@ -53,10 +53,9 @@
         return open;
     }
 
+    /** Number of servers that ended under the request, and of which it was not cleared. */
     int openCount() {
-        return (int) crashes.keySet().stream()
-                .filter(server -> !cleared.contains(server))
-                .count();
+        return open().size();
     }
 
     /** The latest round of attempts in which a server ended, 0 if none did. */
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -196,18 +196,22 @@
             return known;
         }
         if (suspects.size() >= limits.mostRequests()) {
-            suspects.entrySet().stream()
-                    .min(Comparator.comparingInt((Map.Entry<RequestDigest, Evidence> entry) ->
-                                    entry.getValue().openCount())
-                            .thenComparingLong(entry -> entry.getValue().lastCrashMillis()))
-                    .map(Map.Entry::getKey)
-                    .ifPresent(this::forget);
+            forgetLeastSuspected();
         }
         Evidence created = new Evidence(nowMillis);
         suspects.put(request, created);
         return created;
     }
 
+    private void forgetLeastSuspected() {
+        suspects.entrySet().stream()
+                .min(Comparator.comparingInt((Map.Entry<RequestDigest, Evidence> entry) ->
+                                entry.getValue().openCount())
+                        .thenComparingLong(entry -> entry.getValue().lastCrashMillis()))
+                .map(Map.Entry::getKey)
+                .ifPresent(this::forget);
+    }
+
     private void clear(RequestDigest request, Evidence evidence) {
         evidence.clearAll();
         own.forgive(request);
