--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -4,6 +4,8 @@
 import io.netty.channel.EventLoopGroup;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +17,7 @@
 import org.streamring.direct.feed.EvacuationFeed;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.feed.TableWatch;
+import org.streamring.direct.feed.WatchLog;
 import org.streamring.direct.ledger.TokenDesk;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
@@ -48,6 +51,7 @@
 import org.streamring.net.settings.SettingsException;
 import org.streamring.platform.node.NodePlatform;
 import org.streamring.platform.node.NodeSettings;
+import org.streamring.platform.node.OperatorRows;
 
 /**
  * A running entry that sends requests to backend servers directly.
@@ -140,12 +144,21 @@
                 () -> this.settings.retries(),
                 () -> this.settings.cold());
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
-        this.configurationWatch = watchOperator();
-        this.backendWatch = watchBackends();
+        OperatorRows operatorRows = platform.operatorRows();
+        this.configurationWatch = watch(
+                operatorRows.configurationTable(),
+                "configuration",
+                TableWatch.AfterGap.LIST,
+                TableWatch.WAIT,
+                configuration,
+                new EvacuationFeed(operatorRows, registry, log));
+        this.backendWatch =
+                watch(operatorRows.backendTable(), "backends", TableWatch.AfterGap.CHANGES, TableWatch.WAIT, backends);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::triesHere, new SuspectLog(log));
         this.suspectExchange =
                 new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
-        this.suspectWatch = watchSuspects();
+        this.suspectWatch =
+                watch(SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, suspectExchange);
         this.router = new RequestRouter(requestServices(random, metrics));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
@@ -154,35 +167,11 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
-    private TableWatch watchOperator() {
-        return new TableWatch(
-                loop,
-                platform.store(),
-                platform.operatorRows().configurationTable(),
-                TableWatch.AfterGap.LIST,
-                TableWatch.WAIT,
-                configuration,
-                new EvacuationFeed(platform.operatorRows(), registry, log));
-    }
-
-    private TableWatch watchBackends() {
-        return new TableWatch(
-                loop,
-                platform.store(),
-                platform.operatorRows().backendTable(),
-                TableWatch.AfterGap.CHANGES,
-                TableWatch.WAIT,
-                backends);
-    }
-
-    private TableWatch watchSuspects() {
-        return new TableWatch(
-                loop,
-                platform.store(),
-                SuspectExchange.TABLE,
-                TableWatch.AfterGap.LIST,
-                SUSPECTS_WAIT,
-                suspectExchange);
+    private TableWatch watch(
+            String table, String by, TableWatch.AfterGap afterGap, Duration wait, TableWatch.Listener... listeners) {
+        List<TableWatch.Listener> all = new ArrayList<>(List.of(listeners));
+        all.add(new WatchLog(by, log));
+        return new TableWatch(loop, platform.store(), table, afterGap, wait, all);
     }
 
     private RequestServices requestServices(Random random, EntryMetrics metrics) {
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -85,12 +85,10 @@
     @Override
     public void lost(String reason) {
         registry.listLost();
-        log.line("store_lost", "by", "backends", "reason", reason);
     }
 
     @Override
     public void regained() {
         registry.listBack(clock.getAsLong());
-        log.line("store_regained", "by", "backends");
     }
 }
--- a/direct/src/main/java/org/streamring/direct/feed/ConfigurationFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/ConfigurationFeed.java
@@ -67,14 +67,4 @@
                 configuration.accounts().size());
         changed.run();
     }
-
-    @Override
-    public void lost(String reason) {
-        log.line("store_lost", "by", "configuration", "reason", reason);
-    }
-
-    @Override
-    public void regained() {
-        log.line("store_regained", "by", "configuration");
-    }
 }
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -72,13 +72,13 @@
      * @param listeners told in this order
      */
     public TableWatch(
-            EventLoop loop, RowStore store, String table, AfterGap afterGap, Duration wait, Listener... listeners) {
+            EventLoop loop, RowStore store, String table, AfterGap afterGap, Duration wait, List<Listener> listeners) {
         this.loop = loop;
         this.store = store;
         this.table = table;
         this.afterGap = afterGap;
         this.wait = wait;
-        this.listeners = List.of(listeners);
+        this.listeners = List.copyOf(listeners);
     }
 
     /** Starts to follow. */
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -170,14 +170,4 @@
                                 "row",
                                 row.key().key()));
     }
-
-    @Override
-    public void lost(String reason) {
-        log.line("store_lost", "by", "suspects", "reason", reason);
-    }
-
-    @Override
-    public void regained() {
-        log.line("store_regained", "by", "suspects");
-    }
 }
