--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.streamring.direct.feed.TableWatch;
@@ -12,6 +13,7 @@
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StoredRow;
+import org.streamring.kernel.suspect.SuspectReport;
 import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.SuspectNews;
@@ -88,16 +90,16 @@
     }
 
     private void received(PeerConnection connection, Frame frame) {
-        if (frame.hasSuspectNews()) {
-            codec.read(frame.getSuspectNews().getReport())
-                    .ifPresentOrElse(
-                            report -> table.heard(report, clock.getAsLong()),
-                            () -> log.line(
-                                    "frame_unreadable",
-                                    "peer",
-                                    connection.remote().name()));
-            tellNews();
+        if (!frame.hasSuspectNews()) {
+            return;
+        }
+        Optional<SuspectReport> report = codec.read(frame.getSuspectNews().getReport());
+        if (report.isEmpty()) {
+            log.line("frame_unreadable", "peer", connection.remote().name());
+            return;
         }
+        table.heard(report.get(), clock.getAsLong());
+        tellNews();
     }
 
     private void tick() {
@@ -154,20 +156,13 @@
         if (own) {
             ownVersion = Math.max(ownVersion, row.version());
         }
-        codec.read(row.value())
-                .ifPresentOrElse(
-                        report -> {
-                            if (own && !listed) {
-                                table.resume(report, clock.getAsLong());
-                            } else if (!own) {
-                                table.heard(report, clock.getAsLong());
-                            }
-                        },
-                        () -> log.line(
-                                "row_unreadable",
-                                "table",
-                                TABLE,
-                                "row",
-                                row.key().key()));
+        Optional<SuspectReport> report = codec.read(row.value());
+        if (report.isEmpty()) {
+            log.line("row_unreadable", "table", TABLE, "row", row.key().key());
+        } else if (!own) {
+            table.heard(report.get(), clock.getAsLong());
+        } else if (!listed) {
+            table.resume(report.get(), clock.getAsLong());
+        }
     }
 }
