Log what replicas say of themselves in their answers

Change: NoticeReader reads both from each answer's head, also from one that is skipped or that nobody waits for; the line backend_notice tells them. Nothing is decided by it yet.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -26,6 +26,7 @@
 import org.streamring.direct.peer.TokenLending;
 import org.streamring.direct.peer.UseWitnesses;
 import org.streamring.direct.request.Fleet;
+import org.streamring.direct.request.NoticeLog;
 import org.streamring.direct.request.RequestDigests;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
@@ -138,7 +139,8 @@
                 registry,
                 cold,
                 random,
-                platform.headers().requestId(),
+                platform.headers(),
+                new NoticeLog(log),
                 clock,
                 members::live,
                 () -> this.settings.retries(),
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -134,6 +134,7 @@
             pool.heard();
             heardMillis = pool.nowMillis();
             if (listener == null) {
+                noticeSurplus(message);
                 close();
                 return;
             }
@@ -148,6 +149,13 @@
         }
     }
 
+    /** An answer that nobody waits for still tells something of its server. */
+    private void noticeSurplus(Object message) {
+        if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+            pool.noticed(response);
+        }
+    }
+
     private void readHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
             fail("bytes that are no answer");
@@ -157,6 +165,7 @@
             skipping = true;
             return;
         }
+        pool.noticed(response);
         String id = response.headers().get(requestIdHeader);
         skipping = id != null && request != null && !id.equals(request.id());
         if (skipping) {
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -15,6 +16,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.process.TcpClient;
+import org.streamring.platform.node.ForwardingHeaders;
 
 /** Connections to one backend server. Confined to the event loop. */
 public final class BackendPool {
@@ -28,6 +30,8 @@
     private final String requestIdHeader;
     private final LongSupplier clock;
     private final LongConsumer onConnecting;
+    private final NoticeReader notices;
+    private final NoticeListener noticeListener;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
     private final RecentAnswers answers = new RecentAnswers();
@@ -37,21 +41,25 @@
     /**
      * Creates an empty pool.
      *
-     * @param requestIdHeader header by which an answer names its request
+     * @param headers names of headers
      * @param clock milliseconds of a steady clock
      * @param onConnecting told how long each new connection took, or was waited for in vain, in milliseconds
+     * @param noticeListener told what the server says of itself
      */
     public BackendPool(
             EventLoop loop,
             InetSocketAddress address,
-            String requestIdHeader,
+            ForwardingHeaders headers,
             LongSupplier clock,
-            LongConsumer onConnecting) {
+            LongConsumer onConnecting,
+            NoticeListener noticeListener) {
         this.loop = loop;
         this.address = address;
-        this.requestIdHeader = requestIdHeader;
+        this.requestIdHeader = headers.requestId();
         this.clock = clock;
         this.onConnecting = onConnecting;
+        this.notices = new NoticeReader(headers.leaving());
+        this.noticeListener = noticeListener;
         this.heardMillis = clock.getAsLong();
         this.endCheck = new EndCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> !open.isEmpty());
     }
@@ -139,6 +147,12 @@
         answers.add(urgency, sentMillis);
     }
 
+    /** Takes what an answer's head says of the server. */
+    void noticed(HttpResponse response) {
+        int status = response.status().code();
+        noticeListener.answered(status, notices.read(status, response.headers()));
+    }
+
     void idle(BackendConnection connection) {
         idle.addFirst(connection);
     }
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -24,6 +24,7 @@
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.model.route.ServiceTraits;
+import org.streamring.platform.node.ForwardingHeaders;
 import org.streamring.platform.node.NodeSettings;
 
 /** The backend servers as this entry uses them: connections, load, health and retries. Confined to the event loop. */
@@ -33,7 +34,8 @@
     private final PlacementTable placement;
     private final ColdReplicas cold;
     private final OwnLateness lateness = new OwnLateness();
-    private final String requestIdHeader;
+    private final ForwardingHeaders headers;
+    private final NoticeLog noticeLog;
     private final LongSupplier clock;
     private final IntSupplier entries;
     private final Supplier<NodeSettings.RetryLimit> retryLimit;
@@ -53,7 +55,8 @@
             BackendRegistry registry,
             ColdReplicas cold,
             Random random,
-            String requestIdHeader,
+            ForwardingHeaders headers,
+            NoticeLog noticeLog,
             LongSupplier clock,
             IntSupplier entries,
             Supplier<NodeSettings.RetryLimit> retryLimit,
@@ -63,7 +66,8 @@
         this.coldMargin = coldMargin;
         this.registry = registry;
         this.placement = new PlacementTable(random);
-        this.requestIdHeader = requestIdHeader;
+        this.headers = headers;
+        this.noticeLog = noticeLog;
         this.clock = clock;
         this.entries = entries;
         this.retryLimit = retryLimit;
@@ -107,9 +111,10 @@
                 id -> new BackendPool(
                         loop,
                         addressOf(instance),
-                        requestIdHeader,
+                        headers,
                         clock,
-                        took -> lateness.connecting(id, took, clock.getAsLong())));
+                        took -> lateness.connecting(id, took, clock.getAsLong()),
+                        (status, notice) -> noticeLog.answered(instance, status, notice)));
     }
 
     /** Whether this box itself is late, so that what takes long is not the replicas' fault. */
--- /dev/null
+++ b/direct/src/test/java/org/streamring/direct/backend/NoticeReaderTest.java
@@ -0,0 +1,64 @@
+package org.streamring.direct.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.streamring.kernel.availability.BackendNotice;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class NoticeReaderTest {
+    private static final String LEAVING = "Leaving";
+
+    private final NoticeReader reader = new NoticeReader(LEAVING);
+
+    @DataProvider
+    public Object[][] rests() {
+        return new Object[][] {
+            {"3", 3_000},
+            {"0.25", 250},
+            {"0.0001", 1},
+            {"0", 0},
+            {"-3", 0},
+            {"", 0},
+            {"soon", 0},
+            {"3d", 0},
+            {"NaN", 0},
+            {"Infinity", 0},
+            {"Fri, 31 Dec 1999 23:59:59 GMT", 0},
+            {"86400", NoticeReader.LONGEST_REST_MILLIS},
+            {"999999999999999", NoticeReader.LONGEST_REST_MILLIS},
+            {"9".repeat(400), 0},
+        };
+    }
+
+    @Test(dataProvider = "rests")
+    public void aRestIsANumberOfSecondsAndNeverLong(String header, long millis) {
+        assertThat(reader.read(503, headers("Retry-After", header)).restMillis())
+                .isEqualTo(millis);
+    }
+
+    @Test
+    public void onlyAServerThatTurnsARequestAwayAsksForRest() {
+        assertThat(reader.read(200, headers("Retry-After", "3"))).isEqualTo(BackendNotice.NONE);
+        assertThat(reader.read(503, new DefaultHttpHeaders())).isEqualTo(BackendNotice.NONE);
+    }
+
+    @Test
+    public void anAnswerOfAnyStatusSaysThatItsServerLeaves() {
+        for (int status : new int[] {200, 404, 421, 500, 503}) {
+            assertThat(reader.read(status, headers(LEAVING, "1")).leaving()).isTrue();
+        }
+    }
+
+    @Test
+    public void anotherValueSaysNothing() {
+        assertThat(reader.read(200, headers(LEAVING, "0")).leaving()).isFalse();
+        assertThat(reader.read(200, headers(LEAVING, "")).leaving()).isFalse();
+    }
+
+    private static HttpHeaders headers(String name, String value) {
+        return new DefaultHttpHeaders().set(name, value);
+    }
+}
--- a/direct/src/test/java/org/streamring/direct/request/PromptHeaderTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/PromptHeaderTest.java
@@ -20,6 +20,7 @@
             "account",
             "instance",
             "not-run",
+            "leaving",
             "tokens",
             "parts",
             "hint",
--- a/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
+++ b/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
@@ -11,6 +11,7 @@
  * @param account name of the client account, set by the entry
  * @param expectedInstance the only incarnation that may take the request
  * @param notRun says that the backend server has not run the request and never will
+ * @param leaving says, as 1, that the backend server leaves and takes nothing new
  * @param tokens tokens of the prompt, and the most of the answer
  * @param promptParts parts of the prompt in order
  * @param lengthHint tokens of the answer that the caller expects
@@ -25,6 +26,7 @@
         String account,
         String expectedInstance,
         String notRun,
+        String leaving,
         String tokens,
         String promptParts,
         String lengthHint,
