Heed what replicas say in their answers: that they leave, or want rest

Cause: an entry looked at an answer's status alone. That a replica leaves was learned from its row only, so never while the store is silent, and a rest it asks for never. What the row said was kept by identifier and never let go. Change: one class of the kernel, BackendAvailability, holds what an incarnation said of itself, by rows and answers; it is asked at the choice, again when a connection is there, and for idle connections. Connections belong to an incarnation and address. A replica that has rested gets one request first. Where all rest or leave, requests are refused at once until the soonest end; one that leaves is used as the last for the drain time less 500 ms. A request whose replica leaves is no longer blamed for its end. Ruled out: a request that is late in a queue (the incident's were written within 30 ms).

--- a/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
@@ -7,19 +7,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.availability.NoticeSource;
 
 /**
  * The backend servers of all services, fed from the platform's list.
  *
  * <p>An entry that lapsed around an outage of the list is kept for {@code keepLapsedMillis} after the list is back,
- * as its server may live; an incarnation that was seen leaving never takes new requests again. Servers of an evacuated
- * failure domain take none until it is restored. Confined to one thread.
+ * as its server may live; one that leaves is not. Servers of an evacuated failure domain take nothing new until it is
+ * restored. Confined to one thread.
  */
 public final class BackendRegistry {
     private final long keepLapsedMillis;
+    private final BackendAvailability availability;
     private final Map<String, BackendInstance> instances = new HashMap<>();
     private final Map<String, Long> lapsedUntil = new HashMap<>();
-    private final Set<String> leaving = new HashSet<>();
     private Set<String> evacuated = Set.of();
     private boolean listAway;
     private long listBackMillis = Long.MIN_VALUE / 2;
@@ -28,9 +30,11 @@
      * Creates an empty registry.
      *
      * @param keepLapsedMillis how long a lapsed entry is kept after the list is back
+     * @param availability told which servers leave by their entries, asked which leave
      */
-    public BackendRegistry(long keepLapsedMillis) {
+    public BackendRegistry(long keepLapsedMillis, BackendAvailability availability) {
         this.keepLapsedMillis = keepLapsedMillis;
+        this.availability = availability;
     }
 
     /** Notes that the list can't be read. */
@@ -47,20 +51,21 @@
     }
 
     /** Takes a new or changed entry. */
-    public void put(BackendInstance instance) {
+    public void put(BackendInstance instance, long nowMillis) {
         lapsedUntil.remove(instance.id());
         if (!instance.ready()) {
-            leaving.add(instance.id());
+            availability.leaving(instance.incarnation(), NoticeSource.ROW, nowMillis);
         }
         instances.put(instance.id(), instance);
     }
 
     /** Takes the removal of an entry. */
     public void remove(String id, long nowMillis) {
-        if (!instances.containsKey(id)) {
+        BackendInstance instance = instances.get(id);
+        if (instance == null) {
             return;
         }
-        if (leaving.contains(id) || !withinLapse(nowMillis)) {
+        if (leaves(instance) || !withinLapse(nowMillis)) {
             forget(id);
         } else {
             lapsedUntil.put(id, listBackMillis + keepLapsedMillis);
@@ -76,7 +81,7 @@
                 remove(id, nowMillis);
             }
         }
-        list.forEach(this::put);
+        list.forEach(instance -> put(instance, nowMillis));
     }
 
     /** Drops lapsed entries whose time is over; returns their identifiers. */
@@ -94,21 +99,26 @@
         evacuated = Set.copyOf(failureDomains);
     }
 
-    /** Servers of a service that take new requests. */
-    public List<BackendInstance> ready(String service) {
+    /** Servers of a service outside evacuated failure domains, also those that leave. */
+    public List<BackendInstance> inService(String service) {
         return instances.values().stream()
                 .filter(instance -> instance.service().equals(service))
-                .filter(this::takesNew)
+                .filter(this::isOpen)
                 .toList();
     }
 
-    /** Whether a server may take new requests. */
-    public boolean isReady(String id) {
-        return find(id).filter(this::takesNew).isPresent();
+    /** Whether a server said that it leaves. */
+    public boolean leaves(BackendInstance instance) {
+        return availability.isLeaving(instance.incarnation());
     }
 
-    private boolean takesNew(BackendInstance instance) {
-        return !leaving.contains(instance.id()) && !evacuated.contains(instance.failureDomain());
+    /** Whether a server stays and its failure domain is not evacuated. */
+    public boolean stays(BackendInstance instance) {
+        return isOpen(instance) && !leaves(instance);
+    }
+
+    private boolean isOpen(BackendInstance instance) {
+        return !evacuated.contains(instance.failureDomain());
     }
 
     /** A server, if it is known. */
--- a/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -4,35 +4,56 @@
 
 import java.util.List;
 import java.util.Set;
+import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.availability.BackendNotice;
+import org.streamring.kernel.availability.SilentEvents;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class BackendRegistryTest {
     private static final long KEEP_MILLIS = 2_200;
 
+    private BackendAvailability availability;
     private BackendRegistry registry;
 
     @BeforeMethod
     public void setUp() {
-        registry = new BackendRegistry(KEEP_MILLIS);
-        registry.put(backend("i-1", true));
-        registry.put(backend("i-2", true));
+        availability = new BackendAvailability(() -> 2_000, new SilentEvents());
+        registry = new BackendRegistry(KEEP_MILLIS, availability);
+        registry.put(backend("i-1", true), 0);
+        registry.put(backend("i-2", true), 0);
     }
 
     @Test
     public void aLeavingServerTakesNoNewRequests() {
-        registry.put(backend("i-1", false));
+        registry.put(backend("i-1", false), 0);
         assertThat(ids()).containsExactly("i-2");
     }
 
     @Test
     public void aServerOnceSeenLeavingNeverComesBack() {
-        registry.put(backend("i-1", false));
+        registry.put(backend("i-1", false), 0);
         registry.remove("i-1", 100);
-        registry.put(backend("i-1", true));
+        registry.put(backend("i-1", true), 0);
         assertThat(ids()).containsExactly("i-2");
     }
 
+    @Test
+    public void anotherProcessUnderTheIdentifierOfOneThatLeftTakesNewRequests() {
+        registry.put(backend("i-1", false), 0);
+        registry.put(new BackendInstance("i-1", "assist", "10.0.0.1", 8_080, "hall-1", 64, true, 0, 7), 0);
+        assertThat(ids()).containsExactlyInAnyOrder("i-1", "i-2");
+    }
+
+    @Test
+    public void aServerThatSaidInAnAnswerThatItLeavesIsNotKeptThroughAnOutage() {
+        availability.answered(backend("i-1", true).incarnation(), false, new BackendNotice(true, 0), 9_000);
+        registry.listLost();
+        registry.listBack(10_000);
+        registry.replaceAll(List.of(backend("i-2", true)), 10_000);
+        assertThat(registry.all()).extracting(BackendInstance::id).containsExactly("i-2");
+    }
+
     @Test
     public void aRemovedServerIsGoneAtOnceWhileTheListAnswers() {
         registry.remove("i-1", 10_000);
@@ -57,14 +78,14 @@
         registry.listLost();
         registry.listBack(10_000);
         registry.replaceAll(List.of(), 10_000);
-        registry.put(backend("i-1", true));
+        registry.put(backend("i-1", true), 0);
         registry.expire(20_000);
         assertThat(ids()).containsExactly("i-1");
     }
 
     @Test
     public void aLeavingServerIsNotKeptThroughAnOutage() {
-        registry.put(backend("i-1", false));
+        registry.put(backend("i-1", false), 0);
         registry.listLost();
         registry.listBack(10_000);
         registry.replaceAll(List.of(backend("i-2", true)), 10_000);
@@ -83,9 +104,9 @@
     @Test
     public void serversOfAnEvacuatedDomainTakeNothingNewUntilItIsRestored() {
         registry.evacuated(Set.of("hall-1"));
-        registry.put(backend("i-3", true));
+        registry.put(backend("i-3", true), 0);
         assertThat(ids()).isEmpty();
-        assertThat(registry.isReady("i-1")).isFalse();
+        assertThat(registry.stays(backend("i-1", true))).isFalse();
         assertThat(registry.find("i-1")).as("its streams run on").isPresent();
 
         registry.evacuated(Set.of("hall-2"));
@@ -93,7 +114,10 @@
     }
 
     private List<String> ids() {
-        return registry.ready("assist").stream().map(BackendInstance::id).toList();
+        return registry.inService("assist").stream()
+                .filter(instance -> availability.takes(instance.incarnation(), 0))
+                .map(BackendInstance::id)
+                .toList();
     }
 
     private static BackendInstance backend(String id, boolean ready) {
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -33,6 +33,7 @@
 import org.streamring.direct.request.SuspectGuard;
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
+import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -80,6 +81,7 @@
     private NodeSettings settings;
     private final DecisionLog log;
     private final LongSupplier clock;
+    private final BackendAvailability availability;
     private final BackendRegistry registry;
     private final ConfigurationFeed configuration;
     private final BackendFeed backends;
@@ -115,7 +117,9 @@
         this.log = log;
         this.clock = clock;
         String incarnation = Incarnation.create(settings.nodeName());
-        this.registry = new BackendRegistry(settings.keepLapsed().toMillis());
+        this.availability =
+                new BackendAvailability(() -> this.settings.drainTime().toMillis(), new NoticeLog(log));
+        this.registry = new BackendRegistry(settings.keepLapsed().toMillis(), availability);
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
         ColdReplicas cold = new ColdReplicas(settings.nodeName(), this::entriesThatMayLive);
         this.backends = new BackendFeed(platform.operatorRows(), registry, cold, clock, log);
@@ -134,17 +138,7 @@
                     peers.members(others);
                 });
         this.tokens = tokenDesk(new PrepaidBook(incarnation, PrepaidSettings.DEFAULT), homes, random, metrics);
-        this.fleet = new Fleet(
-                loop,
-                registry,
-                cold,
-                random,
-                platform.headers(),
-                new NoticeLog(log),
-                clock,
-                members::live,
-                () -> this.settings.retries(),
-                () -> this.settings.cold());
+        this.fleet = fleet(cold, random);
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         OperatorRows operatorRows = platform.operatorRows();
         this.configurationWatch = watch(
@@ -169,6 +163,20 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
+    private Fleet fleet(ColdReplicas cold, Random random) {
+        return new Fleet(
+                loop,
+                registry,
+                availability,
+                cold,
+                random,
+                platform.headers(),
+                clock,
+                members::live,
+                () -> this.settings.retries(),
+                () -> this.settings.cold());
+    }
+
     private TableWatch watch(
             String table, String by, TableWatch.AfterGap afterGap, Duration wait, TableWatch.Listener... listeners) {
         List<TableWatch.Listener> all = new ArrayList<>(List.of(listeners));
@@ -240,6 +248,8 @@
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
         metrics.gauge("entries.live", members::live);
         metrics.gauge("entries.connected", peers::connected);
+        metrics.gauge("backends.leaving", availability::leavingCount);
+        metrics.gauge("backends.resting", () -> availability.restingCount(clock.getAsLong()));
         metrics.gauge("suspects", suspects::suspects);
         metrics.gauge("suspects.blocked", suspects::blocked);
         metrics.gauge("log.lines.dropped", log::dropped);
--- a/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
@@ -59,9 +59,18 @@
     }
 
     void notSent(String reason) {
+        failUnsent(AttemptFailure.NOT_SENT, reason);
+    }
+
+    /** The backend server takes nothing any more. */
+    void withdrawn() {
+        failUnsent(AttemptFailure.WITHDRAWN, "it takes nothing now");
+    }
+
+    private void failUnsent(AttemptFailure failure, String reason) {
         if (!over) {
             over = true;
-            listener.onFailure(AttemptFailure.NOT_SENT, reason);
+            listener.onFailure(failure, reason);
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -64,15 +65,20 @@
         this.endCheck = new EndCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> !open.isEmpty());
     }
 
-    /** Starts an attempt; the result is for cancelling it. */
-    public BackendAttempt begin(BackendRequest request, AttemptListener listener) {
+    /**
+     * Starts an attempt; the result is for cancelling it.
+     *
+     * @param mayBeSent asked when a connection is there that was not at once: the server may have said meanwhile that
+     *     it takes nothing
+     */
+    public BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
         BackendConnection ready = takeIdle(request.freshOnly());
         if (ready != null) {
             attempt.run(ready, request, clock.getAsLong());
             return attempt;
         }
-        connect(request, attempt);
+        connect(request, mayBeSent, attempt);
         return attempt;
     }
 
@@ -174,7 +180,7 @@
         return idle.pollFirst();
     }
 
-    private void connect(BackendRequest request, BackendAttempt attempt) {
+    private void connect(BackendRequest request, BooleanSupplier mayBeSent, BackendAttempt attempt) {
         BackendConnection connection = new BackendConnection(this, requestIdHeader);
         long beganMillis = clock.getAsLong();
         ChannelFuture connecting =
@@ -194,7 +200,12 @@
             connection.opened(connecting.channel());
             open.add(connection);
             heard();
-            attempt.run(connection, request, clock.getAsLong());
+            if (mayBeSent.getAsBoolean()) {
+                attempt.run(connection, request, clock.getAsLong());
+            } else {
+                connection.close();
+                attempt.withdrawn();
+            }
         });
     }
 }
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -56,7 +56,7 @@
         List<BackendInstance> instances = new ArrayList<>();
         read(row, instances);
         for (BackendInstance instance : instances) {
-            registry.put(instance);
+            registry.put(instance, clock.getAsLong());
             log.line(
                     "backend_changed",
                     "backend",
--- a/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
@@ -15,6 +15,8 @@
         WHOLE,
         /** No byte was sent. */
         NOT_SENT,
+        /** No byte was sent, as the replica said meanwhile that it leaves or wants rest. */
+        WITHDRAWN,
         /** The backend server promised not to run it. */
         NOT_RUN,
         /** The backend server answered with a failure. */
@@ -27,6 +29,11 @@
         UNHEARD
     }
 
+    /** Whether no byte was sent, so that another replica may be asked without being a retry. */
+    boolean unsent() {
+        return kind == Kind.NOT_SENT || kind == Kind.WITHDRAWN;
+    }
+
     static AttemptEnd whole() {
         return new AttemptEnd(Kind.WHOLE, "answered", Optional.empty());
     }
@@ -35,6 +42,10 @@
         return new AttemptEnd(Kind.NOT_SENT, reason, Optional.empty());
     }
 
+    static AttemptEnd withdrawn() {
+        return new AttemptEnd(Kind.WITHDRAWN, "replica_takes_nothing", Optional.empty());
+    }
+
     static AttemptEnd notRun(String reason) {
         return new AttemptEnd(Kind.NOT_RUN, reason, Optional.empty());
     }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
@@ -35,6 +35,10 @@
         lastEnd = Optional.of(end);
         switch (end.kind()) {
             case NOT_SENT -> unsent++;
+            case WITHDRAWN -> {
+                unsent++;
+                newest.map(BackendInstance::id).ifPresent(tried::remove);
+            }
             case FAILED, BROKEN, SILENT -> mayHaveRun = true;
             case UNHEARD -> {
                 mayHaveRun = true;
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -71,7 +71,8 @@
     void begin(BackendRequest request, PlacementQuery query) {
         beganMillis = services.clock().getAsLong();
         placed = services.fleet().started(query, plan.service(), instance);
-        attempt = services.fleet().pool(instance).begin(request, this);
+        Fleet fleet = services.fleet();
+        attempt = fleet.pool(instance).begin(request, fleet.sendingGate(instance), this);
         watch = services.loop()
                 .scheduleAtFixedRate(this::checkSilence, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -215,6 +216,11 @@
 
     @Override
     public void onFailure(AttemptFailure failure, String reason) {
+        if (failure == AttemptFailure.WITHDRAWN) {
+            release();
+            owner.attemptEnded(AttemptEnd.withdrawn());
+            return;
+        }
         if (failure == AttemptFailure.NOT_SENT) {
             if (!services.fleet().ownBoxLate()) {
                 state.unreachable(services.clock().getAsLong());
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -29,6 +29,15 @@
     /** Reason of a refusal: servers have ended under this request, at this entry or at others. */
     private static final String CRASHES_SERVERS = "request_crashes_servers";
 
+    /** Reason of a refusal: no replica has room. */
+    private static final String NO_PLACE = "no_place";
+
+    /** Reason of a refusal: all replicas have said that they want rest or leave. */
+    private static final String REPLICAS_CLOSED = "replicas_rest_or_leave";
+
+    /** Requests of a busy service come some milliseconds apart; a replica bears them again at this distance. */
+    private static final int SPREAD_MILLIS = 250;
+
     private static final int MAX_UNSENT = 8;
     private static final long LEAST_TIME_MILLIS = 30;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
@@ -111,10 +120,19 @@
     }
 
     private Duration untilTokens() {
+        return withinTimeLeft(services.tokens().untilAvailable());
+    }
+
+    /** Callers who would be told to wait for longer than they can come back sooner, perhaps to another entry. */
+    private Duration withinTimeLeft(Duration after) {
         long left = plan.callerWaitMillis() - elapsed();
         long longest = Math.max(0, left) / PARTS_OF_TIME_LEFT;
-        return Duration.ofMillis(
-                Math.min(longest, services.tokens().untilAvailable().toMillis()));
+        return Duration.ofMillis(Math.min(longest, after.toMillis()));
+    }
+
+    /** All who are refused while replicas rest would come back at the same moment. */
+    private Duration spread() {
+        return Duration.ofMillis(services.random().nextInt(SPREAD_MILLIS));
     }
 
     private void place() {
@@ -142,12 +160,16 @@
             send(chosen.get(), query);
             return true;
         }
-        WaitDecision decision = places.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis());
+        long closed = services.fleet().closedMillis(plan.service().name());
+        WaitDecision decision =
+                places.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis(), closed);
         if (decision.waits()) {
             return false;
         }
-        retryAfter = decision.retryAfter();
-        conclude(attempts.lastEnd().orElseGet(() -> AttemptEnd.notRun("no_place")));
+        retryAfter = closed == 0
+                ? decision.retryAfter()
+                : withinTimeLeft(decision.retryAfter().plus(spread()));
+        conclude(attempts.lastEnd().orElseGet(() -> AttemptEnd.notRun(closed == 0 ? NO_PLACE : REPLICAS_CLOSED)));
         return true;
     }
 
@@ -218,7 +240,7 @@
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
             suspect.answered();
             finish("answered", 200);
-        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
+        } else if (end.unsent()) {
             findAnotherOrConclude(end);
         } else if (end.kind() == AttemptEnd.Kind.NOT_RUN) {
             retryOrConclude(end, true);
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -9,11 +9,15 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.kernel.admission.OwnLateness;
+import org.streamring.kernel.admission.WaitQuery;
+import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.availability.BackendNotice;
 import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.ColdLimit;
 import org.streamring.kernel.placement.ColdReplicas;
@@ -29,23 +33,38 @@
 
 /** The backend servers as this entry uses them: connections, load, health and retries. Confined to the event loop. */
 public final class Fleet {
+    /** An answer with one of these says nothing of how the replica serves. */
+    private static final Set<Integer> TURNED_AWAY = Set.of(421, 429, 503);
+
     private final EventLoop loop;
     private final BackendRegistry registry;
+    private final BackendAvailability availability;
     private final PlacementTable placement;
     private final ColdReplicas cold;
     private final OwnLateness lateness = new OwnLateness();
     private final ForwardingHeaders headers;
-    private final NoticeLog noticeLog;
     private final LongSupplier clock;
     private final IntSupplier entries;
     private final Supplier<NodeSettings.RetryLimit> retryLimit;
     private final Supplier<NodeSettings.ColdMargin> coldMargin;
-    private final Map<String, BackendPool> pools = new HashMap<>();
+    private final Map<Destination, BackendPool> pools = new HashMap<>();
     private final Map<String, FleetRetryBudget> retries = new HashMap<>();
 
+    /** Where connections lead to: another process at the address, or another address, has connections of its own. */
+    private record Destination(String incarnation, String host, int port) {
+        static Destination of(BackendInstance instance) {
+            return new Destination(instance.incarnation(), instance.host(), instance.port());
+        }
+
+        InetSocketAddress address() {
+            return new InetSocketAddress(host, port);
+        }
+    }
+
     /**
      * Creates one without connections.
      *
+     * @param availability which replicas may be sent to
      * @param cold which replicas are cold
      * @param entries number of live entries
      * @param coldMargin what a cold replica bears beyond its rate
@@ -53,10 +72,10 @@
     public Fleet(
             EventLoop loop,
             BackendRegistry registry,
+            BackendAvailability availability,
             ColdReplicas cold,
             Random random,
             ForwardingHeaders headers,
-            NoticeLog noticeLog,
             LongSupplier clock,
             IntSupplier entries,
             Supplier<NodeSettings.RetryLimit> retryLimit,
@@ -65,24 +84,61 @@
         this.cold = cold;
         this.coldMargin = coldMargin;
         this.registry = registry;
+        this.availability = availability;
         this.placement = new PlacementTable(random);
         this.headers = headers;
-        this.noticeLog = noticeLog;
         this.clock = clock;
         this.entries = entries;
         this.retryLimit = retryLimit;
     }
 
-    /** Chooses a replica of a service. */
+    /** Chooses a replica of a service; one that leaves only where all others leave or rest. */
     Optional<BackendInstance> choose(ServiceTraits service, PlacementQuery query) {
         long now = clock.getAsLong();
         ColdLimit limit = limit(service);
-        List<BackendInstance> ready = registry.ready(service.name()).stream()
+        List<BackendInstance> ready = open(service.name(), now).stream()
                 .filter(instance -> cold.takes(instance.id(), limit, now))
                 .toList();
         return placement.choose(query, service, ready, entries.getAsInt(), now);
     }
 
+    private List<BackendInstance> open(String service, long now) {
+        List<BackendInstance> known = registry.inService(service);
+        List<BackendInstance> open = known.stream()
+                .filter(instance -> availability.takes(instance.incarnation(), now))
+                .toList();
+        if (!open.isEmpty()) {
+            return open;
+        }
+        return known.stream()
+                .filter(instance -> availability.takesAsLast(instance.incarnation(), now))
+                .toList();
+    }
+
+    /**
+     * Time until a replica of a service may be asked at all, in milliseconds: 0 if one may now or none is known, {@link
+     * WaitQuery#NEVER} if all leave.
+     */
+    long closedMillis(String service) {
+        long now = clock.getAsLong();
+        List<BackendInstance> known = registry.inService(service);
+        if (known.isEmpty() || !open(service, now).isEmpty()) {
+            return 0;
+        }
+        return known.stream()
+                .filter(registry::stays)
+                .mapToLong(instance -> availability.restLeftMillis(instance.incarnation(), now))
+                .min()
+                .orElse(WaitQuery.NEVER);
+    }
+
+    /** Whether a request that is placed at a replica now may still be sent; asked when its connection is there. */
+    BooleanSupplier sendingGate(BackendInstance instance) {
+        String incarnation = instance.incarnation();
+        boolean asLast = availability.isLeaving(incarnation);
+        return () -> availability.mayBeSent(incarnation, asLast, clock.getAsLong());
+    }
+
     private ColdLimit limit(ServiceTraits service) {
         double perSecond = service.coldPerSecond();
         return new ColdLimit(perSecond, coldMargin.get().mostInSecond(perSecond));
@@ -91,6 +147,7 @@
     /** Notes that a request begins at a replica. */
     PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance) {
         cold.placed(instance.id(), clock.getAsLong());
+        availability.placed(instance.incarnation(), clock.getAsLong());
         return placement.started(query, service, instance, clock.getAsLong());
     }
 
@@ -107,14 +164,18 @@
     /** Connections to a replica. */
     BackendPool pool(BackendInstance instance) {
         return pools.computeIfAbsent(
-                instance.id(),
-                id -> new BackendPool(
+                Destination.of(instance),
+                destination -> new BackendPool(
                         loop,
-                        addressOf(instance),
+                        destination.address(),
                         headers,
                         clock,
-                        took -> lateness.connecting(id, took, clock.getAsLong()),
-                        (status, notice) -> noticeLog.answered(instance, status, notice)));
+                        took -> lateness.connecting(instance.id(), took, clock.getAsLong()),
+                        (status, notice) -> answered(destination.incarnation(), status, notice)));
+    }
+
+    private void answered(String incarnation, int status, BackendNotice notice) {
+        availability.answered(incarnation, TURNED_AWAY.contains(status), notice, clock.getAsLong());
     }
 
     /** Whether this box itself is late, so that what takes long is not the replicas' fault. */
@@ -122,10 +183,6 @@
         return lateness.late(clock.getAsLong());
     }
 
-    private static InetSocketAddress addressOf(BackendInstance instance) {
-        return new InetSocketAddress(instance.host(), instance.port());
-    }
-
     /** The limit on retries at a service. */
     FleetRetryBudget retries(String service) {
         return retries.computeIfAbsent(
@@ -152,11 +209,20 @@
     /** Drops what belongs to replicas that are gone, and idle connections that rested too long. */
     public void tidy() {
         Set<String> known = new HashSet<>();
-        registry.all().forEach(instance -> known.add(instance.id()));
+        Set<String> incarnations = new HashSet<>();
+        Set<Destination> staying = new HashSet<>();
+        for (BackendInstance instance : registry.all()) {
+            known.add(instance.id());
+            incarnations.add(instance.incarnation());
+            if (registry.stays(instance)) {
+                staying.add(Destination.of(instance));
+            }
+        }
         placement.keepOnly(known);
         cold.keepOnly(known);
+        availability.forgetGone(incarnations, clock.getAsLong());
         pools.entrySet().removeIf(entry -> {
-            if (known.contains(entry.getKey()) && registry.isReady(entry.getKey())) {
+            if (staying.contains(entry.getKey())) {
                 entry.getValue().closeStale();
                 return false;
             }
--- a/direct/src/main/java/org/streamring/direct/request/NoticeLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/NoticeLog.java
@@ -1,11 +1,12 @@
 package org.streamring.direct.request;
 
+import java.util.Locale;
 import org.streamring.direct.log.DecisionLog;
-import org.streamring.kernel.availability.BackendNotice;
-import org.streamring.kernel.registry.BackendInstance;
+import org.streamring.kernel.availability.AvailabilityEvents;
+import org.streamring.kernel.availability.NoticeSource;
 
-/** Logs what backend servers say of themselves in their answers. */
-public final class NoticeLog {
+/** Logs what is believed of backend servers by what they said of themselves. */
+public final class NoticeLog implements AvailabilityEvents {
     private final DecisionLog log;
 
     /** Creates one. */
@@ -13,19 +14,18 @@
         this.log = log;
     }
 
-    void answered(BackendInstance instance, int status, BackendNotice notice) {
-        if (notice.equals(BackendNotice.NONE)) {
-            return;
-        }
-        log.line(
-                "backend_notice",
-                "backend",
-                instance.incarnation(),
-                "status",
-                status,
-                "leaving",
-                notice.leaving(),
-                "rest_ms",
-                notice.restMillis());
+    @Override
+    public void leaving(String incarnation, NoticeSource source) {
+        log.line("backend_leaves", "backend", incarnation, "by", source.name().toLowerCase(Locale.ROOT));
+    }
+
+    @Override
+    public void rests(String incarnation, long restMillis) {
+        log.line("backend_rests", "backend", incarnation, "rest_ms", restMillis);
+    }
+
+    @Override
+    public void rested(String incarnation) {
+        log.line("backend_rested", "backend", incarnation);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/PlaceQueue.java
+++ b/direct/src/main/java/org/streamring/direct/request/PlaceQueue.java
@@ -38,11 +38,20 @@
         this.policy = policy;
     }
 
-    /** Decides whether a request for which no place is free waits. */
-    WaitDecision decide(Waiting request, long waitedMillis, Duration target, long deadlineMillis) {
+    /**
+     * Decides whether a request for which no place is free waits.
+     *
+     * @param closedMillis time until a replica may be asked at all, as in {@link WaitQuery}
+     */
+    WaitDecision decide(Waiting request, long waitedMillis, Duration target, long deadlineMillis, long closedMillis) {
         long now = clock.getAsLong();
         return policy.decide(new WaitQuery(
-                waitedMillis, target.toMillis(), deadlineMillis - now, ahead(request), pace.perMilli(now)));
+                waitedMillis,
+                target.toMillis(),
+                deadlineMillis - now,
+                ahead(request),
+                pace.perMilli(now),
+                closedMillis));
     }
 
     private int ahead(Waiting request) {
--- a/direct/src/main/java/org/streamring/direct/request/SuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/SuspectGuard.java
@@ -57,7 +57,10 @@
 
     /** One that leaves as planned, or whose entry is gone, ends for a reason of its own. */
     private boolean mayHaveCrashed(BackendInstance instance) {
-        return registry.find(instance.id()).filter(BackendInstance::ready).isPresent();
+        boolean listed = registry.find(instance.id())
+                .filter(known -> !registry.leaves(known))
+                .isPresent();
+        return listed && !registry.leaves(instance);
     }
 
     /** One request. */
--- a/net/src/main/java/org/streamring/platform/node/NodeSettings.java
+++ b/net/src/main/java/org/streamring/platform/node/NodeSettings.java
@@ -14,6 +14,7 @@
  * @param metrics address where metrics are served
  * @param grace time from the signal to stop to the forced end
  * @param keepLapsed how long a backend server's lapsed entry is kept after the store is back
+ * @param drainTime how long a backend server serves after it said that it leaves
  * @param retries limit on retries that all entries share
  * @param cold what a cold backend server bears beyond its rate
  */
@@ -26,6 +27,7 @@
         InetSocketAddress metrics,
         Duration grace,
         Duration keepLapsed,
+        Duration drainTime,
         RetryLimit retries,
         ColdMargin cold) {
 
--- a/standin/src/main/java/org/streamring/standin/model/ModelEntry.java
+++ b/standin/src/main/java/org/streamring/standin/model/ModelEntry.java
@@ -129,7 +129,8 @@
                 waiter.call().kind().targetMillis(),
                 (long) (waiter.call().deadlineMillis() - time.now()),
                 ahead,
-                pace.perMilli(time.millis()));
+                pace.perMilli(time.millis()),
+                0);
     }
 
     /** A place became free. */
