--- /dev/null
+++ b/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
@@ -0,0 +1,128 @@
+package org.streamring.direct.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.streamring.kernel.availability.BackendNotice;
+import org.streamring.platform.node.ForwardingHeaders;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A request may wait up to half a second for its connection, and its server may say meanwhile, to another request, that
+ * it leaves or wants rest; so whether it may be sent is asked again then.
+ */
+public class BackendPoolTest {
+    private static final ForwardingHeaders HEADERS = new ForwardingHeaders(
+            "id",
+            "deadline",
+            "signature",
+            "account",
+            "instance",
+            "not-run",
+            "leaving",
+            "tokens",
+            "parts",
+            "hint",
+            "urgency",
+            "last-event",
+            Set.of());
+    private static final BackendRequest REQUEST =
+            new BackendRequest("r-1", HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0, false);
+
+    private final List<BackendNotice> notices = new ArrayList<>();
+    private NioEventLoopGroup loops;
+    private ServerSocket server;
+    private BackendPool pool;
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        loops = new NioEventLoopGroup(1);
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        EventLoop loop = loops.next();
+        notices.clear();
+        pool = new BackendPool(
+                loop,
+                (InetSocketAddress) server.getLocalSocketAddress(),
+                HEADERS,
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                took -> {},
+                (status, notice) -> notices.add(notice));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void tearDown() throws IOException {
+        server.close();
+        loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void aRequestWhoseServerTakesNothingWhenItsConnectionIsThereIsNotSent() throws Exception {
+        AtomicBoolean mayBeSent = new AtomicBoolean(true);
+        Outcome outcome = new Outcome();
+        loops.next()
+                .submit(() -> {
+                    pool.begin(REQUEST, mayBeSent::get, outcome);
+                    mayBeSent.set(false);
+                })
+                .sync();
+        assertThat(outcome.failure.get(5, TimeUnit.SECONDS)).isEqualTo(AttemptFailure.WITHDRAWN);
+        try (Socket accepted = server.accept()) {
+            assertThat(accepted.getInputStream().read())
+                    .as("it is closed without a byte")
+                    .isEqualTo(-1);
+        }
+    }
+
+    @Test
+    public void anAnswerToAnotherRequestTellsOfItsServerToo() throws Exception {
+        Outcome outcome = new Outcome();
+        loops.next().submit(() -> pool.begin(REQUEST, () -> true, outcome)).sync();
+        try (Socket accepted = server.accept()) {
+            accepted.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nid: r-0\r\nleaving: 1\r\nContent-Length: 0\r\n\r\n"
+                            .getBytes(StandardCharsets.UTF_8));
+            accepted.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nid: r-1\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            assertThat(outcome.status.get(5, TimeUnit.SECONDS)).isEqualTo(200);
+        }
+        assertThat(notices).containsExactly(new BackendNotice(true, 0), BackendNotice.NONE);
+    }
+
+    private static final class Outcome implements AttemptListener {
+        private final CompletableFuture<AttemptFailure> failure = new CompletableFuture<>();
+        private final CompletableFuture<Integer> status = new CompletableFuture<>();
+
+        @Override
+        public void onHead(AnswerHead head) {
+            status.complete(head.status());
+        }
+
+        @Override
+        public void onData(byte[] data) {}
+
+        @Override
+        public void onEnd() {}
+
+        @Override
+        public void onFailure(AttemptFailure what, String reason) {
+            failure.complete(what);
+        }
+    }
+}
