Turn a request away for as long as before if it is looked at after its wait has ended

Cause: where a waiting request was looked at later than its wait ended, the check of what replicas said took the time left, below zero, for a rest of 0 ms: Retry-After 0, so callers came back at once. Change: a rest is looked at only where there is one; a test of its own, which fails on the code before.

--- a/core/src/main/java/org/streamring/kernel/admission/FixedWindow.java
+++ b/core/src/main/java/org/streamring/kernel/admission/FixedWindow.java
@@ -16,12 +16,11 @@
     @Override
     public WaitDecision decide(WaitQuery query) {
         long left = query.targetMillis() / WAIT_PARTS - query.waitedMillis();
-        if (query.closedMillis() == WaitQuery.NEVER) {
-            return WaitDecision.refuse(RETRY_AFTER);
+        long closed = query.closedMillis();
+        if (closed > 0 && closed < WaitQuery.NEVER) {
+            return closed > left ? WaitDecision.refuse(Duration.ofMillis(closed)) : WaitDecision.WAIT;
         }
-        if (query.closedMillis() > left) {
-            return WaitDecision.refuse(Duration.ofMillis(query.closedMillis()));
-        }
-        return left <= 0 ? WaitDecision.refuse(RETRY_AFTER) : WaitDecision.WAIT;
+        boolean over = closed == WaitQuery.NEVER || left <= 0;
+        return over ? WaitDecision.refuse(RETRY_AFTER) : WaitDecision.WAIT;
     }
 }
--- a/core/src/test/java/org/streamring/kernel/admission/FixedWindowTest.java
+++ b/core/src/test/java/org/streamring/kernel/admission/FixedWindowTest.java
@@ -25,6 +25,12 @@
                 .isTrue();
     }
 
+    @Test
+    public void aRequestThatIsLookedAtLaterThanItsWaitEndsIsTurnedAwayForAsLong() {
+        WaitDecision refused = policy.decide(new WaitQuery(215, 1_000, 10_000, 0, 10, 0));
+        assertThat(refused).isEqualTo(WaitDecision.refuse(FixedWindow.RETRY_AFTER));
+    }
+
     @Test
     public void whereAllReplicasLeaveARequestIsRefusedAtOnce() {
         WaitDecision refused = policy.decide(new WaitQuery(0, 1_000, 10_000, 0, 10, WaitQuery.NEVER));
