--- a/core/src/test/java/org/streamring/kernel/availability/AvailabilityUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/availability/AvailabilityUnderFaultsTest.java
@@ -16,6 +16,9 @@
             NoticeFleet day = new NoticeFleet(seed);
             day.play();
             assertThat(day.sentInRest()).as("sent in a rest, seed %d", seed).isZero();
+            assertThat(day.sentWhileLeaving())
+                    .as("sent to one that leaves, seed %d", seed)
+                    .isZero();
             assertThat(day.sentAfterDrain())
                     .as("sent after the drain time, seed %d", seed)
                     .isZero();
--- a/core/src/test/java/org/streamring/kernel/availability/NoticeFleet.java
+++ b/core/src/test/java/org/streamring/kernel/availability/NoticeFleet.java
@@ -40,6 +40,7 @@
     private int turnedAway;
     private int sentInRest;
     private int sentAfterDrain;
+    private int sentWhileLeaving;
     private int idleLives;
 
     private record Event(long atMillis, long number, Runnable action) {}
@@ -131,6 +132,7 @@
             }
             Told before = told.getOrDefault(life.incarnation(), new Told());
             sentInRest += now < before.restUntil ? 1 : 0;
+            sentWhileLeaving += !asLast && before.leavesSince >= 0 ? 1 : 0;
             sentAfterDrain += before.leavesSince >= 0 && now - before.leavesSince > DRAIN_MILLIS ? 1 : 0;
             after(link(), () -> arrive(life, arrivedMillis));
         }
@@ -286,6 +288,11 @@
         return sentInRest;
     }
 
+    /** Requests, chosen where others took some, that an entry sent after it was told that their replica leaves. */
+    int sentWhileLeaving() {
+        return sentWhileLeaving;
+    }
+
     /** Requests that an entry sent later than the drain time after it was told that their replica leaves. */
     int sentAfterDrain() {
         return sentAfterDrain;
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -35,7 +35,7 @@
     /** Reason of a refusal: all replicas have said that they want rest or leave. */
     private static final String REPLICAS_CLOSED = "replicas_rest_or_leave";
 
-    /** Requests of a busy service come some milliseconds apart; a replica bears them again at this distance. */
+    /** Callers who are refused in the same rest come back over this time, where all would come at its end. */
     private static final int SPREAD_MILLIS = 250;
 
     private static final int MAX_UNSENT = 8;
@@ -130,7 +130,6 @@
         return Duration.ofMillis(Math.min(longest, after.toMillis()));
     }
 
-    /** All who are refused while replicas rest would come back at the same moment. */
     private Duration spread() {
         return Duration.ofMillis(services.random().nextInt(SPREAD_MILLIS));
     }
