--- a/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
@@ -14,12 +14,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.streamring.direct.TestHeaders;
 import org.streamring.kernel.availability.BackendNotice;
-import org.streamring.platform.node.ForwardingHeaders;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -29,20 +28,6 @@
  * it leaves or wants rest; so whether it may be sent is asked again then.
  */
 public class BackendPoolTest {
-    private static final ForwardingHeaders HEADERS = new ForwardingHeaders(
-            "id",
-            "deadline",
-            "signature",
-            "account",
-            "instance",
-            "not-run",
-            "leaving",
-            "tokens",
-            "parts",
-            "hint",
-            "urgency",
-            "last-event",
-            Set.of());
     private static final BackendRequest REQUEST =
             new BackendRequest("r-1", HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0, false);
 
@@ -60,7 +45,7 @@
         pool = new BackendPool(
                 loop,
                 (InetSocketAddress) server.getLocalSocketAddress(),
-                HEADERS,
+                TestHeaders.NAMES,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                 took -> {},
                 (status, notice) -> notices.add(notice));
--- a/direct/src/test/java/org/streamring/direct/request/PromptHeaderTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/PromptHeaderTest.java
@@ -6,27 +6,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import org.streamring.direct.TestHeaders;
 import org.streamring.kernel.placement.Prompt;
 import org.streamring.kernel.placement.PromptPart;
-import org.streamring.platform.node.ForwardingHeaders;
 import org.testng.annotations.Test;
 
 public class PromptHeaderTest {
-    private static final ForwardingHeaders NAMES = new ForwardingHeaders(
-            "id",
-            "deadline",
-            "signature",
-            "account",
-            "instance",
-            "not-run",
-            "leaving",
-            "tokens",
-            "parts",
-            "hint",
-            "urgency",
-            "last-event",
-            Set.of());
     private static final Optional<TokenUse> TOKENS = Optional.of(new TokenUse(900, 50));
 
     @Test
@@ -50,6 +35,6 @@
 
     private static Prompt read(String parts, String hint) {
         HttpHeaders headers = new DefaultHttpHeaders().set("parts", parts).set("hint", hint);
-        return PromptHeader.read(headers, NAMES, TOKENS);
+        return PromptHeader.read(headers, TestHeaders.NAMES, TOKENS);
     }
 }
