Log the limits that backend servers name in their answers

Change: each answer's head is read for Server-Limit, also of answers that are skipped; a line where a limit is first named, changes or ends, one for a value that is no limit, and a counter of these. Nothing is decided by it yet.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -26,6 +26,7 @@
 import org.streamring.direct.peer.TokenLending;
 import org.streamring.direct.peer.UseWitnesses;
 import org.streamring.direct.request.Fleet;
+import org.streamring.direct.request.LimitLog;
 import org.streamring.direct.request.NoticeLog;
 import org.streamring.direct.request.RequestDigests;
 import org.streamring.direct.request.RequestRouter;
@@ -34,6 +35,7 @@
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.permit.LimitedBackends;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -138,7 +140,8 @@
                     peers.members(others);
                 });
         this.tokens = tokenDesk(new PrepaidBook(incarnation, PrepaidSettings.DEFAULT), homes, random, metrics);
-        this.fleet = fleet(cold, random);
+        LimitedBackends limits = new LimitedBackends(new LimitLog(log, metrics), ask -> {});
+        this.fleet = fleet(limits, cold, random);
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         OperatorRows operatorRows = platform.operatorRows();
         this.configurationWatch = watch(
@@ -163,11 +166,12 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
-    private Fleet fleet(ColdReplicas cold, Random random) {
+    private Fleet fleet(LimitedBackends limits, ColdReplicas cold, Random random) {
         return new Fleet(
                 loop,
                 registry,
                 availability,
+                limits,
                 cold,
                 random,
                 platform.headers(),
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -152,7 +152,7 @@
     /** An answer that nobody waits for still tells something of its server. */
     private void noticeSurplus(Object message) {
         if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
-            pool.noticed(response);
+            pool.noticed(response, 0);
         }
     }
 
@@ -165,9 +165,9 @@
             skipping = true;
             return;
         }
-        pool.noticed(response);
         String id = response.headers().get(requestIdHeader);
         skipping = id != null && request != null && !id.equals(request.id());
+        pool.noticed(response, skipping ? 0 : startedMillis);
         if (skipping) {
             return;
         }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -32,6 +33,7 @@
     private final LongSupplier clock;
     private final LongConsumer onConnecting;
     private final NoticeReader notices;
+    private final LimitReader limits;
     private final NoticeListener noticeListener;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
@@ -60,6 +62,7 @@
         this.clock = clock;
         this.onConnecting = onConnecting;
         this.notices = new NoticeReader(headers.leaving());
+        this.limits = new LimitReader(headers.limit());
         this.noticeListener = noticeListener;
         this.heardMillis = clock.getAsLong();
         this.endCheck = new EndCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> !open.isEmpty());
@@ -153,10 +156,11 @@
         answers.add(urgency, sentMillis);
     }
 
-    /** Takes what an answer's head says of the server. */
-    void noticed(HttpResponse response) {
+    /** Takes what an answer's head says of the server; its request was sent then, or 0 if that is not known. */
+    void noticed(HttpResponse response, long sentMillis) {
         int status = response.status().code();
-        noticeListener.answered(status, notices.read(status, response.headers()));
+        HttpHeaders headers = response.headers();
+        noticeListener.answered(status, notices.read(status, headers), limits.read(headers), sentMillis);
     }
 
     void idle(BackendConnection connection) {
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -61,6 +61,13 @@
                 .increment();
     }
 
+    /** Counts answers that name something that is no limit as their server's limit. */
+    public void limitUnreadable() {
+        Counter.builder("streamring.direct.backend.limit.unreadable")
+                .register(registry)
+                .increment();
+    }
+
     /** Counts questions to lenders, by whether they were answered in time. */
     public void lenderAsked(boolean answered) {
         Counter.builder("streamring.direct.lender.asked")
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -19,6 +19,8 @@
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.availability.BackendNotice;
 import org.streamring.kernel.limit.FleetRetryBudget;
+import org.streamring.kernel.permit.LimitWord;
+import org.streamring.kernel.permit.LimitedBackends;
 import org.streamring.kernel.placement.ColdLimit;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.PlacedPrompt;
@@ -36,10 +38,14 @@
     /** An answer with one of these says nothing of how the replica serves. */
     private static final Set<Integer> TURNED_AWAY = Set.of(421, 429, 503);
 
+    /** A process that is not the one asked for answers so; what it says of a limit is not that one's word. */
+    private static final int ANOTHER_INCARNATION = 421;
+
     private final EventLoop loop;
     private final BackendRegistry registry;
     private final BackendAvailability availability;
     private final PlacementTable placement;
+    private final LimitedBackends limits;
     private final ColdReplicas cold;
     private final OwnLateness lateness = new OwnLateness();
     private final ForwardingHeaders headers;
@@ -65,6 +71,7 @@
      * Creates one without connections.
      *
      * @param availability which replicas may be sent to
+     * @param limits which replicas name a limit for all entries together
      * @param cold which replicas are cold
      * @param entries number of live entries
      * @param coldMargin what a cold replica bears beyond its rate
@@ -73,6 +80,7 @@
             EventLoop loop,
             BackendRegistry registry,
             BackendAvailability availability,
+            LimitedBackends limits,
             ColdReplicas cold,
             Random random,
             ForwardingHeaders headers,
@@ -85,6 +93,7 @@
         this.coldMargin = coldMargin;
         this.registry = registry;
         this.availability = availability;
+        this.limits = limits;
         this.placement = new PlacementTable(random);
         this.headers = headers;
         this.clock = clock;
@@ -171,11 +180,16 @@
                         headers,
                         clock,
                         took -> lateness.connecting(instance.id(), took, clock.getAsLong()),
-                        (status, notice) -> answered(destination.incarnation(), status, notice)));
+                        (status, notice, limit, sentMillis) ->
+                                answered(destination.incarnation(), status, notice, limit, sentMillis)));
     }
 
-    private void answered(String incarnation, int status, BackendNotice notice) {
-        availability.answered(incarnation, TURNED_AWAY.contains(status), notice, clock.getAsLong());
+    private void answered(String incarnation, int status, BackendNotice notice, LimitWord limit, long sentMillis) {
+        long now = clock.getAsLong();
+        availability.answered(incarnation, TURNED_AWAY.contains(status), notice, now);
+        if (status != ANOTHER_INCARNATION) {
+            limits.answered(incarnation, limit, sentMillis, now);
+        }
     }
 
     /** Whether this box itself is late, so that what takes long is not the replicas' fault. */
@@ -221,6 +235,7 @@
         placement.keepOnly(known);
         cold.keepOnly(known);
         availability.forgetGone(incarnations, clock.getAsLong());
+        limits.forgetGone(incarnations, clock.getAsLong());
         pools.entrySet().removeIf(entry -> {
             if (staying.contains(entry.getKey())) {
                 entry.getValue().closeStale();
--- a/direct/src/test/java/org/streamring/direct/TestHeaders.java
+++ b/direct/src/test/java/org/streamring/direct/TestHeaders.java
@@ -14,6 +14,7 @@
             "instance",
             "not-run",
             "leaving",
+            "limit",
             "tokens",
             "parts",
             "hint",
--- a/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
@@ -48,7 +48,7 @@
                 TestHeaders.NAMES,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                 took -> {},
-                (status, notice) -> notices.add(notice));
+                (status, notice, limit, sentMillis) -> notices.add(notice));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
+++ b/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
@@ -12,6 +12,7 @@
  * @param expectedInstance the only incarnation that may take the request
  * @param notRun says that the backend server has not run the request and never will
  * @param leaving says, as 1, that the backend server leaves and takes nothing new
+ * @param limit says how many requests a second the backend server takes from all entries together
  * @param tokens tokens of the prompt, and the most of the answer
  * @param promptParts parts of the prompt in order
  * @param lengthHint tokens of the answer that the caller expects
@@ -27,6 +28,7 @@
         String expectedInstance,
         String notRun,
         String leaving,
+        String limit,
         String tokens,
         String promptParts,
         String lengthHint,
