Divide the limits that replicas name by permits of one owner

Callers saw replicas in need overrun: one that takes 3.1 requests a second of all entries together got 45 in 4 s where 24 are the bound, and went on at its usual pace, since no entry looked at the word Server-Limit in its answers. Cause: a bound over all entries that nobody kept; what an entry keeps by itself can't keep it. Change: no request goes to a replica that names a limit without a permit. The first entry by the replica's hash issues permits one after the other at the limit's pace; the second, for those who can't reach the first, a quarter of it; so does one that has just become the first, for ten seconds. Permits are asked for over the entries' connections, last 300 ms until a request is placed, and are checked again when the connection is there. Smaller numbers count at once, larger ones and the end only by an answer to a later request, and the pace then doubles with each answer that confirms them. Where all replicas are limited, callers are refused at once with the owner's time as Retry-After. Why it holds: two entries with differing views issue the limit and a quarter, one and a quarter in all, where one and a half is the bound; the permits' life and the wait for a connection add under a second to a window.

--- a/core/src/main/java/org/streamring/kernel/permit/LimitEvents.java
+++ b/core/src/main/java/org/streamring/kernel/permit/LimitEvents.java
@@ -10,8 +10,12 @@
      */
     void limited(String incarnation, double perSecond, String byEntry);
 
-    /** A server answers without naming a limit, after it named one; {@code ageMillis} since that request was sent. */
-    void unlimited(String incarnation, long ageMillis);
+    /**
+     * A server answers without naming a limit, after it named one.
+     *
+     * @param sentAgeMillis time since that answer's request was sent
+     */
+    void unlimited(String incarnation, long sentAgeMillis);
 
     /**
      * A server names something that is no limit.
--- a/core/src/main/java/org/streamring/kernel/permit/LimitedBackends.java
+++ b/core/src/main/java/org/streamring/kernel/permit/LimitedBackends.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -45,15 +46,23 @@
 
     /** One server that names a limit. */
     private static final class Limited {
-        private double perSecond;
-        private long sentMillis;
-        private long heardMillis;
+        private @Nullable Named named;
+        private long loweredMillis;
         private long usedMillis;
         private final Deque<Permit> permits = new ArrayDeque<>();
         private @Nullable Long askedMillis;
         private long askAgainMillis;
         private int wanted;
 
+        private Named named() {
+            return Objects.requireNonNull(named);
+        }
+
+        /** Permits of a larger limit are void. */
+        private boolean allows(Permit permit, long nowMillis) {
+            return nowMillis - permit.askedMillis() <= SEND_MILLIS && permit.askedMillis() >= loweredMillis;
+        }
+
         private @Nullable Permit first(long nowMillis) {
             while (!permits.isEmpty() && nowMillis - permits.getFirst().askedMillis() > USE_MILLIS) {
                 permits.removeFirst();
@@ -73,49 +82,46 @@
     }
 
     /**
-     * Takes what an answer says. Answers overtake each other, so a number replaces one that came with a request sent
-     * earlier, and an answer without a limit ends only what was heard before its request was sent.
+     * Takes what an answer says. Answers overtake each other, so a smaller limit counts at once; a larger one, or none,
+     * counts only if its request was sent after the smaller one was heard.
      *
      * @param sentMillis when the answer's request was sent; 0 if that is not known
      */
     public void answered(String incarnation, LimitWord word, long sentMillis, long nowMillis) {
-        switch (word.kind()) {
-            case UNREADABLE -> events.unreadable(incarnation, unreadable.add(incarnation));
-            case NONE -> notNamed(incarnation, sentMillis, nowMillis);
-            case NAMED -> {
-                if (word.perSecond() < LEAST_UNLIMITED_PER_SECOND) {
-                    named(incarnation, word.perSecond(), sentMillis, "", nowMillis);
-                } else {
-                    notNamed(incarnation, sentMillis, nowMillis);
-                }
-            }
+        if (word.kind() == LimitWord.Kind.UNREADABLE) {
+            events.unreadable(incarnation, unreadable.add(incarnation));
+        } else if (word.perSecond() < LEAST_UNLIMITED_PER_SECOND && word.kind() == LimitWord.Kind.NAMED) {
+            named(incarnation, new Named(word.perSecond(), sentMillis, nowMillis), "");
+        } else {
+            notNamed(incarnation, sentMillis, nowMillis);
         }
     }
 
-    /** Takes what another entry heard from a server, for which this one is asked for permits. */
-    public void told(PermitAsk ask, String byEntry, long nowMillis) {
-        if (!limited.containsKey(ask.incarnation())) {
-            named(ask.incarnation(), ask.perSecond(), nowMillis - ask.ageMillis(), byEntry, nowMillis);
+    /** Takes what another entry heard from a server of which this one knows no limit. */
+    public void told(LimitNews news, String byEntry, long nowMillis) {
+        if (news.perSecond() != Named.UNLIMITED && !limited.containsKey(news.incarnation())) {
+            long sentMillis = nowMillis - news.sentAgeMillis();
+            named(news.incarnation(), new Named(news.perSecond(), sentMillis, nowMillis), byEntry);
         }
     }
 
-    private void named(String incarnation, double perSecond, long sentMillis, String byEntry, long nowMillis) {
-        boolean first = !limited.containsKey(incarnation);
+    private void named(String incarnation, Named word, String byEntry) {
         Limited known = limited.computeIfAbsent(incarnation, key -> new Limited());
-        known.heardMillis = nowMillis;
-        if (first || sentMillis >= known.sentMillis) {
-            boolean changed = first || known.perSecond != perSecond;
-            known.perSecond = perSecond;
-            known.sentMillis = sentMillis;
-            if (changed) {
-                events.limited(incarnation, perSecond, byEntry);
-            }
+        Optional<Named> before = Optional.ofNullable(known.named);
+        Named after = before.map(older -> older.followedBy(word)).orElse(word);
+        known.named = after;
+        if (before.isPresent() && after.perSecond() < before.get().perSecond()) {
+            known.permits.clear();
+            known.loweredMillis = word.heardMillis();
+        }
+        if (before.isEmpty() || before.get().perSecond() != after.perSecond()) {
+            events.limited(incarnation, after.perSecond(), byEntry);
         }
     }
 
     private void notNamed(String incarnation, long sentMillis, long nowMillis) {
         Limited known = limited.get(incarnation);
-        if (known != null && sentMillis > known.heardMillis) {
+        if (known != null && sentMillis > known.named().heardMillis()) {
             limited.remove(incarnation);
             events.unlimited(incarnation, nowMillis - sentMillis);
         }
@@ -156,7 +162,17 @@
         known.askedMillis = nowMillis;
         int wanted = known.wanted;
         known.wanted = 0;
-        asker.accept(new PermitAsk(incarnation, known.perSecond, nowMillis - known.sentMillis, wanted));
+        asker.accept(new PermitAsk(news(incarnation, known.named(), nowMillis), wanted));
+    }
+
+    /** What other entries should know of a server's limit; empty if it names none. */
+    Optional<LimitNews> news(String incarnation, long nowMillis) {
+        return Optional.ofNullable(limited.get(incarnation)).map(known -> news(incarnation, known.named(), nowMillis));
+    }
+
+    private static LimitNews news(String incarnation, Named named, long nowMillis) {
+        return new LimitNews(
+                incarnation, named.perSecond(), nowMillis - named.sentMillis(), nowMillis - named.heardMillis());
     }
 
     /** Takes the owner's answer to the question of a moment; one that comes late grants nothing. */
@@ -193,9 +209,9 @@
 
     /** Whether a request that was placed at a server may be sent to it, asked just before that. */
     public boolean mayBeSent(String incarnation, Optional<Permit> permit, long nowMillis) {
-        boolean valid = permit.filter(each -> nowMillis - each.askedMillis() <= SEND_MILLIS)
-                .isPresent();
-        return valid || !isLimited(incarnation);
+        Limited known = limited.get(incarnation);
+        return known == null
+                || permit.filter(each -> known.allows(each, nowMillis)).isPresent();
     }
 
     /** Takes back the permit of a request that was not sent. */
@@ -219,8 +235,8 @@
     /** Forgets servers that are no longer known and have said nothing for long. */
     public void forgetGone(Set<String> known, long nowMillis) {
         limited.entrySet()
-                .removeIf(each ->
-                        !known.contains(each.getKey()) && nowMillis - each.getValue().heardMillis > KEEP_MILLIS);
+                .removeIf(each -> !known.contains(each.getKey())
+                        && nowMillis - each.getValue().named().heardMillis() > KEEP_MILLIS);
         unreadable.retainAll(known);
     }
 }
--- a/core/src/main/java/org/streamring/kernel/permit/PermitAsk.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitAsk.java
@@ -3,9 +3,12 @@
 /**
  * A question for permits.
  *
- * @param incarnation the server that names a limit
- * @param perSecond the limit, as the asking entry last heard it
- * @param ageMillis time since the request was sent whose answer named it
+ * @param news the limit, as the asking entry last heard it
  * @param wanted requests that wait for a permit
  */
-public record PermitAsk(String incarnation, double perSecond, long ageMillis, int wanted) {}
+public record PermitAsk(LimitNews news, int wanted) {
+    /** The server. */
+    public String incarnation() {
+        return news.incarnation();
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -5,6 +5,7 @@
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -22,6 +23,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
+import org.streamring.direct.peer.PermitExchange;
 import org.streamring.direct.peer.PlacementExchange;
 import org.streamring.direct.peer.TokenLending;
 import org.streamring.direct.peer.UseWitnesses;
@@ -35,7 +37,7 @@
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.availability.BackendAvailability;
-import org.streamring.kernel.permit.LimitedBackends;
+import org.streamring.kernel.permit.PermitDesk;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
@@ -92,6 +94,8 @@
     private final EntryPeers peers;
     private final TokenLending lending;
     private final UseWitnesses witnesses;
+    private final PermitExchange permits;
+    private final AccountHomes homes;
     private final Fleet fleet;
     private final PlacementExchange exchange;
     private final TableWatch configurationWatch;
@@ -128,7 +132,7 @@
         EntryMetrics metrics = new EntryMetrics();
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
-        AccountHomes homes = new AccountHomes(settings.nodeName());
+        this.homes = new AccountHomes(settings.nodeName());
         this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, homes, metrics, log);
         this.witnesses = new UseWitnesses(peers, settings.nodeName());
         this.lending = new TokenLending(loop, peers, homes, random, metrics, log);
@@ -140,8 +144,9 @@
                     peers.members(others);
                 });
         this.tokens = tokenDesk(new PrepaidBook(incarnation, PrepaidSettings.DEFAULT), homes, random, metrics);
-        LimitedBackends limits = new LimitedBackends(new LimitLog(log, metrics), ask -> {});
-        this.fleet = fleet(limits, cold, random);
+        this.permits = new PermitExchange(
+                loop, peers, settings.nodeName(), this::permitOwners, clock, metrics, log, new LimitLog(log, metrics));
+        this.fleet = fleet(permits.desk(), cold, random);
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         OperatorRows operatorRows = platform.operatorRows();
         this.configurationWatch = watch(
@@ -166,12 +171,12 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
-    private Fleet fleet(LimitedBackends limits, ColdReplicas cold, Random random) {
+    private Fleet fleet(PermitDesk desk, ColdReplicas cold, Random random) {
         return new Fleet(
                 loop,
                 registry,
                 availability,
-                limits,
+                desk,
                 cold,
                 random,
                 platform.headers(),
@@ -239,6 +244,18 @@
         return members.mayLive();
     }
 
+    /** Entries that all others reach: in a small fleet each that lives, also where the store doesn't tell of it yet. */
+    private Set<String> permitOwners() {
+        if (members.mayLive().isEmpty()) {
+            return Set.of();
+        }
+        Set<String> owners = new HashSet<>(homes.holders());
+        if (members.live() <= AccountHomes.ALL_CONNECTED) {
+            owners.addAll(peers.connectedEntries());
+        }
+        return owners;
+    }
+
     /** Memory of a replica in tokens; 0 if it is not known. */
     private long memoryOf(String replica) {
         return registry.find(replica)
@@ -254,6 +271,7 @@
         metrics.gauge("entries.connected", peers::connected);
         metrics.gauge("backends.leaving", availability::leavingCount);
         metrics.gauge("backends.resting", () -> availability.restingCount(clock.getAsLong()));
+        metrics.gauge("backends.limited", permits.desk().limits()::count);
         metrics.gauge("suspects", suspects::suspects);
         metrics.gauge("suspects.blocked", suspects::blocked);
         metrics.gauge("log.lines.dropped", log::dropped);
@@ -268,6 +286,7 @@
         members.start();
         lending.start(tokens.lender());
         witnesses.start();
+        permits.start();
         peers.start();
         exchange.start();
         tokens.start();
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.metrics;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -20,6 +21,8 @@
         Duration.ofSeconds(10)
     };
 
+    private static final double[] LIMIT_PARTS = {0.1, 0.25, 0.5, 0.75, 0.9, 1, 1.5};
+
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
     /** Where the meters are kept. */
@@ -61,6 +64,14 @@
                 .increment();
     }
 
+    /** Notes how much of a server's limit the permits of this entry used, as a part of it. */
+    public void limitUsed(double part) {
+        DistributionSummary.builder("streamring.direct.backend.limit.used")
+                .serviceLevelObjectives(LIMIT_PARTS)
+                .register(registry)
+                .record(part);
+    }
+
     /** Counts answers that name something that is no limit as their server's limit. */
     public void limitUnreadable() {
         Counter.builder("streamring.direct.backend.limit.unreadable")
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -103,6 +103,11 @@
         return byEntry().size();
     }
 
+    /** Names of the entries to which a connection is open. */
+    public Set<String> connectedEntries() {
+        return byEntry().keySet();
+    }
+
     /** The fleet's key; empty until it was read from the store. */
     public Optional<FleetKey> key() {
         return Optional.ofNullable(key);
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -43,6 +43,7 @@
     private @Nullable AnswerHead head;
     private @Nullable Future<?> watch;
     private @Nullable PlacedPrompt placed;
+    private @Nullable SendLeave leave;
     private long beganMillis;
     private boolean streaming;
     private boolean over;
@@ -71,8 +72,9 @@
     void begin(BackendRequest request, PlacementQuery query) {
         beganMillis = services.clock().getAsLong();
         placed = services.fleet().started(query, plan.service(), instance);
-        Fleet fleet = services.fleet();
-        attempt = fleet.pool(instance).begin(request, fleet.sendingGate(instance), this);
+        SendLeave taken = services.fleet().takeLeave(instance);
+        leave = taken;
+        attempt = services.fleet().pool(instance).begin(request, taken::holds, this);
         watch = services.loop()
                 .scheduleAtFixedRate(this::checkSilence, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -96,6 +98,8 @@
     void cancel() {
         if (sent()) {
             owner.attemptSent();
+        } else {
+            giveBackLeave();
         }
         release();
         if (attempt != null) {
@@ -217,6 +221,7 @@
     @Override
     public void onFailure(AttemptFailure failure, String reason) {
         if (failure == AttemptFailure.WITHDRAWN) {
+            giveBackLeave();
             release();
             owner.attemptEnded(AttemptEnd.withdrawn());
             return;
@@ -225,6 +230,7 @@
             if (!services.fleet().ownBoxLate()) {
                 state.unreachable(services.clock().getAsLong());
             }
+            giveBackLeave();
             release();
             owner.attemptEnded(AttemptEnd.notSent("not_connected"));
             return;
@@ -249,6 +255,13 @@
         }
     }
 
+    private void giveBackLeave() {
+        if (leave != null) {
+            leave.giveBack();
+            leave = null;
+        }
+    }
+
     private void release() {
         if (over) {
             return;
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -29,12 +29,6 @@
     /** Reason of a refusal: servers have ended under this request, at this entry or at others. */
     private static final String CRASHES_SERVERS = "request_crashes_servers";
 
-    /** Reason of a refusal: no replica has room. */
-    private static final String NO_PLACE = "no_place";
-
-    /** Reason of a refusal: all replicas have said that they want rest or leave. */
-    private static final String REPLICAS_CLOSED = "replicas_rest_or_leave";
-
     /** Callers who are refused in the same rest come back over this time, where all would come at its end. */
     private static final int SPREAD_MILLIS = 250;
 
@@ -159,7 +153,8 @@
             send(chosen.get(), query);
             return true;
         }
-        long closed = services.fleet().closedMillis(plan.service().name());
+        Closure closure = services.fleet().closure(plan.service().name());
+        long closed = closure.millis();
         WaitDecision decision =
                 places.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis(), closed);
         if (decision.waits()) {
@@ -168,7 +163,7 @@
         retryAfter = closed == 0
                 ? decision.retryAfter()
                 : withinTimeLeft(decision.retryAfter().plus(spread()));
-        conclude(attempts.lastEnd().orElseGet(() -> AttemptEnd.notRun(closed == 0 ? NO_PLACE : REPLICAS_CLOSED)));
+        conclude(attempts.lastEnd().orElseGet(() -> AttemptEnd.notRun(closure.reason())));
         return true;
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -21,6 +20,7 @@
 import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.permit.LimitWord;
 import org.streamring.kernel.permit.LimitedBackends;
+import org.streamring.kernel.permit.PermitDesk;
 import org.streamring.kernel.placement.ColdLimit;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.PlacedPrompt;
@@ -45,6 +45,7 @@
     private final BackendRegistry registry;
     private final BackendAvailability availability;
     private final PlacementTable placement;
+    private final PermitDesk permits;
     private final LimitedBackends limits;
     private final ColdReplicas cold;
     private final OwnLateness lateness = new OwnLateness();
@@ -71,7 +72,7 @@
      * Creates one without connections.
      *
      * @param availability which replicas may be sent to
-     * @param limits which replicas name a limit for all entries together
+     * @param permits what replicas that name a limit for all entries together take from this one
      * @param cold which replicas are cold
      * @param entries number of live entries
      * @param coldMargin what a cold replica bears beyond its rate
@@ -80,7 +81,7 @@
             EventLoop loop,
             BackendRegistry registry,
             BackendAvailability availability,
-            LimitedBackends limits,
+            PermitDesk permits,
             ColdReplicas cold,
             Random random,
             ForwardingHeaders headers,
@@ -93,7 +94,8 @@
         this.coldMargin = coldMargin;
         this.registry = registry;
         this.availability = availability;
-        this.limits = limits;
+        this.permits = permits;
+        this.limits = permits.limits();
         this.placement = new PlacementTable(random);
         this.headers = headers;
         this.clock = clock;
@@ -105,10 +107,18 @@
     Optional<BackendInstance> choose(ServiceTraits service, PlacementQuery query) {
         long now = clock.getAsLong();
         ColdLimit limit = limit(service);
-        List<BackendInstance> ready = open(service.name(), now).stream()
+        List<BackendInstance> open = open(service.name(), now);
+        open.forEach(instance -> permits.wanted(instance.incarnation(), now));
+        List<BackendInstance> ready = open.stream()
+                .filter(instance -> limits.takes(instance.incarnation(), now))
                 .filter(instance -> cold.takes(instance.id(), limit, now))
                 .toList();
-        return placement.choose(query, service, ready, entries.getAsInt(), now);
+        List<BackendInstance> due = ready.stream()
+                .filter(instance -> limits.isDue(instance.incarnation(), now))
+                .toList();
+        return placement
+                .choose(query, service, due, entries.getAsInt(), now)
+                .or(() -> placement.choose(query, service, ready, entries.getAsInt(), now));
     }
 
     private List<BackendInstance> open(String service, long now) {
@@ -124,28 +134,31 @@
                 .toList();
     }
 
-    /**
-     * Time until a replica of a service may be asked at all, in milliseconds: 0 if one may now or none is known, {@link
-     * WaitQuery#NEVER} if all leave.
-     */
-    long closedMillis(String service) {
+    /** Whether a replica of a service may be asked at all, by what they said of themselves. */
+    Closure closure(String service) {
         long now = clock.getAsLong();
         List<BackendInstance> known = registry.inService(service);
-        if (known.isEmpty() || !open(service, now).isEmpty()) {
-            return 0;
+        List<BackendInstance> open = open(service, now);
+        if (!open.isEmpty()) {
+            long turn = open.stream()
+                    .mapToLong(instance -> limits.turnMillis(instance.incarnation(), now))
+                    .min()
+                    .getAsLong();
+            return turn == 0 ? Closure.OPEN : Closure.limited(turn);
         }
-        return known.stream()
+        if (known.isEmpty()) {
+            return Closure.OPEN;
+        }
+        return Closure.resting(known.stream()
                 .filter(registry::stays)
                 .mapToLong(instance -> availability.restLeftMillis(instance.incarnation(), now))
                 .min()
-                .orElse(WaitQuery.NEVER);
+                .orElse(WaitQuery.NEVER));
     }
 
-    /** Whether a request that is placed at a replica now may still be sent; asked when its connection is there. */
-    BooleanSupplier sendingGate(BackendInstance instance) {
-        String incarnation = instance.incarnation();
-        boolean asLast = availability.isLeaving(incarnation);
-        return () -> availability.mayBeSent(incarnation, asLast, clock.getAsLong());
+    /** Takes leave to send a request that is placed at a replica now. */
+    SendLeave takeLeave(BackendInstance instance) {
+        return new SendLeave(availability, limits, clock, instance.incarnation());
     }
 
     private ColdLimit limit(ServiceTraits service) {
@@ -188,7 +201,7 @@
         long now = clock.getAsLong();
         availability.answered(incarnation, TURNED_AWAY.contains(status), notice, now);
         if (status != ANOTHER_INCARNATION) {
-            limits.answered(incarnation, limit, sentMillis, now);
+            permits.answered(incarnation, limit, sentMillis, now);
         }
     }
 
@@ -235,7 +248,7 @@
         placement.keepOnly(known);
         cold.keepOnly(known);
         availability.forgetGone(incarnations, clock.getAsLong());
-        limits.forgetGone(incarnations, clock.getAsLong());
+        permits.forgetGone(incarnations, clock.getAsLong());
         pools.entrySet().removeIf(entry -> {
             if (staying.contains(entry.getKey())) {
                 entry.getValue().closeStale();
--- a/direct/src/main/java/org/streamring/direct/request/LimitLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/LimitLog.java
@@ -22,8 +22,8 @@
     }
 
     @Override
-    public void unlimited(String incarnation, long ageMillis) {
-        log.line("backend_unlimited", "backend", incarnation, "age_ms", ageMillis);
+    public void unlimited(String incarnation, long sentAgeMillis) {
+        log.line("backend_unlimited", "backend", incarnation, "age_ms", sentAgeMillis);
     }
 
     @Override
