--- a/core/src/main/java/org/streamring/kernel/permit/PermitIssuer.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitIssuer.java
@@ -13,7 +13,7 @@
  */
 public final class PermitIssuer {
     /** A server that takes nothing, or hardly anything, still gets a request now and then, or its end isn't noticed. */
-    static final double LEAST_PER_SECOND = 0.05;
+    static final double LEAST_PER_SECOND = 0.25;
 
     /** An entry that asks while no permit is free is told to come back within this time. */
     static final long LONGEST_WAIT_MILLIS = 5_000;
--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/permit/PermitIssuerTest.java
@@ -0,0 +1,90 @@
+package org.streamring.kernel.permit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class PermitIssuerTest {
+    private static final String LIFE = "i-1@1";
+
+    private PermitIssuer issuer;
+
+    @BeforeMethod
+    public void setUp() {
+        issuer = new PermitIssuer();
+    }
+
+    @DataProvider
+    public static Object[] limits() {
+        return new Object[] {0.3, 1.0, 1.2, 8.0, 40.0, 900.0};
+    }
+
+    @Test(dataProvider = "limits")
+    public void inAnyFourSecondsOneMoreThanTheLimitAllowsIsIssuedAtMost(double perSecond) {
+        PermitIssuer fresh = new PermitIssuer();
+        int[] issued = new int[20_000];
+        for (int now = 0; now < issued.length; now += 7) {
+            issued[now] = fresh.ask(ask(perSecond, 0, 0, 64), 1, now).count();
+        }
+        double batch = Math.max(1, perSecond * PermitIssuer.BATCH_MILLIS / 1_000);
+        int inWindow = 0;
+        for (int now = 0; now < issued.length; now++) {
+            inWindow += issued[now] - (now >= 4_000 ? issued[now - 4_000] : 0);
+            assertThat((double) inWindow).isLessThanOrEqualTo(4 * perSecond + batch);
+        }
+        assertThat(inWindow).as("most of the limit is issued").isGreaterThanOrEqualTo((int) (3.5 * perSecond));
+    }
+
+    @Test
+    public void aServerThatTakesNothingGetsOneNowAndThen() {
+        int issued = 0;
+        for (int now = 0; now < 100_000; now += 50) {
+            issued += issuer.ask(ask(0, 0, 0, 1), 1, now).count();
+        }
+        assertThat(issued).isBetween(20, 25);
+    }
+
+    @Test
+    public void thoseWhoWaitAreToldTurnsOneAfterTheOther() {
+        assertThat(issuer.ask(ask(1, 0, 0, 1), 1, 0)).isEqualTo(PermitGrant.none(1_000));
+        assertThat(issuer.ask(ask(1, 0, 0, 1), 1, 0)).isEqualTo(PermitGrant.none(2_000));
+        assertThat(issuer.ask(ask(1, 0, 0, 1), 1, 1_000)).isEqualTo(new PermitGrant(1, 0));
+    }
+
+    @Test
+    public void aSmallerLimitHoldsFromNowOn() {
+        issuer.ask(ask(8, 0, 0, 1), 1, 0);
+        PermitGrant grant = issuer.ask(ask(0.5, 0, 0, 1), 1, 200);
+        assertThat(grant).isEqualTo(PermitGrant.none(2_000));
+    }
+
+    @Test
+    public void afterTheEndOfALimitThePaceGrowsWithEachConfirmingAnswer() {
+        issuer.ask(ask(0.05, 0, 0, 1), 1, 0);
+        issuer.hear(new LimitNews(LIFE, Named.UNLIMITED, 50, 0), 1_000);
+        assertThat(issuer.binds(LIFE)).isFalse();
+        assertThat(issuer.ask(ask(0.05, 1_000, 1_000, 1), 1, 1_000).count())
+                .as("one that tries")
+                .isEqualTo(1);
+        assertThat(issuer.ask(ask(0.05, 1_100, 1_100, 1), 1, 1_100).count()).isZero();
+        for (int now = 1_200; now < 3_000; now += 100) {
+            issuer.hear(new LimitNews(LIFE, Named.UNLIMITED, 50, 0), now);
+        }
+        assertThat(issuer.ask(ask(0.05, 3_000, 3_000, 1), 1, 3_000).count()).isEqualTo(1);
+        assertThat(issuer.ask(ask(0.05, 3_010, 3_010, 1), 1, 3_010).count()).isEqualTo(1);
+    }
+
+    @Test
+    public void aLimitThatWasHeardAfterTheEndBindsAgain() {
+        issuer.ask(ask(1, 0, 0, 1), 1, 0);
+        issuer.hear(new LimitNews(LIFE, Named.UNLIMITED, 10, 0), 1_000);
+        issuer.ask(ask(1, 200, 5, 1), 1, 1_100);
+        assertThat(issuer.binds(LIFE)).isTrue();
+    }
+
+    private static PermitAsk ask(double perSecond, long sentAgeMillis, long heardAgeMillis, int wanted) {
+        return new PermitAsk(new LimitNews(LIFE, perSecond, sentAgeMillis, heardAgeMillis), wanted);
+    }
+}
