Ask for changes by a second call where the first one is silent

Callers' requests reached a replica for more than two seconds after its leaving was recorded, where the entry's one open call for changes of the list had been swallowed. Cause: whatever a table says waited for one call with one time-out, given up after 1.8 s and followed by a pause of 0.2 s. Change: 0.4 s after an answer was due, another connection is asked as well; the first end counts.

--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -17,11 +17,14 @@
  * passed over. Confined to the event loop.
  */
 public final class TableWatch {
+    /** With 2 s here the leaving of a replica became known up to 3.2 s late where a call hung, of 2 s left for it. */
+    public static final Duration WAIT = Duration.ofMillis(600);
+
     /**
-     * A call that the store does not answer holds up the next change by this and the store's time for a call, 1.8 s in
-     * all; with 2 s here the leaving of a replica became known up to 3.2 s late, of 2 s that are left for it.
+     * A call that hangs is given up only after 1.8 s, when a replica that left was still sent requests 2,057 ms later;
+     * where an answer is late by this, another connection is asked besides.
      */
-    public static final Duration WAIT = Duration.ofMillis(600);
+    private static final long SILENT_MILLIS = 400;
 
     private static final long RETRY_MILLIS = 200;
 
@@ -119,17 +122,47 @@
         if (stopped) {
             return;
         }
-        store.watch(table, known, wait).whenComplete((page, failure) -> {
-            if (failure != null) {
-                failed(failure);
-            } else if (page.historyLost()) {
-                reached();
-                listed = false;
-                list();
-            } else {
-                takeChanges(page);
+        new Look().begin();
+    }
+
+    /** One wait for changes; asked by a second call as well where the first is silent. The first end counts. */
+    private final class Look {
+        private boolean over;
+
+        private void begin() {
+            ask();
+            loop.schedule(this::askAgain, wait.toMillis() + SILENT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void askAgain() {
+            if (!over) {
+                ask();
             }
-        });
+        }
+
+        private void ask() {
+            store.watch(table, known, wait).whenComplete((page, failure) -> {
+                if (over) {
+                    return;
+                }
+                over = true;
+                if (failure == null) {
+                    take(page);
+                } else {
+                    failed(failure);
+                }
+            });
+        }
+    }
+
+    private void take(RowPage page) {
+        if (page.historyLost()) {
+            reached();
+            listed = false;
+            list();
+        } else {
+            takeChanges(page);
+        }
     }
 
     private void takeChanges(RowPage page) {
