--- a/core/src/main/java/org/streamring/kernel/permit/LimitNews.java
+++ b/core/src/main/java/org/streamring/kernel/permit/LimitNews.java
@@ -15,7 +15,7 @@
     }
 
     /** It as of a moment of the receiver's clock; what was late on its way seems newer by that. */
-    Named asOf(long nowMillis) {
-        return new Named(perSecond, nowMillis - sentAgeMillis, nowMillis - heardAgeMillis);
+    NamedLimit asOf(long nowMillis) {
+        return new NamedLimit(perSecond, nowMillis - sentAgeMillis, nowMillis - heardAgeMillis);
     }
 }
--- a/core/src/main/java/org/streamring/kernel/permit/LimitedBackends.java
+++ b/core/src/main/java/org/streamring/kernel/permit/LimitedBackends.java
@@ -46,7 +46,7 @@
 
     /** One server that names a limit. */
     private static final class Limited {
-        private @Nullable Named named;
+        private @Nullable NamedLimit named;
         private long loweredMillis;
         private long usedMillis;
         private final Deque<Permit> permits = new ArrayDeque<>();
@@ -54,7 +54,7 @@
         private long askAgainMillis;
         private int wanted;
 
-        private Named named() {
+        private NamedLimit named() {
             return Objects.requireNonNull(named);
         }
 
@@ -91,7 +91,7 @@
         if (word.kind() == LimitWord.Kind.UNREADABLE) {
             events.unreadable(incarnation, unreadable.add(incarnation));
         } else if (word.perSecond() < LEAST_UNLIMITED_PER_SECOND && word.kind() == LimitWord.Kind.NAMED) {
-            named(incarnation, new Named(word.perSecond(), sentMillis, nowMillis), "");
+            named(incarnation, new NamedLimit(word.perSecond(), sentMillis, nowMillis), "");
         } else {
             notNamed(incarnation, sentMillis, nowMillis);
         }
@@ -99,16 +99,16 @@
 
     /** Takes what another entry heard from a server of which this one knows no limit. */
     public void told(LimitNews news, String byEntry, long nowMillis) {
-        if (news.perSecond() != Named.UNLIMITED && !limited.containsKey(news.incarnation())) {
+        if (news.perSecond() != NamedLimit.UNLIMITED && !limited.containsKey(news.incarnation())) {
             long sentMillis = nowMillis - news.sentAgeMillis();
-            named(news.incarnation(), new Named(news.perSecond(), sentMillis, nowMillis), byEntry);
+            named(news.incarnation(), new NamedLimit(news.perSecond(), sentMillis, nowMillis), byEntry);
         }
     }
 
-    private void named(String incarnation, Named word, String byEntry) {
+    private void named(String incarnation, NamedLimit word, String byEntry) {
         Limited known = limited.computeIfAbsent(incarnation, key -> new Limited());
-        Optional<Named> before = Optional.ofNullable(known.named);
-        Named after = before.map(older -> older.followedBy(word)).orElse(word);
+        Optional<NamedLimit> before = Optional.ofNullable(known.named);
+        NamedLimit after = before.map(older -> older.followedBy(word)).orElse(word);
         known.named = after;
         if (before.isPresent() && after.perSecond() < before.get().perSecond()) {
             known.permits.clear();
@@ -170,7 +170,7 @@
         return Optional.ofNullable(limited.get(incarnation)).map(known -> news(incarnation, known.named(), nowMillis));
     }
 
-    private static LimitNews news(String incarnation, Named named, long nowMillis) {
+    private static LimitNews news(String incarnation, NamedLimit named, long nowMillis) {
         return new LimitNews(
                 incarnation, named.perSecond(), nowMillis - named.sentMillis(), nowMillis - named.heardMillis());
     }
--- a/core/src/main/java/org/streamring/kernel/permit/NamedLimit.java
+++ b/core/src/main/java/org/streamring/kernel/permit/NamedLimit.java
@@ -7,20 +7,20 @@
  * @param sentMillis when the newest request was sent whose answer named it
  * @param heardMillis when such an answer was heard last
  */
-record Named(double perSecond, long sentMillis, long heardMillis) {
+record NamedLimit(double perSecond, long sentMillis, long heardMillis) {
     static final double UNLIMITED = Double.POSITIVE_INFINITY;
 
     /**
      * What holds after another answer. A smaller limit counts unless its answer was heard before the request of the
      * larger one was sent; a larger one counts only in that case.
      */
-    Named followedBy(Named other) {
+    NamedLimit followedBy(NamedLimit other) {
         if (other.perSecond == perSecond) {
-            return new Named(
+            return new NamedLimit(
                     perSecond, Math.max(sentMillis, other.sentMillis), Math.max(heardMillis, other.heardMillis));
         }
-        Named smaller = other.perSecond < perSecond ? other : this;
-        Named larger = other.perSecond < perSecond ? this : other;
+        NamedLimit smaller = other.perSecond < perSecond ? other : this;
+        NamedLimit larger = other.perSecond < perSecond ? this : other;
         return larger.sentMillis > smaller.heardMillis ? larger : smaller;
     }
 
--- a/core/src/main/java/org/streamring/kernel/permit/PermitDesk.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitDesk.java
@@ -183,7 +183,7 @@
 
     /** Owners learn of a change from whoever hears it first: they pace the permits of all. */
     private void tellOwners(LimitNews news) {
-        if (news.perSecond() != Named.UNLIMITED) {
+        if (news.perSecond() != NamedLimit.UNLIMITED) {
             told.put(news.incarnation(), new Told(news.perSecond(), nowMillis));
         }
         issuer.hear(news, nowMillis);
@@ -202,7 +202,7 @@
         @Override
         public void unlimited(String incarnation, long sentAgeMillis) {
             told.remove(incarnation);
-            tellOwners(new LimitNews(incarnation, Named.UNLIMITED, sentAgeMillis, 0));
+            tellOwners(new LimitNews(incarnation, NamedLimit.UNLIMITED, sentAgeMillis, 0));
             events.unlimited(incarnation, sentAgeMillis);
         }
 
--- a/core/src/main/java/org/streamring/kernel/permit/PermitIssuer.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitIssuer.java
@@ -34,7 +34,7 @@
 
     /** The pace of one server's permits. */
     private static final class Pace {
-        private Named named;
+        private NamedLimit named;
         private double reachedPerSecond;
         private long steppedMillis;
         private double nextMillis;
@@ -42,7 +42,7 @@
         private long askedMillis;
         private int issued;
 
-        private Pace(Named named, long nowMillis) {
+        private Pace(NamedLimit named, long nowMillis) {
             this.named = named;
             this.reachedPerSecond = named.binds() ? named.perSecond() : FIRST_AFTER_RAISE_PER_SECOND;
             waitAnew(nowMillis);
@@ -54,8 +54,8 @@
             queueEndMillis = 0;
         }
 
-        private void hear(Named word, long nowMillis) {
-            Named before = named;
+        private void hear(NamedLimit word, long nowMillis) {
+            NamedLimit before = named;
             named = before.followedBy(word);
             if (named.perSecond() > before.perSecond()) {
                 reachedPerSecond =
--- a/core/src/test/java/org/streamring/kernel/permit/PermitDeskTest.java
+++ b/core/src/test/java/org/streamring/kernel/permit/PermitDeskTest.java
@@ -97,7 +97,7 @@
     public void newsOfYesterdayDoesNotEndALimit() {
         PermitDesk desk = desk(ORDER.get(0), ALL);
         limit(desk, 1, SETTLED);
-        desk.told(ORDER.get(2), new LimitNews(LIFE, Named.UNLIMITED, 500, 400), SETTLED + 100);
+        desk.told(ORDER.get(2), new LimitNews(LIFE, NamedLimit.UNLIMITED, 500, 400), SETTLED + 100);
         desk.wanted(LIFE, SETTLED + 100);
         assertThat(desk.limits().takes(LIFE, SETTLED + 100)).isFalse();
     }
--- a/core/src/test/java/org/streamring/kernel/permit/PermitIssuerTest.java
+++ b/core/src/test/java/org/streamring/kernel/permit/PermitIssuerTest.java
@@ -63,14 +63,14 @@
     @Test
     public void afterTheEndOfALimitThePaceGrowsWithEachConfirmingAnswer() {
         issuer.ask(ask(0.05, 0, 0, 1), 1, 0);
-        issuer.hear(new LimitNews(LIFE, Named.UNLIMITED, 50, 0), 1_000);
+        issuer.hear(new LimitNews(LIFE, NamedLimit.UNLIMITED, 50, 0), 1_000);
         assertThat(issuer.binds(LIFE)).isFalse();
         assertThat(issuer.ask(ask(0.05, 1_000, 1_000, 1), 1, 1_000).count())
                 .as("one that tries")
                 .isEqualTo(1);
         assertThat(issuer.ask(ask(0.05, 1_100, 1_100, 1), 1, 1_100).count()).isZero();
         for (int now = 1_200; now < 3_000; now += 100) {
-            issuer.hear(new LimitNews(LIFE, Named.UNLIMITED, 50, 0), now);
+            issuer.hear(new LimitNews(LIFE, NamedLimit.UNLIMITED, 50, 0), now);
         }
         assertThat(issuer.ask(ask(0.05, 3_000, 3_000, 1), 1, 3_000).count()).isEqualTo(1);
         assertThat(issuer.ask(ask(0.05, 3_010, 3_010, 1), 1, 3_010).count()).isEqualTo(1);
@@ -79,7 +79,7 @@
     @Test
     public void aLimitThatWasHeardAfterTheEndBindsAgain() {
         issuer.ask(ask(1, 0, 0, 1), 1, 0);
-        issuer.hear(new LimitNews(LIFE, Named.UNLIMITED, 10, 0), 1_000);
+        issuer.hear(new LimitNews(LIFE, NamedLimit.UNLIMITED, 10, 0), 1_000);
         issuer.ask(ask(1, 200, 5, 1), 1, 1_100);
         assertThat(issuer.binds(LIFE)).isTrue();
     }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -43,7 +43,7 @@
     private @Nullable AnswerHead head;
     private @Nullable Future<?> watch;
     private @Nullable PlacedPrompt placed;
-    private @Nullable SendLeave leave;
+    private @Nullable SendCheck sendCheck;
     private long beganMillis;
     private boolean streaming;
     private boolean over;
@@ -72,9 +72,9 @@
     void begin(BackendRequest request, PlacementQuery query) {
         beganMillis = services.clock().getAsLong();
         placed = services.fleet().started(query, plan.service(), instance);
-        SendLeave taken = services.fleet().takeLeave(instance);
-        leave = taken;
-        attempt = services.fleet().pool(instance).begin(request, taken::holds, this);
+        SendCheck check = services.fleet().sendCheck(instance);
+        sendCheck = check;
+        attempt = services.fleet().pool(instance).begin(request, check::passes, this);
         watch = services.loop()
                 .scheduleAtFixedRate(this::checkSilence, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -99,7 +99,7 @@
         if (sent()) {
             owner.attemptSent();
         } else {
-            giveBackLeave();
+            noteNotSent();
         }
         release();
         if (attempt != null) {
@@ -221,7 +221,7 @@
     @Override
     public void onFailure(AttemptFailure failure, String reason) {
         if (failure == AttemptFailure.WITHDRAWN) {
-            giveBackLeave();
+            noteNotSent();
             release();
             owner.attemptEnded(AttemptEnd.withdrawn());
             return;
@@ -230,7 +230,7 @@
             if (!services.fleet().ownBoxLate()) {
                 state.unreachable(services.clock().getAsLong());
             }
-            giveBackLeave();
+            noteNotSent();
             release();
             owner.attemptEnded(AttemptEnd.notSent("not_connected"));
             return;
@@ -255,10 +255,10 @@
         }
     }
 
-    private void giveBackLeave() {
-        if (leave != null) {
-            leave.giveBack();
-            leave = null;
+    private void noteNotSent() {
+        if (sendCheck != null) {
+            sendCheck.notSent();
+            sendCheck = null;
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/Fleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/Fleet.java
@@ -156,9 +156,9 @@
                 .orElse(WaitQuery.NEVER));
     }
 
-    /** Takes leave to send a request that is placed at a replica now. */
-    SendLeave takeLeave(BackendInstance instance) {
-        return new SendLeave(availability, limits, clock, instance.incarnation());
+    /** What is asked before a request is sent that is placed at a replica now. */
+    SendCheck sendCheck(BackendInstance instance) {
+        return new SendCheck(availability, limits, clock, instance.incarnation());
     }
 
     private ColdLimit limit(ServiceTraits service) {
--- a/direct/src/main/java/org/streamring/direct/request/SendCheck.java
+++ b/direct/src/main/java/org/streamring/direct/request/SendCheck.java
@@ -7,7 +7,7 @@
 import org.streamring.kernel.permit.Permit;
 
 /** Whether a request that is placed at a replica may still be sent to it. Confined to the event loop. */
-final class SendLeave {
+final class SendCheck {
     private final BackendAvailability availability;
     private final LimitedBackends limits;
     private final LongSupplier clock;
@@ -15,8 +15,8 @@
     private final boolean asLast;
     private final Optional<Permit> permit;
 
-    /** Takes leave for a request that is placed now. */
-    SendLeave(BackendAvailability availability, LimitedBackends limits, LongSupplier clock, String incarnation) {
+    /** Takes a permit for a request that is placed now, if its replica names a limit. */
+    SendCheck(BackendAvailability availability, LimitedBackends limits, LongSupplier clock, String incarnation) {
         this.availability = availability;
         this.limits = limits;
         this.clock = clock;
@@ -26,13 +26,13 @@
     }
 
     /** Asked when the connection is there: the replica may have said meanwhile that it takes nothing, or less. */
-    boolean holds() {
+    boolean passes() {
         long now = clock.getAsLong();
         return availability.mayBeSent(incarnation, asLast, now) && limits.mayBeSent(incarnation, permit, now);
     }
 
     /** The request was not sent. */
-    void giveBack() {
+    void notSent() {
         permit.ifPresent(limits::notSent);
     }
 }
