--- a/core/src/test/java/org/streamring/kernel/permit/CompareLimitWays.java
+++ b/core/src/test/java/org/streamring/kernel/permit/CompareLimitWays.java
@@ -38,7 +38,8 @@
         }
         System.out.printf(
                 Locale.ROOT,
-                "%d entries, %s, %s: used %.2f, served %d, refused %d, beyond %d on %d of %d days, frames a second %.1f%n",
+                "%d entries, %s, %s: used %.2f, served %d, refused %d, beyond %d on %d of %d days, "
+                        + "frames a second %.1f%n",
                 entries,
                 trouble ? "trouble" : "calm",
                 division,
--- a/core/src/test/java/org/streamring/kernel/permit/LimitFleet.java
+++ b/core/src/test/java/org/streamring/kernel/permit/LimitFleet.java
@@ -17,9 +17,9 @@
 import org.streamring.kernel.permit.LimitWays.Way;
 
 /**
- * One day of servers that name limits, change and end them, in simulated time. Entries are killed and come back, freeze,
- * join, and lose connections to each other in one direction; they read who lives at their own pace; frames are late;
- * answers overtake each other or are lost. Each window in which a server gets more than its limit allows is counted.
+ * One day of servers that name limits, change and end them, in simulated time. Entries are killed and come back,
+ * freeze, join, and lose connections to each other in one direction; they read who lives at their own pace; frames are
+ * late; answers overtake each other or are lost. Each window in which a server gets more than its limit allows counts.
  */
 final class LimitFleet {
     /** How the limits are divided. */
