--- a/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
@@ -71,12 +71,12 @@
     @Test
     public void aCallThatFailsIsFollowedByAnotherAlsoWhereTheSecondIsStillSilent() {
         advance(KNOWN_WITHIN_MILLIS);
-        store.watches.get(0).completeExceptionally(new StoreException("rows-feed", "no answer in time", false));
+        store.watches.get(0).completeExceptionally(new StoreException("watch", "no answer in time", false));
         assertThat(heard.lost).isEqualTo(1);
         advance(250);
         assertThat(store.watches).hasSize(3);
         store.watches.get(2).complete(change(2));
-        store.watches.get(1).completeExceptionally(new StoreException("rows-feed", "no answer in time", false));
+        store.watches.get(1).completeExceptionally(new StoreException("watch", "no answer in time", false));
         assertThat(heard.changed).containsExactly(2L);
         assertThat(heard.lost).isEqualTo(1);
     }
