Let the stand-ins of engines and plain services say what a server says of itself

Cause: only the stand-ins of the platform's tests could say that they leave, want rest or take only so much. Change: POST /control/notices sets headers of each answer, also of a stream's head, and whether requests are turned away unrun.

--- a/standin/src/main/java/org/streamring/standin/http/Exchange.java
+++ b/standin/src/main/java/org/streamring/standin/http/Exchange.java
@@ -23,9 +23,11 @@
     private final QueryStringDecoder uri;
     private final HttpHeaders headers;
     private final String body;
+    private final AnswerNotices notices;
 
-    Exchange(Channel channel, String method, String uri, HttpHeaders headers, String body) {
+    Exchange(Channel channel, String method, String uri, HttpHeaders headers, String body, AnswerNotices notices) {
         this.channel = channel;
+        this.notices = notices;
         this.method = method;
         this.uri = new QueryStringDecoder(uri);
         this.headers = headers;
@@ -66,6 +68,7 @@
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
         response.headers()
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        notices.headers().forEach(response.headers()::set);
         channel.writeAndFlush(response);
     }
 
@@ -79,6 +82,7 @@
         DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        notices.headers().forEach(response.headers()::set);
         channel.writeAndFlush(response);
     }
 
--- a/standin/src/main/java/org/streamring/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/streamring/standin/http/StandinServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetAddress;
@@ -19,13 +20,18 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.streamring.kernel.table.RowText;
 
 /** Listens on a loopback port and hands requests to one handler. */
 public final class StandinServer implements AutoCloseable {
+    private static final String CONTROLS = "/control/";
+    private static final String CONTROL = CONTROLS + "notices";
     private static final int MAX_BODY_BYTES = 8 << 20;
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1, new DefaultThreadFactory("standin", true));
+    private final Consumer<Exchange> handler;
     private final Channel channel;
+    private volatile AnswerNotices notices = AnswerNotices.NONE;
 
     /**
      * Starts to listen.
@@ -33,6 +39,7 @@
      * @param port port on 127.0.0.1; 0 for any free one
      */
     public StandinServer(int port, Consumer<Exchange> handler) {
+        this.handler = handler;
         ChannelFuture bound = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -41,9 +48,7 @@
                     protected void initChannel(SocketChannel child) {
                         child.pipeline()
                                 .addLast(
-                                        new HttpServerCodec(),
-                                        new HttpObjectAggregator(MAX_BODY_BYTES),
-                                        new Handler(handler));
+                                        new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
                     }
                 })
                 .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
@@ -69,21 +74,28 @@
         return loops;
     }
 
-    private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Consumer<Exchange> handler;
-
-        private Handler(Consumer<Exchange> handler) {
-            this.handler = handler;
+    private void handle(Exchange exchange) {
+        if (exchange.path().equals(CONTROL)) {
+            notices = RowText.read(exchange.body(), AnswerNotices.class);
+            exchange.answerJson("{}");
+        } else if (notices.turnsAway() && !exchange.path().startsWith(CONTROLS)) {
+            exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "text/plain", "turned away");
+        } else {
+            handler.accept(exchange);
         }
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            handler.accept(new Exchange(
+            handle(new Exchange(
                     context.channel(),
                     request.method().name(),
                     request.uri(),
                     request.headers(),
-                    request.content().toString(StandardCharsets.UTF_8)));
+                    request.content().toString(StandardCharsets.UTF_8),
+                    notices));
         }
 
         @Override
--- /dev/null
+++ b/standin/src/test/java/org/streamring/standin/http/AnswerNoticesTest.java
@@ -0,0 +1,59 @@
+package org.streamring.standin.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import org.streamring.standin.engine.EngineSettings;
+import org.streamring.standin.engine.EngineStandin;
+import org.streamring.standin.service.ServiceStandin;
+import org.testng.annotations.Test;
+
+public class AnswerNoticesTest {
+    private static final String LIMIT = "{\"headers\":{\"limit\":\"1.5\"},\"turns_away\":false}";
+    private static final String REST = "{\"headers\":{\"Retry-After\":\"3\"},\"turns_away\":true}";
+    private static final String STREAM =
+            "{\"model\":\"m\",\"stream\":true,\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}";
+
+    private final HttpClient client = HttpClient.newHttpClient();
+
+    @Test
+    public void aServiceNamesWhatItIsToldInItsAnswers() throws Exception {
+        try (ServiceStandin service = new ServiceStandin(0, 1)) {
+            call(service.url() + "/control/notices", LIMIT);
+            assertThat(call(service.url() + "/a", "").headers().firstValue("limit"))
+                    .hasValue("1.5");
+        }
+    }
+
+    @Test
+    public void anEngineNamesItInTheHeadOfAStream() throws Exception {
+        try (EngineStandin engine = new EngineStandin(0, EngineSettings.fast())) {
+            call(engine.url() + "/control/notices", LIMIT);
+            HttpResponse<String> stream = call(engine.url() + "/v1/chat/completions", STREAM);
+            assertThat(stream.headers().firstValue("Content-Type")).hasValue("text/event-stream");
+            assertThat(stream.headers().firstValue("limit")).hasValue("1.5");
+        }
+    }
+
+    @Test
+    public void whatIsTurnedAwayIsNotRun() throws Exception {
+        try (ServiceStandin service = new ServiceStandin(0, 1)) {
+            call(service.url() + "/control/notices", REST);
+            HttpResponse<String> answer = call(service.url() + "/a", "");
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.headers().firstValue("Retry-After")).hasValue("3");
+            assertThat(service.records()).isEmpty();
+        }
+    }
+
+    private HttpResponse<String> call(String url, String body) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+}
