--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -135,7 +135,7 @@
         }
 
         private void askAgain() {
-            if (!over) {
+            if (!over && !stopped) {
                 ask();
             }
         }
--- a/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
@@ -26,6 +26,7 @@
     private EmbeddedChannel time;
     private SlowStore store;
     private Heard heard;
+    private TableWatch watch;
 
     @BeforeMethod
     public void setUp() {
@@ -33,8 +34,9 @@
         time.freezeTime();
         store = new SlowStore();
         heard = new Heard();
-        new TableWatch(time.eventLoop(), store, "servers", TableWatch.AfterGap.CHANGES, TableWatch.WAIT, List.of(heard))
-                .start();
+        watch = new TableWatch(
+                time.eventLoop(), store, "servers", TableWatch.AfterGap.CHANGES, TableWatch.WAIT, List.of(heard));
+        watch.start();
         store.lists.get(0).complete(new RowPage(List.of(), 1, 0, false));
     }
 
@@ -81,6 +83,13 @@
         assertThat(heard.lost).isEqualTo(1);
     }
 
+    @Test
+    public void noSecondCallIsMadeAfterTheEnd() {
+        watch.stop();
+        advance(KNOWN_WITHIN_MILLIS);
+        assertThat(store.watches).hasSize(1);
+    }
+
     private void advance(long millis) {
         for (long i = 0; i < millis; i++) {
             time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
