--- a/core/src/main/java/org/streamring/kernel/permit/LimitedBackends.java
+++ b/core/src/main/java/org/streamring/kernel/permit/LimitedBackends.java
@@ -181,7 +181,7 @@
         if (known == null) {
             return;
         }
-        for (int i = 0; i < grant.count(); i++) {
+        for (int i = 0; i < Math.min(MOST_WANTED, grant.count()); i++) {
             known.permits.addLast(new Permit(incarnation, askedMillis));
         }
         if (known.askedMillis != null && known.askedMillis == askedMillis) {
--- a/core/src/test/java/org/streamring/kernel/permit/LimitedBackendsTest.java
+++ b/core/src/test/java/org/streamring/kernel/permit/LimitedBackendsTest.java
@@ -42,8 +42,7 @@
     public void nothingIsPlacedWithoutAPermitAndEachPermitServesOnce() {
         name(1, 0, 10);
         assertThat(limits.takes(LIFE, 10)).isFalse();
-        limits.wanted(LIFE, 10);
-        limits.granted(LIFE, 10, new PermitGrant(1, 0), 15);
+        grant(1, 10, 15);
         assertThat(limits.takes(LIFE, 15)).isTrue();
         assertThat(limits.mayBeSent(LIFE, limits.place(LIFE, 15), 16)).isTrue();
         assertThat(limits.takes(LIFE, 16)).isFalse();
@@ -66,8 +65,7 @@
     @Test
     public void permitsAreVoidAfterTheirTime() {
         name(1, 0, 10);
-        limits.wanted(LIFE, 10);
-        limits.granted(LIFE, 10, new PermitGrant(2, 0), 20);
+        grant(2, 10, 20);
         Optional<Permit> placed = limits.place(LIFE, 20);
         assertThat(limits.takes(LIFE, 10 + LimitedBackends.USE_MILLIS + 1)).isFalse();
         assertThat(limits.mayBeSent(LIFE, placed, 10 + LimitedBackends.SEND_MILLIS))
@@ -79,8 +77,7 @@
     @Test
     public void permitsOfALargerLimitAreVoid() {
         name(9, 0, 10);
-        limits.wanted(LIFE, 10);
-        limits.granted(LIFE, 10, new PermitGrant(2, 0), 20);
+        grant(2, 10, 20);
         Optional<Permit> placed = limits.place(LIFE, 20);
         name(1, 0, 30);
         assertThat(limits.takes(LIFE, 30)).isFalse();
@@ -90,8 +87,7 @@
     @Test
     public void thePermitOfARequestThatWasNotSentServesAnother() {
         name(1, 0, 10);
-        limits.wanted(LIFE, 10);
-        limits.granted(LIFE, 10, new PermitGrant(1, 0), 20);
+        grant(1, 10, 20);
         limits.place(LIFE, 20).ifPresent(limits::notSent);
         assertThat(limits.takes(LIFE, 30)).isTrue();
     }
@@ -142,12 +138,10 @@
     @Test
     public void aServerWithAPermitThatGotNothingForLongIsDue() {
         name(1, 0, 10_000);
-        limits.wanted(LIFE, 10_000);
-        limits.granted(LIFE, 10_000, new PermitGrant(1, 0), 10_000);
+        grant(1, 10_000, 10_000);
         assertThat(limits.isDue(LIFE, 10_000)).isTrue();
         limits.place(LIFE, 10_000);
-        limits.wanted(LIFE, 10_100);
-        limits.granted(LIFE, 10_100, new PermitGrant(1, 0), 10_100);
+        grant(1, 10_100, 10_100);
         assertThat(limits.isDue(LIFE, 10_100)).isFalse();
     }
 
@@ -160,6 +154,23 @@
         assertThat(limits.count()).isZero();
     }
 
+    @Test
+    public void noMorePermitsAreTakenThanCanBeWanted() {
+        name(1, 0, 10);
+        grant(Integer.MAX_VALUE, 10, 20);
+        int placed = 0;
+        while (limits.takes(LIFE, 20)) {
+            limits.place(LIFE, 20);
+            placed++;
+        }
+        assertThat(placed).isEqualTo(64);
+    }
+
+    private void grant(int count, long askedMillis, long nowMillis) {
+        limits.wanted(LIFE, askedMillis);
+        limits.granted(LIFE, askedMillis, new PermitGrant(count, 0), nowMillis);
+    }
+
     private void name(double perSecond, long sentMillis, long nowMillis) {
         limits.answered(LIFE, LimitWord.named(perSecond), sentMillis, nowMillis);
     }
