--- a/core/src/test/java/org/streamring/kernel/permit/LimitFleet.java
+++ b/core/src/test/java/org/streamring/kernel/permit/LimitFleet.java
@@ -1,9 +1,7 @@
 package org.streamring.kernel.permit;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.streamring.kernel.permit.LimitWays.FixedParts;
 import org.streamring.kernel.permit.LimitWays.Permits;
@@ -30,15 +29,9 @@
     }
 
     private static final long DAY_MILLIS = 60_000;
-    private static final long CONTACT_MILLIS = 3_000;
-    private static final long WINDOW_MILLIS = 4_000;
-    private static final long TOLD_MILLIS = 500;
     private static final long LOOK_MILLIS = 15;
     private static final long LONGEST_WAIT_MILLIS = 160;
     private static final long HEARTBEAT_MILLIS = 1_500;
-    /** Smaller limits are less than what callers want of a server. */
-    private static final double MOST_SCARCE = 3;
-
     private static final double[] LIMITS = {0, 0.05, 0.3, 1, 1.2, 3, 8, 40};
 
     private final Random random;
@@ -47,78 +40,22 @@
     private final PriorityQueue<Event> timeline =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final List<Box> boxes = new ArrayList<>();
-    private final List<Server> servers = new ArrayList<>();
+    private final List<CountedServer> servers = new ArrayList<>();
     private final double requestsPerSecond;
     private long now;
     private long events;
     private long frames;
-    private int served;
     private int refused;
-    private final List<String> breaches = new ArrayList<>();
-    private double allowedByLimits;
-    private int usedOfLimits;
 
     private record Event(long at, long number, Runnable action) {}
 
-    private record Arrival(Box box, long at) {}
-
-    private final class Server {
-        private final String name;
-        private double limit = -1;
-        private long namedAt;
-        private final Map<Box, Long> told = new HashMap<>();
-        private final Deque<Arrival> arrivals = new ArrayDeque<>();
-
-        private Server(String name) {
-            this.name = name;
-        }
-
-        private void name(double perSecond) {
-            account();
-            limit = perSecond;
-            namedAt = now;
-            told.clear();
-            arrivals.clear();
-        }
-
-        private void account() {
-            if (limit >= 0 && limit <= MOST_SCARCE && now - namedAt > CONTACT_MILLIS) {
-                allowedByLimits += limit * (now - namedAt - CONTACT_MILLIS) / 1_000;
-            }
-        }
-
-        private LimitWord word() {
-            return limit < 0 ? LimitWord.NONE : LimitWord.named(limit);
-        }
-
-        private void arrived(Box box) {
-            served++;
-            if (limit < 0) {
-                return;
-            }
-            usedOfLimits += limit <= MOST_SCARCE && now - namedAt > CONTACT_MILLIS ? 1 : 0;
-            if (now - told.getOrDefault(box, now) < TOLD_MILLIS) {
-                return;
-            }
-            arrivals.addLast(new Arrival(box, now));
-            while (now - arrivals.peekFirst().at() > WINDOW_MILLIS) {
-                arrivals.removeFirst();
-            }
-            long counted = arrivals.stream()
-                    .filter(each -> told.containsKey(each.box()))
-                    .count();
-            if (now - namedAt > CONTACT_MILLIS && counted > (long) (6 * limit + 5)) {
-                breaches.add("at %d: %s named %s at %d, got %d".formatted(now, name, limit, namedAt, counted));
-            }
-        }
-    }
-
     /** A box and its entry's process. */
     private final class Box implements PermitLink {
         private final String name;
         private final double pace;
         private int life;
         private boolean alive;
+        private long frozeAt;
         private long frozenUntil;
         private Set<String> view = Set.of();
         private final Set<Box> deafTo = new HashSet<>();
@@ -153,7 +90,7 @@
         }
 
         private void excuse() {
-            servers.forEach(server -> server.told.remove(this));
+            servers.forEach(server -> server.excuse(name));
         }
 
         /** Does something as this process, after a freeze if there is one, and not if the process has ended. */
@@ -211,8 +148,6 @@
             return other.alive && !silent && !cut;
         }
 
-        private long frozeAt;
-
         private void freeze(long millis) {
             frozeAt = now;
             frozenUntil = now + millis;
@@ -227,14 +162,14 @@
         }
 
         private void place(long arrivedAt) {
-            List<Server> open = new ArrayList<>(servers);
-            open.removeIf(server -> !way.takes(server.name, now));
+            List<CountedServer> open = new ArrayList<>(servers);
+            open.removeIf(server -> !way.takes(server.name(), now));
             if (open.isEmpty()) {
                 waitOrRefuse(arrivedAt);
                 return;
             }
-            Server chosen = open.get(random.nextInt(open.size()));
-            way.place(chosen.name, now);
+            CountedServer chosen = open.get(random.nextInt(open.size()));
+            way.place(chosen.name(), now);
             long connecting = random.nextInt(4) == 0 ? random.nextInt(500) : 0;
             later(life, connecting, () -> send(chosen, arrivedAt));
         }
@@ -247,15 +182,15 @@
             }
         }
 
-        private void send(Server server, long arrivedAt) {
-            if (!way.mayBeSent(server.name, now)) {
+        private void send(CountedServer server, long arrivedAt) {
+            if (!way.mayBeSent(server.name(), now)) {
                 place(arrivedAt);
                 return;
             }
             long sentAt = now;
             int inLife = life;
             after(link(), () -> {
-                server.arrived(this);
+                server.arrived(name, now);
                 long takes = 20L + random.nextInt(random.nextInt(10) == 0 ? 3_000 : 200);
                 after(takes, () -> {
                     LimitWord word = server.word();
@@ -266,11 +201,9 @@
             });
         }
 
-        private void hear(Server server, LimitWord word, long sentAt) {
-            way.answered(server.name, word, sentAt, now);
-            if (word.kind() == LimitWord.Kind.NAMED && word.perSecond() == server.limit) {
-                server.told.putIfAbsent(this, now);
-            }
+        private void hear(CountedServer server, LimitWord word, long sentAt) {
+            way.answered(server.name(), word, sentAt, now);
+            server.told(name, word, now);
         }
 
         @Override
@@ -292,7 +225,7 @@
             deliver(entry, other -> other.desk.told(name, news, now));
         }
 
-        private void deliver(String to, java.util.function.Consumer<Box> frame) {
+        private void deliver(String to, Consumer<Box> frame) {
             Box other = boxes.stream()
                     .filter(each -> each.name.equals(to))
                     .findFirst()
@@ -317,7 +250,7 @@
         this.uneven = uneven;
         this.requestsPerSecond = requestsPerSecond;
         for (int i = 0; i < 4; i++) {
-            servers.add(new Server("i-" + i + "@1"));
+            servers.add(new CountedServer("i-" + i + "@1"));
         }
         for (int i = 0; i < entries; i++) {
             boxes.add(new Box("entry-" + i, paceOf(i, entries)));
@@ -350,18 +283,18 @@
             now = next.at();
             next.action().run();
         }
-        servers.forEach(Server::account);
+        servers.forEach(server -> server.endOfLimit(now));
         return this;
     }
 
     /** Half of the servers name limits, then all; they change and end. */
     private void limits() {
         boolean all = random.nextBoolean();
-        for (Server server : servers) {
+        for (CountedServer server : servers) {
             if (all || random.nextBoolean()) {
-                server.name(LIMITS[random.nextInt(LIMITS.length)]);
-            } else if (server.limit >= 0) {
-                server.name(-1);
+                server.names(LIMITS[random.nextInt(LIMITS.length)], now);
+            } else if (server.isLimited()) {
+                server.names(-1, now);
             }
         }
         after(6_000L + random.nextInt(14_000), this::limits);
@@ -418,7 +351,7 @@
 
     /** Requests that reached a server. */
     int served() {
-        return served;
+        return servers.stream().mapToInt(CountedServer::arrivals).sum();
     }
 
     /** Requests that entries refused. */
@@ -428,12 +361,15 @@
 
     /** Arrivals beyond what a window allows. */
     List<String> breaches() {
-        return breaches;
+        return servers.stream().flatMap(server -> server.breaches().stream()).toList();
     }
 
     /** Requests sent to servers while they named small limits, as a part of what these add up to. */
     double used() {
-        return usedOfLimits / Math.max(1, allowedByLimits);
+        int used = servers.stream().mapToInt(CountedServer::arrivedWhileScarce).sum();
+        double allowed =
+                servers.stream().mapToDouble(CountedServer::scarceAllowed).sum();
+        return used / Math.max(1, allowed);
     }
 
     /** Frames sent between entries. */
