Wait a moment for a lender that was asked and has not answered

Callers of a prepaid account got 503 no_tokens_leased while another entry had idle tokens: the lender stood still for 150 ms, the request gave up 60 ms after it had asked, and the loan came later.

Cause: a round of questions ends when each lender has answered or has had 60 ms, and its end was taken for a no. Where the first of several lenders was silent, the request could also end before the next one had been heard.

Change: where a lender that was asked has not answered the request waits for 200 ms more, once. Where all have answered or none was there it is refused as soon as before.

--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -41,6 +41,11 @@
     private static final long MEETING_MILLIS = 5_000;
 
     private static final long LAST_TRY_MILLIS = 60;
+    /**
+     * A lender that stands still for a moment answers late. A request was refused beside one that stood still for
+     * 150 ms with 18,750 idle tokens. Much shorter than the 1.5 s after which a silent connection ends.
+     */
+    private static final long LATE_LENDER_MILLIS = 200;
 
     private static final long EXPIRY_MILLIS = 20;
     /** A lender's write takes some 10 to 20 ms. */
@@ -233,6 +238,8 @@
         private Lenders.Answers answers = Lenders.Answers.NONE;
         private boolean leasing;
         private boolean metNobody;
+        private boolean roundEnded;
+        private boolean waitedForLate;
 
         private Waiter(String account, long tokens, Consumer<Outcome> then) {
             this.account = account;
@@ -278,6 +285,7 @@
         /** Entries that hold leases of the account write its row; others only where those can't. */
         private void allAsked(Lenders.Answers received) {
             answers = received;
+            roundEnded = true;
             metNobody = received.asked() == 0;
             if (!waiters.contains(this)) {
                 return;
@@ -285,11 +293,11 @@
             if (answers.asked() == 0 && !homes.isHome(account) && meetingOthers()) {
                 loop.schedule(this::askAgain, ASK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
             } else if (leasing) {
-                end(Outcome.UNAVAILABLE, renewer.away() ? "store_away" : "lease_not_in_time");
+                giveUp(renewer.away() ? "store_away" : "lease_not_in_time");
             } else if (answers.moreSoon()) {
                 loop.schedule(this::askAgain, ASK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
             } else if (renewer.away()) {
-                end(Outcome.UNAVAILABLE, "store_away");
+                giveUp("store_away");
             } else {
                 expiresMillis = Math.max(expiresMillis, clock.getAsLong() + LAST_TRY_MILLIS);
                 lease();
@@ -298,19 +306,34 @@
 
         private void askAgain() {
             if (waiters.contains(this)) {
+                roundEnded = false;
                 lenders.ask(account, this::lacking, this::lent, this::allAsked);
             }
         }
 
         private void expire() {
             if (asked) {
-                end(Outcome.UNAVAILABLE, metNobody ? "no_lender_met" : "lease_not_in_time");
+                giveUp(metNobody ? "no_lender_met" : "lease_not_in_time");
             } else {
                 expiresMillis = clock.getAsLong() + LAST_TRY_MILLIS;
                 borrow();
             }
         }
 
+        /** Ends without tokens, unless a lender that was asked may still answer. */
+        private void giveUp(String reason) {
+            if (waitedForLate || !lenderIsLate()) {
+                end(Outcome.UNAVAILABLE, reason);
+                return;
+            }
+            waitedForLate = true;
+            expiresMillis = clock.getAsLong() + LATE_LENDER_MILLIS;
+        }
+
+        private boolean lenderIsLate() {
+            return !roundEnded || answers.answered() < answers.asked();
+        }
+
         private long lacking() {
             return waiters.contains(this) ? tokens - book.available(account) : 0;
         }
--- a/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
@@ -54,6 +54,10 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
+    private static final long STANDS_STILL_MILLIS = 300;
+    /** First wait of a process, a last try and the tick that ends them. */
+    private static final long REFUSED_BESIDE_NOBODY_MILLIS = 200 + ANSWER_MILLIS + 20;
+
     private EmbeddedChannel time;
     private EventLoop loop;
     private long nowMillis;
@@ -189,6 +193,44 @@
         assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
     }
 
+    /** A lender stood still for 150 ms; its 18,750 idle tokens came after the request had been refused. */
+    @Test
+    public void aRequestWaitsForALenderThatStandsStillForAMoment() {
+        List<Outcome> outcomes = askLender(OptionalLong.of(STANDS_STILL_MILLIS));
+        advance(STANDS_STILL_MILLIS);
+        assertThat(outcomes).containsExactly(Outcome.RESERVED);
+    }
+
+    @Test
+    public void aLenderThatNeverAnswersDelaysARefusalByAFifthOfASecond() {
+        List<Outcome> outcomes = askLender(OptionalLong.empty());
+        advance(REFUSED_BESIDE_NOBODY_MILLIS + 200);
+        assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
+    }
+
+    @Test
+    public void whereEachLenderHasAnsweredARefusalIsNotDelayed() {
+        begin(false);
+        rows.answers = false;
+        lenders.connected = true;
+        lenders.tokens = 0;
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(REFUSED_BESIDE_NOBODY_MILLIS);
+        assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
+    }
+
+    private List<Outcome> askLender(OptionalLong answersAfterMillis) {
+        begin(false);
+        rows.answers = false;
+        lenders.connected = true;
+        lenders.standsStill = true;
+        lenders.answersAfterMillis = answersAfterMillis;
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        return outcomes;
+    }
+
     /** Asked after both homes, it wrote leases of its own into the row, and the four waits outlasted the borrower's. */
     @Test
     public void anEntryThatIsNoHomeAnswersABorrowerAtOnce() {
@@ -270,13 +312,23 @@
     }
 
     /** Lend all that is asked for, once they are connected. */
-    private static final class Neighbours implements Lenders {
+    private final class Neighbours implements Lenders {
         private boolean connected;
+        private long tokens = Long.MAX_VALUE;
+        private boolean standsStill;
+        private OptionalLong answersAfterMillis = OptionalLong.empty();
 
         @Override
         public void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
+            if (standsStill) {
+                answersAfterMillis.ifPresent(
+                        millis -> loop.schedule(() -> lent.accept(lacking.getAsLong()), millis, TimeUnit.MILLISECONDS));
+                Answers none = new Answers(1, 0, false, false);
+                loop.schedule(() -> atEnd.accept(none), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
             if (connected) {
-                lent.accept(lacking.getAsLong());
+                lent.accept(Math.min(tokens, lacking.getAsLong()));
             }
             int asked = connected ? 1 : 0;
             atEnd.accept(new Answers(asked, asked, connected, false));
