Use no backend server whose entry can't be understood

Symptom: other programs may write into the table of backend servers. Requests went on to the server that an entry had named before it was overwritten; a missing service was read as empty text, missing slots as eight, any other state as leaving, for good. A name in place of an IP address would have been resolved on the thread that serves requests, and an identifier with a line break would have gone into a header as it was. One value that was no text failed the whole answer, so the feed of its table stood still.

Cause: fields were read with defaults, and an entry that failed to read was logged only.

The feed drops what its identifier named before, which is no lapse: it isn't kept through an outage of the list.

--- a/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
@@ -72,6 +72,14 @@
         }
     }
 
+    /**
+     * Forgets a server at once, as its entry can't be understood and names no server any more. That is no lapse, so it
+     * isn't kept through an outage.
+     */
+    public void drop(String id) {
+        forget(id);
+    }
+
     /** Takes the whole list as it stands. */
     public void replaceAll(Collection<BackendInstance> list, long nowMillis) {
         Set<String> listed = new HashSet<>();
--- a/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -73,6 +73,16 @@
         assertThat(ids()).containsExactly("i-2");
     }
 
+    @Test
+    public void anEntryThatCannotBeUnderstoodIsNotKeptThroughAnOutage() {
+        registry.listLost();
+        registry.listBack(10_000);
+        registry.replaceAll(List.of(backend("i-2", true)), 10_000);
+        registry.drop("i-1");
+        assertThat(ids()).containsExactly("i-2");
+        assertThat(registry.expire(10_000 + KEEP_MILLIS)).isEmpty();
+    }
+
     @Test
     public void anEntryThatIsBackInTimeStays() {
         registry.listLost();
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.placement.ColdReplicas;
@@ -39,11 +40,15 @@
     public void listed(List<StoredRow> list) {
         known = true;
         List<BackendInstance> instances = new ArrayList<>();
+        List<String> malformed = new ArrayList<>();
         for (StoredRow row : list) {
-            read(row, instances);
+            read(row)
+                    .ifPresentOrElse(
+                            instances::add, () -> malformed.add(row.key().key()));
         }
         registry.replaceAll(instances, clock.getAsLong());
-        log.line("backends_listed", "count", instances.size());
+        malformed.forEach(registry::drop);
+        log.line("backends_listed", "count", instances.size(), "unreadable", malformed.size());
     }
 
     @Override
@@ -53,32 +58,43 @@
             log.line("backend_gone", "backend", row.key().key(), "version", row.version());
             return;
         }
-        List<BackendInstance> instances = new ArrayList<>();
-        read(row, instances);
-        for (BackendInstance instance : instances) {
-            registry.put(instance, clock.getAsLong());
-            log.line(
-                    "backend_changed",
-                    "backend",
-                    instance.id(),
-                    "service",
-                    instance.service(),
-                    "ready",
-                    instance.ready(),
-                    "cold_ms",
-                    instance.coldMillis(),
-                    "version",
-                    row.version());
-        }
+        read(row)
+                .ifPresentOrElse(
+                        instance -> put(instance, row.version()),
+                        () -> registry.drop(row.key().key()));
     }
 
-    private void read(StoredRow row, List<BackendInstance> into) {
+    private void put(BackendInstance instance, long version) {
+        registry.put(instance, clock.getAsLong());
+        log.line(
+                "backend_changed",
+                "backend",
+                instance.id(),
+                "service",
+                instance.service(),
+                "ready",
+                instance.ready(),
+                "cold_ms",
+                instance.coldMillis(),
+                "version",
+                version);
+    }
+
+    private Optional<BackendInstance> read(StoredRow row) {
         try {
             BackendInstance instance = rows.backend(row);
-            into.add(instance);
             cold.heard(instance.id(), instance.coldMillis(), clock.getAsLong());
+            return Optional.of(instance);
         } catch (MalformedRowException e) {
-            log.line("backend_unreadable", "backend", row.key().key(), "reason", e.getMessage());
+            log.line(
+                    "backend_unreadable",
+                    "backend",
+                    row.key().key(),
+                    "version",
+                    row.version(),
+                    "reason",
+                    e.getMessage());
+            return Optional.empty();
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/peer/FleetKeyRow.java
+++ b/direct/src/main/java/org/streamring/direct/peer/FleetKeyRow.java
@@ -54,7 +54,7 @@
 
     private void found(List<StoredRow> rows, Consumer<FleetKey> then) {
         rows.stream()
-                .filter(row -> row.key().equals(KEY))
+                .filter(row -> row.key().equals(KEY) && !row.value().isEmpty())
                 .findFirst()
                 .ifPresentOrElse(row -> then.accept(new FleetKey(row.value())), () -> later(then));
     }
