Begin anew with a backend server's process that starts under an earlier one's identifier

Symptom: a server that started again under its identifier while its entry stood kept what was known of the process before. Prompts went where their parts had been kept and had to be read anew there, and the failures of the crash left it out.

Cause: the state that placement keeps of a server belongs to its identifier, and only an entry that goes ends it.

Change: the feed tells placement which incarnation an identifier names; with another one its state begins anew. Attempts at the earlier process keep the earlier state, so what they end with changes nothing of the later one. The start of the process is in the log ("born" of backend_changed).

Ruled out: comparing starts to find the later one, as a time of day may go back; the order of rows decides.

--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -25,6 +25,7 @@
 
     private final Random random;
     private final Map<String, ReplicaState> states = new HashMap<>();
+    private final Map<String, String> incarnations = new HashMap<>();
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final PlacementNews news = new PlacementNews();
 
@@ -42,11 +43,23 @@
         return states.computeIfAbsent(id, key -> new ReplicaState());
     }
 
+    /**
+     * Notes which process answers under an identifier. Another one keeps no parts of prompts and has not failed yet;
+     * attempts at the earlier one go on with its state, which nobody asks any more.
+     */
+    public void listed(BackendInstance instance) {
+        String before = incarnations.put(instance.id(), instance.incarnation());
+        if (before != null && !before.equals(instance.incarnation())) {
+            states.remove(instance.id());
+        }
+    }
+
     /** Forgets replicas that are gone, unless attempts still run there. */
     public void keepOnly(Set<String> ids) {
         states.entrySet()
                 .removeIf(entry ->
                         !ids.contains(entry.getKey()) && entry.getValue().running() == 0);
+        incarnations.keySet().removeIf(id -> !ids.contains(id) && !states.containsKey(id));
     }
 
     /**
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -48,6 +48,52 @@
                 .isEqualTo("i-3");
     }
 
+    /**
+     * A server started again under its identifier while its entry stood. Prompts still went where their parts had been
+     * kept, and had to be read anew there; it also stayed left out for the failures of its earlier process.
+     */
+    @Test
+    public void nothingIsKnownOfAnotherProcessUnderAnIdentifier() {
+        table.listed(replicas.get(3));
+        Prompt prompt = shared("review-1", 12_000, 100, 30);
+        PlacedPrompt running = start(table, engineQuery(prompt), "i-3");
+        ReplicaState earlier = table.state("i-3");
+        assertThat(earlier.tokensToRead(prompt)).isLessThan(prompt.tokens());
+        table.listed(startedAgain(replicas.get(3)));
+
+        assertThat(table.state("i-3").running()).isZero();
+        assertThat(table.state("i-3").tokensToRead(prompt)).isEqualTo(prompt.tokens());
+
+        running.ended();
+        for (int failure = 0; failure < 20; failure++) {
+            earlier.failed(10_000);
+        }
+        assertThat(table.state("i-3").running()).isZero();
+        assertThat(table.state("i-3").usable(10_001)).isTrue();
+    }
+
+    @Test
+    public void anEntryThatIsListedAgainOfTheSameProcessChangesNothing() {
+        table.listed(replicas.get(3));
+        start(table, engineQuery(shared("review-1", 12_000, 100, 30)), "i-3");
+        table.keepOnly(Set.of());
+        table.listed(replicas.get(3));
+        assertThat(table.state("i-3").running()).isEqualTo(1);
+    }
+
+    private static BackendInstance startedAgain(BackendInstance before) {
+        return new BackendInstance(
+                before.id(),
+                before.service(),
+                before.host(),
+                before.port(),
+                before.failureDomain(),
+                before.slots(),
+                true,
+                0,
+                before.bornMillis() + 1);
+    }
+
     @Test
     public void whatAnotherEntryToldIsKeptThereToo() {
         PlacementTable other = new PlacementTable(new Random(2));
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -128,7 +128,6 @@
         this.registry = new BackendRegistry(settings.keepLapsed().toMillis(), availability);
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
         ColdReplicas cold = new ColdReplicas(settings.nodeName(), this::entriesThatMayLive);
-        this.backends = new BackendFeed(platform.operatorRows(), registry, cold, clock, log);
         EntryMetrics metrics = new EntryMetrics();
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
@@ -147,6 +146,7 @@
         this.permits = new PermitExchange(
                 loop, peers, settings.nodeName(), this::permitOwners, clock, metrics, log, new LimitLog(log, metrics));
         this.fleet = fleet(permits.desk(), cold, random);
+        this.backends = new BackendFeed(platform.operatorRows(), registry, cold, fleet.placement(), clock, log);
         this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
         OperatorRows operatorRows = platform.operatorRows();
         this.configurationWatch = watch(
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.placement.ColdReplicas;
+import org.streamring.kernel.placement.PlacementTable;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.store.StoredRow;
@@ -17,16 +18,29 @@
     private final OperatorRows rows;
     private final BackendRegistry registry;
     private final ColdReplicas cold;
+    private final PlacementTable placement;
     private final LongSupplier clock;
     private final DecisionLog log;
     private boolean known;
 
-    /** Creates one. */
+    /**
+     * Creates one.
+     *
+     * @param registry told which backend servers there are
+     * @param cold told which of them are cold
+     * @param placement told which process answers under an identifier
+     */
     public BackendFeed(
-            OperatorRows rows, BackendRegistry registry, ColdReplicas cold, LongSupplier clock, DecisionLog log) {
+            OperatorRows rows,
+            BackendRegistry registry,
+            ColdReplicas cold,
+            PlacementTable placement,
+            LongSupplier clock,
+            DecisionLog log) {
         this.rows = rows;
         this.registry = registry;
         this.cold = cold;
+        this.placement = placement;
         this.clock = clock;
         this.log = log;
     }
@@ -76,6 +90,8 @@
                 instance.ready(),
                 "cold_ms",
                 instance.coldMillis(),
+                "born",
+                instance.bornMillis(),
                 "version",
                 version);
     }
@@ -83,6 +99,7 @@
     private Optional<BackendInstance> read(StoredRow row) {
         try {
             BackendInstance instance = rows.backend(row);
+            placement.listed(instance);
             cold.heard(instance.id(), instance.coldMillis(), clock.getAsLong());
             return Optional.of(instance);
         } catch (MalformedRowException e) {
