End a request before its tokens are given back

Cause: a request that was refused for want of a place gave its tokens back before it counted as over. These let another request go on at once, which was refused as well, as its time for a place had passed while it waited for tokens; its end let all waiting requests be looked at, the first one among them, which was refused and answered once more. The second answer was taken for the one to the next request on that connection.

Change: a request is over first, then tokens and places are given back, in one place for all its ends.

Ruled out: a second outcome of the reservation, an attempt that goes on after its request has ended, and pipelined requests of a caller (by reading; each is guarded).

Tests: RequestRouterTest, in simulated time: four requests, one set of tokens; statuses 503, 503 for the first one before, one each now. TokenDeskTest passes.

--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -285,14 +285,12 @@
     /** Ends without a success. */
     private void conclude(AttemptEnd end) {
         if (relay.begun()) {
-            settle();
             over("aborted", 0);
             writer.abort();
             return;
         }
         if (end.answer().isPresent() && end.answer().get().passable()) {
             BufferedAnswer answer = end.answer().get();
-            settle();
             over("failure_passed_on", answer.head().status());
             writer.whole(answer.head().status(), filter.forCaller(answer.head().headers()), answer.body());
             return;
@@ -310,7 +308,6 @@
             giveUp(running);
         }
         if (relay.begun()) {
-            settle();
             over("deadline_in_stream", 0);
             writer.abort();
             return;
@@ -330,7 +327,6 @@
         if (running != null) {
             giveUp(running);
         }
-        settle();
         over("caller_gone", 0);
     }
 
@@ -350,13 +346,11 @@
     }
 
     private void finish(String outcome, int status) {
-        settle();
         over(outcome, status);
         relay.end();
     }
 
     private void end(OwnAnswer answer) {
-        settle();
         over(answer.reason(), answer.status());
         answer.write(writer, services.names(), plan.id());
     }
@@ -365,6 +359,10 @@
         reservation.ifPresent(Reservation::settle);
     }
 
+    /**
+     * Ends, before tokens and places are given back: those let other requests go on at once, and what these free may
+     * call this one again, which would then be answered twice.
+     */
     private void over(String outcome, int status) {
         over = true;
         onOver.run();
@@ -375,6 +373,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
+        settle();
         services.metrics().requestEnded(outcome, plan.rank(), elapsed());
         log.ended(outcome, status, course());
         places.poke();
--- /dev/null
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -0,0 +1,287 @@
+package org.streamring.direct.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.streamring.direct.TestHeaders;
+import org.streamring.direct.caller.AnswerWriter;
+import org.streamring.direct.caller.CallerRequest;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
+import org.streamring.direct.peer.EntryPeers;
+import org.streamring.direct.peer.PermitExchange;
+import org.streamring.direct.suspect.SuspectExchange;
+import org.streamring.direct.suspect.SuspectLog;
+import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.placement.ColdReplicas;
+import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.kernel.route.RouteTable;
+import org.streamring.kernel.store.CommitResult;
+import org.streamring.kernel.store.RowChange;
+import org.streamring.kernel.store.RowPage;
+import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.suspect.SuspectLimits;
+import org.streamring.kernel.suspect.SuspectTable;
+import org.streamring.model.route.CallerLimits;
+import org.streamring.model.route.PrepaidAccount;
+import org.streamring.model.route.Route;
+import org.streamring.model.route.RouteKind;
+import org.streamring.model.route.RouteTarget;
+import org.streamring.model.route.RoutingConfiguration;
+import org.streamring.net.peer.PeerIdentity;
+import org.streamring.platform.node.NodeSettings;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Requests for whose service no backend server is there, in simulated time.
+ *
+ * <p>A caller got 503 for a request that then ran, and two others got answers to requests that weren't theirs: an earlier
+ * request on the same connection had been answered twice. It was refused for want of a place; the tokens that it gave back
+ * let another one go on, which was refused as well, and that let the first one be looked at and refused once more.
+ */
+public class RequestRouterTest {
+    /** A request without a place waits for a fifth of its target. */
+    private static final int PARTS_OF_TARGET = 5;
+
+    private static final long WINDOW_MILLIS = 20;
+    private static final String ENTRY = "entry-1";
+
+    private EmbeddedChannel time;
+    private NioEventLoopGroup loops;
+    private long nowMillis;
+    private DecisionLog log;
+    private OneAtATime tokens;
+    private RequestRouter router;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new EmbeddedChannel();
+        time.freezeTime();
+        loops = new NioEventLoopGroup(1);
+        nowMillis = 0;
+        log = new DecisionLog(OutputStream.nullOutputStream(), ENTRY);
+        tokens = new OneAtATime();
+        router = new RequestRouter(services(time.eventLoop()));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void tearDown() throws InterruptedException {
+        time.close();
+        loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        log.close();
+    }
+
+    @Test
+    public void eachRequestIsAnsweredOnceWhereItsTokensLetAnotherOneGoOn() {
+        List<Answers> answers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Answers writer = new Answers();
+            answers.add(writer);
+            router.serve(request("r-" + i), writer);
+        }
+        advance(2 * WINDOW_MILLIS);
+        assertThat(answers).extracting(each -> each.statuses).allMatch(List.of(503)::equals);
+    }
+
+    @Test
+    public void tokensOfARefusedRequestAreGivenBackOnce() {
+        for (int i = 0; i < 4; i++) {
+            router.serve(request("r-" + i), new Answers());
+        }
+        advance(2 * WINDOW_MILLIS);
+        assertThat(tokens.settled).isEqualTo(4);
+    }
+
+    private void advance(long millis) {
+        for (long each = 0; each < millis; each++) {
+            nowMillis++;
+            time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            time.runPendingTasks();
+        }
+    }
+
+    private static CallerRequest request(String id) {
+        HttpHeaders headers = new DefaultHttpHeaders()
+                .set("host", "h.example")
+                .set("authorization", "Bearer key")
+                .set(TestHeaders.NAMES.requestId(), id)
+                .set(TestHeaders.NAMES.tokens(), "100,20");
+        return new CallerRequest(HttpMethod.POST, "/a/b", headers, new byte[0], 0);
+    }
+
+    private RequestServices services(EventLoop loop) {
+        RowStore store = new SilentStore();
+        EntryMetrics metrics = new EntryMetrics();
+        EntryPeers peers = new EntryPeers(
+                loops,
+                loop,
+                store,
+                new InetSocketAddress(0),
+                new PeerIdentity(PeerIdentity.Role.ENTRY, ENTRY, ENTRY + ".a"),
+                new AccountHomes(ENTRY),
+                metrics,
+                log);
+        BackendAvailability availability = new BackendAvailability(() -> 2_000, new NoticeLog(log));
+        BackendRegistry registry = new BackendRegistry(2_000, availability);
+        PermitExchange permits = new PermitExchange(
+                loop, peers, ENTRY, Set::of, () -> nowMillis, metrics, log, new LimitLog(log, metrics));
+        Fleet fleet = new Fleet(
+                loop,
+                registry,
+                availability,
+                permits.desk(),
+                new ColdReplicas(ENTRY, Set::of),
+                new Random(1),
+                TestHeaders.NAMES,
+                () -> nowMillis,
+                () -> 1,
+                () -> new NodeSettings.RetryLimit(0.2, 10, Duration.ofSeconds(10)),
+                () -> new NodeSettings.ColdMargin(1, 1));
+        SuspectTable suspects = new SuspectTable(SuspectLimits.DEFAULT, digest -> true, new SuspectLog(log));
+        SuspectGuard guard = new SuspectGuard(
+                new RequestDigests(Optional::empty),
+                suspects,
+                new SuspectExchange(loop, store, peers, ENTRY, suspects, () -> nowMillis, log),
+                registry,
+                () -> nowMillis,
+                log);
+        RouteTable routes = new RouteTable(configuration());
+        return new RequestServices(
+                loop,
+                () -> nowMillis,
+                new Random(1),
+                "hall",
+                TestHeaders.NAMES,
+                () -> Optional.of(routes),
+                fleet,
+                tokens,
+                guard,
+                route -> true,
+                metrics,
+                log);
+    }
+
+    private static RoutingConfiguration configuration() {
+        Route route = new Route(
+                "r",
+                "h.example",
+                "/a/",
+                RouteKind.REPEATABLE,
+                false,
+                false,
+                0,
+                2,
+                Duration.ofSeconds(5),
+                Duration.ofMillis(WINDOW_MILLIS * PARTS_OF_TARGET),
+                Duration.ofSeconds(1),
+                List.of(new RouteTarget("assist", 1)));
+        PrepaidAccount account =
+                new PrepaidAccount("hotel", List.of("key"), OptionalInt.empty(), OptionalLong.of(1_000));
+        return new RoutingConfiguration(1, List.of(route), List.of(), List.of(account), CallerLimits.DEFAULT);
+    }
+
+    /** Has tokens for one request at a time; the next one gets them as soon as they are given back. */
+    private static final class OneAtATime implements TokenSource {
+        private final List<Consumer<Outcome>> waiting = new ArrayList<>();
+        private boolean taken;
+        private int settled;
+
+        @Override
+        public Pending reserve(String account, long tokens, Consumer<Outcome> then) {
+            if (taken) {
+                waiting.add(then);
+            } else {
+                taken = true;
+                then.accept(Outcome.RESERVED);
+            }
+            return () -> waiting.remove(then);
+        }
+
+        @Override
+        public void settle(String account, long reserved, long used) {
+            settled++;
+            if (waiting.isEmpty()) {
+                taken = false;
+            } else {
+                waiting.remove(0).accept(Outcome.RESERVED);
+            }
+        }
+
+        @Override
+        public Duration untilAvailable() {
+            return Duration.ZERO;
+        }
+    }
+
+    private static final class Answers implements AnswerWriter {
+        private final List<Integer> statuses = new ArrayList<>();
+
+        @Override
+        public void whole(int status, HttpHeaders headers, byte[] body) {
+            statuses.add(status);
+        }
+
+        @Override
+        public void begin(int status, HttpHeaders headers) {
+            throw new IllegalStateException("nothing is streamed here");
+        }
+
+        @Override
+        public void data(byte[] data) {
+            throw new IllegalStateException("nothing is streamed here");
+        }
+
+        @Override
+        public void end() {
+            throw new IllegalStateException("nothing is streamed here");
+        }
+
+        @Override
+        public void abort() {
+            statuses.add(0);
+        }
+
+        @Override
+        public boolean writable() {
+            return true;
+        }
+    }
+
+    private static final class SilentStore implements RowStore {
+        @Override
+        public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<RowPage> list(String table, String partition) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+            return new CompletableFuture<>();
+        }
+    }
+}
