--- a/core/src/test/java/org/streamring/kernel/recovery/MoneyUnderFaultsTest.java
+++ b/core/src/test/java/org/streamring/kernel/recovery/MoneyUnderFaultsTest.java
@@ -18,7 +18,6 @@
 import org.streamring.kernel.ledger.Reservation;
 import org.streamring.kernel.ledger.ReserveResult;
 import org.streamring.kernel.receipt.AdmitDecision;
-import org.streamring.kernel.receipt.AttemptOrder;
 import org.streamring.kernel.receipt.Receipt;
 import org.streamring.kernel.receipt.ReceiptBook;
 import org.streamring.kernel.receipt.ReceiptBookSettings;
@@ -47,43 +46,12 @@
     private List<LedgerDriver> dead;
     private Map<String, ReceiptBook> sidecars;
     private Set<String> cutOff;
-    private List<Work> work;
+    private List<FaultedAttempt> work;
     private Map<String, Long> ran;
     private Set<String> ranWhereReceiptsDied;
-    private Map<String, BillItem> bills;
+    private ItemisedBill bill;
     private Map<String, Long> closedAt;
 
-    /** An attempt on its way. */
-    private static final class Work {
-        private final LedgerDriver entry;
-        private final Reservation reservation;
-        private final String sidecar;
-        private boolean running;
-        private boolean done;
-
-        private Work(LedgerDriver entry, Reservation reservation, String sidecar) {
-            this.entry = entry;
-            this.reservation = reservation;
-            this.sidecar = sidecar;
-        }
-
-        private AttemptOrder order() {
-            return new AttemptOrder(
-                    reservation.attempt(),
-                    entry.ledger.incarnation(),
-                    "acc/" + reservation.attempt(),
-                    "hash",
-                    "acc",
-                    BUDGET,
-                    reservation.leaseId(),
-                    "service",
-                    reservation.tokens(),
-                    true,
-                    false,
-                    0);
-        }
-    }
-
     @DataProvider
     public Object[][] seeds() {
         Object[][] rows = new Object[16][];
@@ -112,7 +80,7 @@
         work = new ArrayList<>();
         ran = new HashMap<>();
         ranWhereReceiptsDied = new HashSet<>();
-        bills = new HashMap<>();
+        bill = new ItemisedBill();
         closedAt = new HashMap<>();
         for (int i = 0; i < 3; i++) {
             startSidecar();
@@ -180,12 +148,12 @@
     private void killSidecar(String name) {
         sidecars.remove(name);
         cutOff.remove(name);
-        for (Work one : work) {
+        for (FaultedAttempt one : work) {
             if (one.sidecar.equals(name)) {
-                ranWhereReceiptsDied.add(one.reservation.attempt());
+                ranWhereReceiptsDied.add(one.name());
                 if (!one.done) {
                     one.done = true;
-                    one.entry.ledger.markUncertain(one.reservation, name);
+                    one.lose();
                 }
             }
         }
@@ -202,20 +170,20 @@
             entry.ledger.release(reserved.reservation());
             return;
         }
-        work.add(new Work(entry, reserved.reservation(), sidecar));
+        work.add(new FaultedAttempt(entry, reserved.reservation(), sidecar));
     }
 
     private void deliver() {
-        List<Work> waiting =
-                work.stream().filter(one -> !one.running && !one.done).toList();
+        List<FaultedAttempt> waiting =
+                work.stream().filter(FaultedAttempt::onItsWay).toList();
         if (waiting.isEmpty()) {
             return;
         }
-        Work one = pick(waiting);
-        if (sidecars.get(one.sidecar).admit(one.order(), now) instanceof AdmitDecision.Run) {
+        FaultedAttempt one = pick(waiting);
+        if (sidecars.get(one.sidecar).admit(one.order(BUDGET), now) instanceof AdmitDecision.Run) {
             one.running = true;
             // Until its end is known it may use everything that was set aside for it.
-            ran.put(one.reservation.attempt(), one.reservation.tokens());
+            ran.put(one.name(), one.reservation.tokens());
         } else {
             one.done = true;
             one.entry.ledger.release(one.reservation);
@@ -223,18 +191,18 @@
     }
 
     private void end() {
-        List<Work> running =
-                work.stream().filter(one -> one.running && !one.done).toList();
+        List<FaultedAttempt> running =
+                work.stream().filter(FaultedAttempt::inProgress).toList();
         if (running.isEmpty()) {
             return;
         }
-        Work one = pick(running);
+        FaultedAttempt one = pick(running);
         one.done = true;
         long tokens = random.nextLong(one.reservation.tokens() + 1);
-        ran.put(one.reservation.attempt(), tokens);
-        sidecars.get(one.sidecar).end(one.order(), Usage.flat(tokens), 0, now);
+        ran.put(one.name(), tokens);
+        sidecars.get(one.sidecar).end(one.order(BUDGET), Usage.flat(tokens), 0, now);
         if (cutOff.contains(one.sidecar)) {
-            one.entry.ledger.markUncertain(one.reservation, one.sidecar);
+            one.lose();
         } else {
             one.entry.finish(one.reservation, tokens, now);
         }
@@ -277,9 +245,7 @@
         cutOff.add(name);
         // Orders on their way may lie unread in the broken connection; their entries no longer know what becomes of
         // them.
-        work.stream()
-                .filter(one -> one.sidecar.equals(name) && !one.running && !one.done)
-                .forEach(one -> one.entry.ledger.markUncertain(one.reservation, name));
+        work.stream().filter(one -> one.sidecar.equals(name) && one.onItsWay()).forEach(FaultedAttempt::lose);
     }
 
     /** Any entry's row may be closed: its holder may be dead, or only taken for dead. */
@@ -318,7 +284,7 @@
             List<Row> batch = leases.subList(from, Math.min(leases.size(), from + perTransaction));
             Row entryRow = bank.row(row.key()).orElseThrow();
             LeaseCloser.Settlement settlement = closer.settle(entryRow, batch, findings, now);
-            settlement.items().forEach(this::bill);
+            settlement.items().forEach(bill::add);
             TransactionResult result = bank.table.transact(settlement.transaction());
             assertThat(result).as("nobody else acts here").isInstanceOf(Committed.class);
             if (stopHalfway) {
@@ -344,14 +310,6 @@
         return Stream.concat(live.stream(), dead.stream());
     }
 
-    /** Items are read by attempt; whoever writes one again must write the same. */
-    private void bill(BillItem item) {
-        BillItem before = bills.put(item.attempt(), item);
-        assertThat(before == null ? item.tokens() : before.tokens())
-                .as("one bill for %s", item.attempt())
-                .isEqualTo(item.tokens());
-    }
-
     private void resolveHeld() {
         for (Row row : bank.rows(RowKeys.HELD)) {
             HeldRecord record = RowText.read(row.text(), HeldRecord.class);
@@ -372,17 +330,17 @@
             return;
         }
         HeldResolver.Resolution resolution =
-                new HeldResolver("r").onAnswer(row, new PeerReceipts(peer, receipts), bills.keySet(), now);
-        resolution.items().forEach(this::bill);
+                new HeldResolver("r").onAnswer(row, new PeerReceipts(peer, receipts), bill.attempts(), now);
+        resolution.items().forEach(bill::add);
         bank.table.transact(resolution.transaction());
     }
 
     /** All work ends, all cuts heal, all entries stop and are closed. */
     private void comeToRest() {
-        while (work.stream().anyMatch(one -> !one.running && !one.done)) {
+        while (work.stream().anyMatch(FaultedAttempt::onItsWay)) {
             deliver();
         }
-        while (work.stream().anyMatch(one -> one.running && !one.done)) {
+        while (work.stream().anyMatch(FaultedAttempt::inProgress)) {
             end();
         }
         cutOff.clear();
@@ -399,7 +357,7 @@
         }
         entries().forEach(entry -> {
             long valid = closedAt.getOrDefault(entry.ledger.incarnation(), Long.MAX_VALUE);
-            entry.items(sequence -> sequence <= valid).forEach(this::bill);
+            entry.items(sequence -> sequence <= valid).forEach(bill::add);
         });
     }
 
@@ -408,22 +366,8 @@
         assertThat(bank.leased(BUDGET))
                 .as("seed %d: no lease is left: %s %s", seed, bank.rows("lease/"), bank.rows("entry/"))
                 .isZero();
-        long billed = bills.values().stream().mapToLong(BillItem::tokens).sum();
-        assertThat(bank.settled(BUDGET)).as("seed %d: settled is billed", seed).isEqualTo(billed);
-        long uncounted = 0;
-        for (Map.Entry<String, Long> attempt : ran.entrySet()) {
-            BillItem item = bills.get(attempt.getKey());
-            if (item != null) {
-                assertThat(item.tokens())
-                        .as("seed %d: %s", seed, attempt.getKey())
-                        .isEqualTo(attempt.getValue());
-            } else {
-                assertThat(ranWhereReceiptsDied)
-                        .as("seed %d: only lost receipts are not billed", seed)
-                        .contains(attempt.getKey());
-                uncounted += attempt.getValue();
-            }
-        }
+        assertThat(bank.settled(BUDGET)).as("seed %d: settled is billed", seed).isEqualTo(bill.tokens());
+        long uncounted = bill.assertCovers(ran, ranWhereReceiptsDied, "seed " + seed);
         assertThat(bank.held(BUDGET))
                 .as("seed %d: what is not billed is held", seed)
                 .isGreaterThanOrEqualTo(uncounted);
