--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -56,9 +56,10 @@
 /**
  * Requests for whose service no backend server is there, in simulated time.
  *
- * <p>A caller got 503 for a request that then ran, and two others got answers to requests that weren't theirs: an earlier
- * request on the same connection had been answered twice. It was refused for want of a place; the tokens that it gave back
- * let another one go on, which was refused as well, and that let the first one be looked at and refused once more.
+ * <p>A caller got 503 for a request that then ran, and two others got answers to requests that weren't theirs: an
+ * earlier request on the same connection had been answered twice. It was refused for want of a place; the tokens that
+ * it gave back let another one go on, which was refused as well, and that let the first one be looked at and refused
+ * once more. Statuses of four requests before the mend: {@code [[503, 503], [503], [503], [503]]}.
  */
 public class RequestRouterTest {
     /** A request without a place waits for a fifth of its target. */
