--- a/core/src/test/java/org/streamring/kernel/recovery/FaultedAttempt.java
+++ b/core/src/test/java/org/streamring/kernel/recovery/FaultedAttempt.java
@@ -32,19 +32,7 @@
 
     /** What the entry tells the sidecar to run, on account of a budget. */
     AttemptOrder order(String budget) {
-        return new AttemptOrder(
-                name(),
-                entry.ledger.incarnation(),
-                "acc/" + name(),
-                "hash",
-                "acc",
-                budget,
-                reservation.leaseId(),
-                "service",
-                reservation.tokens(),
-                true,
-                false,
-                0);
+        return TestOrders.of(reservation, entry.ledger.incarnation(), budget);
     }
 
     /** Its entry no longer knows what becomes of it. */
--- a/core/src/test/java/org/streamring/kernel/recovery/LeaseCloserTest.java
+++ b/core/src/test/java/org/streamring/kernel/recovery/LeaseCloserTest.java
@@ -47,20 +47,8 @@
         holder.step(0);
     }
 
-    private AttemptOrder order(Reservation reservation) {
-        return new AttemptOrder(
-                reservation.attempt(),
-                HOLDER,
-                "account/" + reservation.attempt(),
-                "hash",
-                "account",
-                BUDGET,
-                reservation.leaseId(),
-                "service",
-                reservation.tokens(),
-                true,
-                false,
-                0);
+    private static AttemptOrder order(Reservation reservation) {
+        return TestOrders.of(reservation, HOLDER, BUDGET);
     }
 
     private AttemptOrder submit(String sidecar) {
--- a/standin/src/test/java/org/streamring/standin/http/AnswerNoticesTest.java
+++ b/standin/src/test/java/org/streamring/standin/http/AnswerNoticesTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpHeaders;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import org.streamring.standin.engine.EngineSettings;
@@ -14,6 +15,9 @@
 
 public class AnswerNoticesTest {
     private static final String LIMIT = "{\"headers\":{\"limit\":\"1.5\"},\"turns_away\":false}";
+    private static final String LEAVES_WITH_LIMIT =
+            "{\"headers\":{\"leaving\":\"1\",\"limit\":\"1.5\"},\"turns_away\":false}";
+    private static final String NOTHING = "{\"headers\":{},\"turns_away\":false}";
     private static final String REST = "{\"headers\":{\"Retry-After\":\"3\"},\"turns_away\":true}";
     private static final String STREAM =
             "{\"model\":\"m\",\"stream\":true,\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}";
@@ -21,11 +25,17 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     @Test
-    public void aServiceNamesWhatItIsToldInItsAnswers() throws Exception {
+    public void aServiceSaysThatItLeavesAndNamesALimitInEachAnswer() throws Exception {
         try (ServiceStandin service = new ServiceStandin(0, 1)) {
-            call(service.url() + "/control/notices", LIMIT);
-            assertThat(call(service.url() + "/a", "").headers().firstValue("limit"))
-                    .hasValue("1.5");
+            call(service.url() + "/control/notices", LEAVES_WITH_LIMIT);
+            for (int i = 0; i < 2; i++) {
+                HttpHeaders answer = call(service.url() + "/a", "").headers();
+                assertThat(answer.firstValue("leaving")).hasValue("1");
+                assertThat(answer.firstValue("limit")).hasValue("1.5");
+            }
+            call(service.url() + "/control/notices", NOTHING);
+            assertThat(call(service.url() + "/a", "").headers().firstValue("leaving"))
+                    .isEmpty();
         }
     }
 
