Pass over requests that no longer wait for tokens

Symptom: none seen by a caller for sure; a request could be sent twice, or get 503 while it ran.

Cause: the requests that wait for tokens are served, refused or expired in a pass over a copy of their list. What the first of them does at once (it is refused for want of a place and gives its tokens back, or its lender's tokens come) may serve the next one within the pass, which then came to that one again: it was told RESERVED a second time, and sent once more with tokens of its own, or UNAVAILABLE, and answered as not run while it ran.

Change: each step asks whether the request still waits, and an outcome is told once. Looked for elsewhere: LoanDesk and PlaceQueue ask already; the entry with sidecars answers through one flag (by reading).

Tests: TokenDeskTest, two new ones, outcomes [RESERVED, RESERVED] and [RESERVED, UNAVAILABLE] before, [RESERVED] after; 14 of 14 and RequestRouterTest pass.

--- a/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenDesk.java
@@ -253,8 +253,13 @@
             }
         }
 
+        /** Whatever ends one request may serve or end another one that a pass over all of them comes to later. */
+        private boolean isWaiting() {
+            return waiters.contains(this);
+        }
+
         private void tryServe() {
-            if (book.reserve(account, tokens) == PrepaidBook.Outcome.RESERVED) {
+            if (isWaiting() && book.reserve(account, tokens) == PrepaidBook.Outcome.RESERVED) {
                 end(Outcome.RESERVED, "leased");
             }
         }
@@ -275,7 +280,7 @@
 
         /** Asks other entries, once; what they lend stays here also if the request has gone on. */
         private void borrow() {
-            if (asked) {
+            if (asked || !isWaiting()) {
                 return;
             }
             asked = true;
@@ -287,7 +292,7 @@
             answers = received;
             roundEnded = true;
             metNobody = received.asked() == 0;
-            if (!waiters.contains(this)) {
+            if (!isWaiting()) {
                 return;
             }
             if (answers.asked() == 0 && !homes.isHome(account) && meetingOthers()) {
@@ -305,7 +310,7 @@
         }
 
         private void askAgain() {
-            if (waiters.contains(this)) {
+            if (isWaiting()) {
                 roundEnded = false;
                 lenders.ask(account, this::lacking, this::lent, this::allAsked);
             }
@@ -335,7 +340,7 @@
         }
 
         private long lacking() {
-            return waiters.contains(this) ? tokens - book.available(account) : 0;
+            return isWaiting() ? tokens - book.available(account) : 0;
         }
 
         private void lent(long amount) {
@@ -344,7 +349,11 @@
             serveWaiters();
         }
 
+        /** Tells the outcome; further calls have no effect. */
         private void end(Outcome outcome, String reason) {
+            if (!isWaiting()) {
+                return;
+            }
             cancel();
             if (outcome != Outcome.RESERVED) {
                 logRefusal(reason);
--- a/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenDeskTest.java
@@ -220,6 +220,32 @@
         assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
     }
 
+    /**
+     * A request that ends gives its tokens back, which serves the next one at once; that one was then served once more,
+     * with other tokens, by the pass that had served the first. A request that is told twice is sent twice.
+     */
+    @Test
+    public void aRequestIsServedOnceWhereTheOneBeforeItEndsAtOnce() {
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcome -> desk.settle(ACCOUNT, LARGE, 0));
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        advanceUntilAWriteBegins();
+        advance(2 * WRITE_MILLIS);
+        assertThat(outcomes).containsExactly(Outcome.RESERVED);
+    }
+
+    /** It was answered as not run while it ran. */
+    @Test
+    public void aRequestThatIsServedAsTheOneBeforeItExpiresIsNotRefusedAfterwards() {
+        begin(false);
+        rows.answers = false;
+        List<Outcome> outcomes = new ArrayList<>();
+        desk.reserve(ACCOUNT, LARGE, outcome -> desk.lender().takeBack(ACCOUNT, LARGE));
+        desk.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(REFUSED_BESIDE_NOBODY_MILLIS);
+        assertThat(outcomes).containsExactly(Outcome.RESERVED);
+    }
+
     private List<Outcome> askLender(OptionalLong answersAfterMillis) {
         begin(false);
         rows.answers = false;
