Read an entry of a backend server without noting anything of it

Cause: the method that reads an entry also told placement and the cold servers of it, which its name didn't say.

Change: what is noted of a server is noted where it is put. No behaviour changed; the order stays: noted, then listed.

--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -60,6 +60,7 @@
                     .ifPresentOrElse(
                             instances::add, () -> malformed.add(row.key().key()));
         }
+        instances.forEach(this::note);
         registry.replaceAll(instances, clock.getAsLong());
         malformed.forEach(registry::drop);
         log.line("backends_listed", "count", instances.size(), "unreadable", malformed.size());
@@ -78,7 +79,13 @@
                         () -> registry.drop(row.key().key()));
     }
 
+    private void note(BackendInstance instance) {
+        placement.listed(instance);
+        cold.heard(instance.id(), instance.coldMillis(), clock.getAsLong());
+    }
+
     private void put(BackendInstance instance, long version) {
+        note(instance);
         registry.put(instance, clock.getAsLong());
         log.line(
                 "backend_changed",
@@ -98,10 +105,7 @@
 
     private Optional<BackendInstance> read(StoredRow row) {
         try {
-            BackendInstance instance = rows.backend(row);
-            placement.listed(instance);
-            cold.heard(instance.id(), instance.coldMillis(), clock.getAsLong());
-            return Optional.of(instance);
+            return Optional.of(rows.backend(row));
         } catch (MalformedRowException e) {
             log.line(
                     "backend_unreadable",
