Tell how late the event loop runs, and when a request was last written

To tell apart where the time goes between a caller's leaving and the request's arrival at a server: the loop's delay (a histogram, and a line where it passes 125 ms and where it is in time again), and, for a request that ends, how long before its attempt was written (since_sent_ms). No decision changes.

The bytes that the kernel holds of an attempt at its end can't be had from this transport.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -22,6 +22,7 @@
 import org.streamring.direct.ledger.TokenDesk;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
+import org.streamring.direct.metrics.LoopWatch;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.PermitExchange;
 import org.streamring.direct.peer.PlacementExchange;
@@ -105,6 +106,7 @@
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
     private final CallerServer callers;
+    private final LoopWatch loopWatch;
     private boolean stopping;
     private boolean ending;
     private long stopBegan;
@@ -167,6 +169,7 @@
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
         showState(metrics);
+        this.loopWatch = new LoopWatch(loop, clock, metrics, log);
         new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
@@ -290,6 +293,7 @@
         peers.start();
         exchange.start();
         tokens.start();
+        loopWatch.start();
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(() -> reload("look"), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
@@ -1,12 +1,13 @@
 package org.streamring.direct.backend;
 
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
 /** A request on its way to a backend server. Confined to the event loop. */
 public final class BackendAttempt {
     private final AttemptListener listener;
     private @Nullable BackendConnection connection;
-    private boolean sent;
+    private OptionalLong sentMillis = OptionalLong.empty();
     private boolean over;
 
     BackendAttempt(AttemptListener listener) {
@@ -45,7 +46,12 @@
 
     /** Whether the request was written to a connection. */
     public boolean sent() {
-        return sent;
+        return sentMillis.isPresent();
+    }
+
+    /** When the request was written to a connection; empty before that. */
+    public OptionalLong sentMillis() {
+        return sentMillis;
     }
 
     void run(BackendConnection opened, BackendRequest request, long nowMillis) {
@@ -53,7 +59,7 @@
             opened.close();
             return;
         }
-        sent = true;
+        sentMillis = OptionalLong.of(nowMillis);
         connection = opened;
         opened.send(request, new Relay(), nowMillis);
     }
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -79,6 +79,14 @@
                 .increment();
     }
 
+    /** Notes how late a timer of the event loop ran. */
+    public void loopDelay(long millis) {
+        Timer.builder("streamring.direct.loop.delay")
+                .serviceLevelObjectives(LATENCY_BUCKETS)
+                .register(registry)
+                .record(Duration.ofMillis(millis));
+    }
+
     /** Counts questions to lenders, by whether they were answered in time. */
     public void lenderAsked(boolean answered) {
         Counter.builder("streamring.direct.lender.asked")
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/metrics/LoopWatch.java
@@ -0,0 +1,51 @@
+package org.streamring.direct.metrics;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.admission.LoopLateness;
+
+/** Measures how late timers of the event loop run, and logs when the loop falls behind. Confined to it. */
+public final class LoopWatch {
+    private static final long INTERVAL_MILLIS = 100;
+
+    private final EventLoop loop;
+    private final LongSupplier clock;
+    private final EntryMetrics metrics;
+    private final DecisionLog log;
+    private final LoopLateness lateness = new LoopLateness();
+
+    /** Creates one. */
+    public LoopWatch(EventLoop loop, LongSupplier clock, EntryMetrics metrics, DecisionLog log) {
+        this.loop = loop;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    /** Starts to measure. */
+    public void start() {
+        long due = clock.getAsLong() + INTERVAL_MILLIS;
+        loop.schedule(() -> ran(due), INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void ran(long due) {
+        long now = clock.getAsLong();
+        long delay = Math.max(0, now - due);
+        metrics.loopDelay(delay);
+        lateness.ran(delay, now).ifPresent(this::log);
+        start();
+    }
+
+    private void log(LoopLateness.Change change) {
+        log.line(
+                change.late() ? "loop_late" : "loop_in_time",
+                "delay_ms",
+                change.delayMillis(),
+                "longest_ms",
+                change.longestMillis(),
+                "late_for_ms",
+                change.lateForMillis());
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -88,6 +89,11 @@
         return attempt != null && attempt.sent();
     }
 
+    /** When the request was written to a connection; empty before that. */
+    OptionalLong sentMillis() {
+        return attempt == null ? OptionalLong.empty() : attempt.sentMillis();
+    }
+
     void pauseReading(boolean paused) {
         if (attempt != null) {
             attempt.pauseReading(paused);
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.backend.BackendRequest;
@@ -390,7 +391,19 @@
     private RequestLog.Course course() {
         long tokens = reservation.map(Reservation::used).orElse(0L);
         return new RequestLog.Course(
-                attempts.attempts(), attempts.unsent(), tokens, attempts.newestId(), forecast, timing, elapsed());
+                attempts.attempts(),
+                attempts.unsent(),
+                tokens,
+                attempts.newestId(),
+                forecast,
+                timing,
+                sinceSentMillis(),
+                elapsed());
+    }
+
+    private OptionalLong sinceSentMillis() {
+        OptionalLong sent = run == null ? OptionalLong.empty() : run.sentMillis();
+        return sent.isPresent() ? OptionalLong.of(now() - sent.getAsLong()) : sent;
     }
 
     private long elapsed() {
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.request;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.placement.PlacementForecast;
 
@@ -18,6 +19,7 @@
      * @param replica the last one tried; empty if none was
      * @param forecast what was expected of the last attempt
      * @param timing when its events came
+     * @param sinceSentMillis time since the attempt in progress was written; empty if none is, or it is not written
      * @param millis time since its arrival
      */
     record Course(
@@ -27,6 +29,7 @@
             String replica,
             Optional<PlacementForecast> forecast,
             StreamTiming timing,
+            OptionalLong sinceSentMillis,
             long millis) {}
 
     RequestLog(DecisionLog log, RequestPlan plan) {
@@ -95,6 +98,8 @@
                 course.timing().firstEventMillis().orElse(-1),
                 "longest_pause_ms",
                 course.timing().longestPauseMillis(),
+                "since_sent_ms",
+                course.sinceSentMillis().orElse(-1),
                 "ms",
                 course.millis());
     }
