Look for the caller at the moment its request is sent

Callers saw nothing of it; servers got requests whose callers had left, and worked on them.

Cause: a request was placed, and on an idle connection written, in the call that read it, and what was known of its caller was what the loop had read in an earlier turn. A close that lies behind the request in the same socket, or that came while the request waited for its first attempt's end, a place, tokens or a connection, was read a turn later. Where the process has stood still, or a turn is long, all requests of callers that left meanwhile were sent.

Now one class of the kernel (RequestDemand) is asked when a replica is chosen, for the first attempt, a retry, a place, tokens and a resumed stream alike, and again when a connection is there; it looks at the caller's socket itself (one read, also where bytes lie before the end). A request is served after all of the read that brought it.

Also tested in simulated time: tokens that come after the caller has left go to the next request, and nothing is reserved for one that had left at its start (RequestRouterTest).

--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -72,7 +72,7 @@
      * Starts an attempt; the result is for cancelling it.
      *
      * @param mayBeSent asked when a connection is there that was not at once: the server may have said meanwhile that
-     *     it takes nothing
+     *     it takes nothing, or the caller may have left
      */
     public BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
--- a/direct/src/main/java/org/streamring/direct/caller/AnswerWriter.java
+++ b/direct/src/main/java/org/streamring/direct/caller/AnswerWriter.java
@@ -21,4 +21,7 @@
 
     /** Whether the caller takes more data at once. */
     boolean writable();
+
+    /** Looks whether the caller is still there, by what has arrived of it until now. */
+    boolean callerPresent();
 }
--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -90,6 +90,10 @@
         if (waiting.size() >= MAX_PIPELINED) {
             reading.channel().config().setAutoRead(false);
         }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext complete) {
         serveNext();
     }
 
@@ -224,6 +228,11 @@
             return channel().isWritable();
         }
 
+        @Override
+        public boolean callerPresent() {
+            return ArrivedBytes.leaveOpen(channel());
+        }
+
         private void markConnection(HttpHeaders headers) {
             if (stopping.getAsBoolean()) {
                 keepAlive = false;
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -51,6 +51,9 @@
 
     /** The request that the attempt serves. */
     interface Owner {
+        /** Whether the request is still wanted; asked when its connection is there. */
+        boolean stillWanted();
+
         /** The request may run from now on. */
         void attemptSent();
 
@@ -75,7 +78,7 @@
         placed = services.fleet().started(query, plan.service(), instance);
         SendCheck check = services.fleet().sendCheck(instance);
         sendCheck = check;
-        attempt = services.fleet().pool(instance).begin(request, check::passes, this);
+        attempt = services.fleet().pool(instance).begin(request, () -> owner.stillWanted() && check.passes(), this);
         watch = services.loop()
                 .scheduleAtFixedRate(this::checkSilence, WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -12,6 +12,7 @@
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.caller.RequestSink;
+import org.streamring.kernel.admission.RequestDemand;
 import org.streamring.kernel.admission.WaitDecision;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
@@ -34,7 +35,6 @@
     private static final int SPREAD_MILLIS = 250;
 
     private static final int MAX_UNSENT = 8;
-    private static final long LEAST_TIME_MILLIS = 30;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
     /** More than a replica makes in the half second in which it must notice. */
     private static final int EVENTS_UNTIL_NOTICED = 30;
@@ -51,6 +51,7 @@
     private final StreamTiming timing;
     private final Optional<Reservation> reservation;
     private final SuspectGuard.Watched suspect;
+    private final RequestDemand demand;
     private final AttemptHistory attempts = new AttemptHistory();
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun run;
@@ -84,13 +85,14 @@
                 timing);
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
         this.suspect = services.suspects().watch(request, plan.id(), plan.account());
+        this.demand = new RequestDemand(writer::callerPresent, plan.deadlineMillis());
     }
 
     void start() {
         services.fleet().retries(plan.service().name()).request(now());
         long left = Math.max(0, plan.deadlineMillis() - now() - DEADLINE_MARGIN_MILLIS);
         deadlineTimer = services.loop().schedule(this::onDeadline, left, TimeUnit.MILLISECONDS);
-        if (refusedAsSuspect()) {
+        if (refusedAsSuspect() || endedAsUnwanted()) {
             return;
         }
         if (reservation.isPresent()) {
@@ -151,7 +153,9 @@
         PlacementQuery query = plan.placement(services.failureDomain(), attempts.tried());
         Optional<BackendInstance> chosen = services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
-            send(chosen.get(), query);
+            if (!endedAsUnwanted()) {
+                send(chosen.get(), query);
+            }
             return true;
         }
         Closure closure = services.fleet().closure(plan.service().name());
@@ -178,6 +182,16 @@
         return refused.isPresent();
     }
 
+    private boolean endedAsUnwanted() {
+        RequestDemand.Verdict verdict = demand.at(now());
+        if (verdict == RequestDemand.Verdict.CALLER_GONE) {
+            callerGone();
+        } else if (verdict == RequestDemand.Verdict.NO_TIME) {
+            onDeadline();
+        }
+        return verdict != RequestDemand.Verdict.WANTED;
+    }
+
     private void send(BackendInstance instance, PlacementQuery query) {
         attempts.chosen(instance);
         suspect.sent();
@@ -210,6 +224,11 @@
                 !plan.route().repeatable());
     }
 
+    @Override
+    public boolean stillWanted() {
+        return demand.at(now()) == RequestDemand.Verdict.WANTED;
+    }
+
     @Override
     public void attemptSent() {
         attempts.sent();
@@ -245,7 +264,7 @@
     }
 
     private void findAnotherOrConclude(AttemptEnd end) {
-        if (attempts.unsent() <= MAX_UNSENT && timeLeft()) {
+        if (attempts.unsent() <= MAX_UNSENT && demand.hasTime(now())) {
             place();
         } else {
             conclude(end);
@@ -270,7 +289,7 @@
         }
         boolean retry = allowed
                 && attempts.attempts() < plan.route().maxAttempts()
-                && timeLeft()
+                && demand.hasTime(now())
                 && services.fleet().tryRetry(plan.service().name());
         if (retry) {
             place();
@@ -279,10 +298,6 @@
         }
     }
 
-    private boolean timeLeft() {
-        return plan.deadlineMillis() - now() > LEAST_TIME_MILLIS;
-    }
-
     /** Ends without a success. */
     private void conclude(AttemptEnd end) {
         if (relay.begun()) {
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -8,8 +8,9 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,6 +34,7 @@
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
+import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.store.CommitResult;
@@ -51,6 +53,7 @@
 import org.streamring.platform.node.NodeSettings;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -71,7 +74,9 @@
     private EmbeddedChannel time;
     private NioEventLoopGroup loops;
     private long nowMillis;
+    private ByteArrayOutputStream logged;
     private DecisionLog log;
+    private BackendRegistry registry;
     private OneAtATime tokens;
     private RequestRouter router;
 
@@ -81,7 +86,8 @@
         time.freezeTime();
         loops = new NioEventLoopGroup(1);
         nowMillis = 0;
-        log = new DecisionLog(OutputStream.nullOutputStream(), ENTRY);
+        logged = new ByteArrayOutputStream();
+        log = new DecisionLog(logged, ENTRY);
         tokens = new OneAtATime();
         router = new RequestRouter(services(time.eventLoop()));
     }
@@ -114,6 +120,48 @@
         assertThat(tokens.settled).isEqualTo(4);
     }
 
+    @Test
+    public void aRequestWhoseCallerHasLeftReservesNothing() {
+        Answers left = new Answers();
+        left.callerPresent = false;
+        router.serve(request("r-0"), left);
+        Answers next = new Answers();
+        router.serve(request("r-1"), next);
+        advance(2 * WINDOW_MILLIS);
+
+        assertThat(left.statuses).isEmpty();
+        assertThat(tokens.reserved).isEqualTo(1);
+    }
+
+    /** A backend server is there when the tokens come; it can't be connected to, which tells that it was tried. */
+    @Test(dataProvider = "whetherTheCallerStays")
+    public void anAttemptBeginsWhenTokensComeOnlyForACallerThatStays(boolean stays) throws InterruptedException {
+        tokens.beforeNext = () ->
+                registry.put(new BackendInstance("i-1", "assist", "127.0.0.1", 1, "hall", 8, true, 0, 0), nowMillis);
+        router.serve(request("r-0"), new Answers());
+        Answers waiting = new Answers();
+        router.serve(request("r-1"), waiting);
+        waiting.callerPresent = stays;
+        advance(2 * WINDOW_MILLIS);
+
+        log.close();
+        assertThat(attempts("r-1") > 0).isEqualTo(stays);
+        assertThat(waiting.statuses).hasSize(stays ? 1 : 0);
+        assertThat(tokens.settled).isEqualTo(2);
+    }
+
+    @DataProvider
+    public Object[][] whetherTheCallerStays() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    private long attempts(String id) {
+        return logged.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains("\"attempt_failed\"") && line.contains('"' + id + '"'))
+                .count();
+    }
+
     private void advance(long millis) {
         for (long each = 0; each < millis; each++) {
             nowMillis++;
@@ -122,13 +170,13 @@
         }
     }
 
-    private static CallerRequest request(String id) {
+    private CallerRequest request(String id) {
         HttpHeaders headers = new DefaultHttpHeaders()
                 .set("host", "h.example")
                 .set("authorization", "Bearer key")
                 .set(TestHeaders.NAMES.requestId(), id)
                 .set(TestHeaders.NAMES.tokens(), "100,20");
-        return new CallerRequest(HttpMethod.POST, "/a/b", headers, new byte[0], 0);
+        return new CallerRequest(HttpMethod.POST, "/a/b", headers, new byte[0], nowMillis);
     }
 
     private RequestServices services(EventLoop loop) {
@@ -144,7 +192,7 @@
                 metrics,
                 log);
         BackendAvailability availability = new BackendAvailability(() -> 2_000, new NoticeLog(log));
-        BackendRegistry registry = new BackendRegistry(2_000, availability);
+        registry = new BackendRegistry(2_000, availability);
         PermitExchange permits = new PermitExchange(
                 loop, peers, ENTRY, Set::of, () -> nowMillis, metrics, log, new LimitLog(log, metrics));
         Fleet fleet = new Fleet(
@@ -205,11 +253,14 @@
     /** Has tokens for one request at a time; the next one gets them as soon as they are given back. */
     private static final class OneAtATime implements TokenSource {
         private final List<Consumer<Outcome>> waiting = new ArrayList<>();
+        private Runnable beforeNext = () -> {};
         private boolean taken;
+        private int reserved;
         private int settled;
 
         @Override
         public Pending reserve(String account, long tokens, Consumer<Outcome> then) {
+            reserved++;
             if (taken) {
                 waiting.add(then);
             } else {
@@ -225,6 +276,7 @@
             if (waiting.isEmpty()) {
                 taken = false;
             } else {
+                beforeNext.run();
                 waiting.remove(0).accept(Outcome.RESERVED);
             }
         }
@@ -237,6 +289,7 @@
 
     private static final class Answers implements AnswerWriter {
         private final List<Integer> statuses = new ArrayList<>();
+        private boolean callerPresent = true;
 
         @Override
         public void whole(int status, HttpHeaders headers, byte[] body) {
@@ -267,6 +320,11 @@
         public boolean writable() {
             return true;
         }
+
+        @Override
+        public boolean callerPresent() {
+            return callerPresent;
+        }
     }
 
     private static final class SilentStore implements RowStore {
