Reset connections to servers whose requests are given up

Cause: an attempt that is given up was closed in order. What the operating system held of it was sent first, then the end. Where the box's link is full that is seconds.

A reset drops what is still held on this side, and the server notices as before. Ten requests of 50 KB on a link of 250 KB/s: all of them arrived after their callers had left, now none does (SentAfterCallerLeftTest). What is already in the link's own queue goes on; that is mended by filling it less. Not told otherwise than before: a request that was written may have run.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -106,9 +107,15 @@
         open.writeAndFlush(message);
     }
 
-    /** Gives the request up; the backend server notices by the closed connection. */
+    /**
+     * Gives the request up by a reset, which drops what of it the operating system still holds; a close would send that
+     * first, for seconds where the box's link is full.
+     */
     void cancel() {
         listener = null;
+        if (channel != null) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         close();
     }
 
