Hold requests back while the link of the entry's own box is full

Callers of one entry got nothing in time while an account sent many times its usual: their requests waited for seconds, connections to servers timed out, and when callers left, neither that news nor the drop reached the servers for another second or two.

Cause: each request was written as soon as a server was chosen, whatever the box's link still had to carry; the queue of the link then holds seconds of it, out of reach, and connections, ends and resets wait behind it.

Now the entry reckons by the link's rate, from its settings, how long what it writes waits (requests, and answers that it passes on). A request goes only while that is at most 250 ms, half of the time in which a leaving must reach a server; else it waits like one without a place, by rank, for a fifth of its target, or is refused at once (link_full) with the time until the link is free. Requests of one packet always go. Where the rate isn't known nothing is held back.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -37,6 +37,7 @@
 import org.streamring.direct.request.SuspectGuard;
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
+import org.streamring.kernel.admission.LinkPace;
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.permit.PermitDesk;
 import org.streamring.kernel.placement.ColdReplicas;
@@ -105,6 +106,7 @@
     private final SuspectTable suspects;
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
+    private final LinkPace link;
     private final CallerServer callers;
     private final LoopWatch loopWatch;
     private boolean stopping;
@@ -165,6 +167,7 @@
                 new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch =
                 watch(SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, suspectExchange);
+        this.link = new LinkPace(() -> this.settings.linkBytesPerSecond());
         this.router = new RequestRouter(requestServices(random, metrics));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
@@ -209,6 +212,7 @@
                 tokens,
                 new SuspectGuard(digests, suspects, suspectExchange, registry, clock, log),
                 this::takes,
+                link,
                 metrics,
                 log);
     }
@@ -269,6 +273,7 @@
 
     private void showState(EntryMetrics metrics) {
         metrics.gauge("requests.running", callers::busy);
+        metrics.gauge("link.queued.ms", () -> link.queuedMillis(clock.getAsLong()));
         metrics.gauge("store.away", () -> tokens.storeAway() ? 1 : 0);
         metrics.gauge("entries.live", members::live);
         metrics.gauge("entries.connected", peers::connected);
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -156,6 +156,7 @@
 
     @Override
     public void onData(byte[] data) {
+        services.link().written(data.length, services.clock().getAsLong());
         if (!streaming) {
             body.writeBytes(data);
             return;
--- a/direct/src/main/java/org/streamring/direct/request/Closure.java
+++ b/direct/src/main/java/org/streamring/direct/request/Closure.java
@@ -3,7 +3,8 @@
 import org.streamring.kernel.admission.WaitQuery;
 
 /**
- * Whether all replicas of a service are closed by what they said of themselves.
+ * Whether nothing can be sent to any replica of a service, by what they said of themselves or as this box's link is
+ * full.
  *
  * @param millis time until one may be asked, in milliseconds: 0 if one may now or none is known, {@link
  *     WaitQuery#NEVER} if all leave
@@ -17,6 +18,11 @@
         return new Closure(millis, "replicas_rest_or_leave");
     }
 
+    /** The link of this box is full. */
+    static Closure linkFull(long millis) {
+        return new Closure(millis, "link_full");
+    }
+
     static Closure limited(long millis) {
         return new Closure(millis, "replicas_limited");
     }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -35,6 +35,9 @@
     private static final int SPREAD_MILLIS = 250;
 
     private static final int MAX_UNSENT = 8;
+    /** About what a request's line and headers take. */
+    private static final long HEAD_BYTES = 600;
+
     private static final long DEADLINE_MARGIN_MILLIS = 5;
     /** More than a replica makes in the half second in which it must notice. */
     private static final int EVENTS_UNTIL_NOTICED = 30;
@@ -150,15 +153,19 @@
         if (refusedAsSuspect()) {
             return true;
         }
+        long linkClosed = services.link().closedMillis(requestBytes(), now());
         PlacementQuery query = plan.placement(services.failureDomain(), attempts.tried());
-        Optional<BackendInstance> chosen = services.fleet().choose(plan.service(), query);
+        Optional<BackendInstance> chosen =
+                linkClosed > 0 ? Optional.empty() : services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
             if (!endedAsUnwanted()) {
                 send(chosen.get(), query);
             }
             return true;
         }
-        Closure closure = services.fleet().closure(plan.service().name());
+        Closure closure = linkClosed > 0
+                ? Closure.linkFull(linkClosed)
+                : services.fleet().closure(plan.service().name());
         long closed = closure.millis();
         WaitDecision decision =
                 places.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis(), closed);
@@ -195,6 +202,7 @@
     private void send(BackendInstance instance, PlacementQuery query) {
         attempts.chosen(instance);
         suspect.sent();
+        services.link().written(requestBytes(), now());
         run = new AttemptRun(services, plan, instance, relay, this);
         run.begin(backendRequest(instance), query);
         forecast = run.forecast();
@@ -248,6 +256,9 @@
         }
         attempts.ended(end);
         run = null;
+        if (end.unsent()) {
+            services.link().notWritten(requestBytes());
+        }
         suspect.ended();
         places.freed();
         logAttempt(end);
@@ -347,6 +358,9 @@
     }
 
     private void giveUp(AttemptRun running) {
+        if (!running.sent()) {
+            services.link().notWritten(requestBytes());
+        }
         running.cancel();
         suspect.ended();
         places.freed();
@@ -421,6 +435,10 @@
         return sent.isPresent() ? OptionalLong.of(now() - sent.getAsLong()) : sent;
     }
 
+    private long requestBytes() {
+        return HEAD_BYTES + request.body().length;
+    }
+
     private long elapsed() {
         return now() - request.arrivedMillis();
     }
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
+import org.streamring.kernel.admission.LinkPace;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.model.route.Route;
 import org.streamring.platform.node.ForwardingHeaders;
@@ -25,6 +26,7 @@
  * @param tokens prepaid tokens
  * @param suspects keeps requests from being sent that crash what runs them
  * @param takes whether a request on a route that begins now could end before a planned stop
+ * @param link what this box's own link still has to carry
  * @param metrics counters
  * @param log decisions
  */
@@ -39,5 +41,6 @@
         TokenSource tokens,
         SuspectGuard suspects,
         Predicate<Route> takes,
+        LinkPace link,
         EntryMetrics metrics,
         DecisionLog log) {}
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -31,6 +31,7 @@
 import org.streamring.direct.peer.PermitExchange;
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
+import org.streamring.kernel.admission.LinkPace;
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.AccountHomes;
@@ -77,6 +78,7 @@
     private ByteArrayOutputStream logged;
     private DecisionLog log;
     private BackendRegistry registry;
+    private OptionalLong linkBytesPerSecond;
     private OneAtATime tokens;
     private RequestRouter router;
 
@@ -86,6 +88,7 @@
         time.freezeTime();
         loops = new NioEventLoopGroup(1);
         nowMillis = 0;
+        linkBytesPerSecond = OptionalLong.empty();
         logged = new ByteArrayOutputStream();
         log = new DecisionLog(logged, ENTRY);
         tokens = new OneAtATime();
@@ -227,6 +230,7 @@
                 tokens,
                 guard,
                 route -> true,
+                new LinkPace(() -> linkBytesPerSecond),
                 metrics,
                 log);
     }
--- a/net/src/main/java/org/streamring/platform/node/NodeSettings.java
+++ b/net/src/main/java/org/streamring/platform/node/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.OptionalLong;
 
 /**
  * Settings of one process.
@@ -17,6 +18,7 @@
  * @param drainTime how long a backend server serves after it said that it leaves
  * @param retries limit on retries that all entries share
  * @param cold what a cold backend server bears beyond its rate
+ * @param linkBytesPerSecond what the box's own link carries; empty if the platform doesn't say
  */
 public record NodeSettings(
         String nodeName,
@@ -29,7 +31,8 @@
         Duration keepLapsed,
         Duration drainTime,
         RetryLimit retries,
-        ColdMargin cold) {
+        ColdMargin cold,
+        OptionalLong linkBytesPerSecond) {
 
     /**
      * A limit on retries: in every window, retries &le; ratio × requests + slack.
