--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -1,14 +1,11 @@
 package org.streamring.direct.request;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.streamring.direct.backend.BackendRequest;
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.caller.RequestSink;
@@ -17,7 +14,6 @@
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
-import org.streamring.platform.node.ForwardingHeaders;
 
 /**
  * One request from its arrival to its final answer: reserves tokens, finds a replica, sends the request, sends it
@@ -35,9 +31,6 @@
     private static final int SPREAD_MILLIS = 250;
 
     private static final int MAX_UNSENT = 8;
-    /** About what a request's line and headers take. */
-    private static final long HEAD_BYTES = 600;
-
     private static final long DEADLINE_MARGIN_MILLIS = 5;
     /** More than a replica makes in the half second in which it must notice. */
     private static final int EVENTS_UNTIL_NOTICED = 30;
@@ -55,6 +48,8 @@
     private final Optional<Reservation> reservation;
     private final SuspectGuard.Watched suspect;
     private final RequestDemand demand;
+    private final LinkShare link;
+    private final BackendRequestBuilder builder;
     private final AttemptHistory attempts = new AttemptHistory();
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun run;
@@ -89,6 +84,8 @@
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
         this.suspect = services.suspects().watch(request, plan.id(), plan.account());
         this.demand = new RequestDemand(writer::callerPresent, plan.deadlineMillis());
+        this.link = new LinkShare(services.link(), services.clock(), request.body().length);
+        this.builder = new BackendRequestBuilder(services.names(), filter, request, plan);
     }
 
     void start() {
@@ -153,7 +150,7 @@
         if (refusedAsSuspect()) {
             return true;
         }
-        long linkClosed = services.link().closedMillis(requestBytes(), now());
+        long linkClosed = link.closedMillis();
         PlacementQuery query = plan.placement(services.failureDomain(), attempts.tried());
         Optional<BackendInstance> chosen =
                 linkClosed > 0 ? Optional.empty() : services.fleet().choose(plan.service(), query);
@@ -202,36 +199,12 @@
     private void send(BackendInstance instance, PlacementQuery query) {
         attempts.chosen(instance);
         suspect.sent();
-        services.link().written(requestBytes(), now());
+        link.taken();
         run = new AttemptRun(services, plan, instance, relay, this);
-        run.begin(backendRequest(instance), query);
+        run.begin(builder.build(instance, plan.callerWaitMillis() - elapsed(), relay.lastEventId()), query);
         forecast = run.forecast();
     }
 
-    private BackendRequest backendRequest(BackendInstance instance) {
-        ForwardingHeaders names = services.names();
-        HttpHeaders headers =
-                filter.forBackend(request.headers(), plan.account().isPresent());
-        headers.set(names.deadline(), Math.max(1, plan.callerWaitMillis() - elapsed()));
-        headers.set(names.expectedInstance(), instance.id());
-        plan.account().ifPresent(account -> headers.set(names.account(), account.name()));
-        if (plan.service().isEngine()) {
-            headers.set(names.urgency(), plan.rank());
-        }
-        relay.lastEventId().ifPresent(id -> headers.set(names.lastEventId(), id));
-        if (request.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || request.body().length > 0) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        }
-        return new BackendRequest(
-                plan.id(),
-                request.method(),
-                request.target(),
-                headers,
-                request.body(),
-                plan.rank(),
-                !plan.route().repeatable());
-    }
-
     @Override
     public boolean stillWanted() {
         return demand.at(now()) == RequestDemand.Verdict.WANTED;
@@ -257,7 +230,7 @@
         attempts.ended(end);
         run = null;
         if (end.unsent()) {
-            services.link().notWritten(requestBytes());
+            link.givenBack();
         }
         suspect.ended();
         places.freed();
@@ -359,7 +332,7 @@
 
     private void giveUp(AttemptRun running) {
         if (!running.sent()) {
-            services.link().notWritten(requestBytes());
+            link.givenBack();
         }
         running.cancel();
         suspect.ended();
@@ -435,10 +408,6 @@
         return sent.isPresent() ? OptionalLong.of(now() - sent.getAsLong()) : sent;
     }
 
-    private long requestBytes() {
-        return HEAD_BYTES + request.body().length;
-    }
-
     private long elapsed() {
         return now() - request.arrivedMillis();
     }
