Go on looking at requests that wait for a place after one of them has failed

Callers whose requests wait for a place would wait until their deadline, all of them, from then on.

Cause: the look at those that wait is scheduled again at its end, and an exception in it left that out; the scheduled task kept the exception to itself.

Now the look is scheduled again in any case, the request that failed waits no more (its deadline ends it), and the failure is logged.

--- a/direct/src/main/java/org/streamring/direct/request/PlaceQueue.java
+++ b/direct/src/main/java/org/streamring/direct/request/PlaceQueue.java
@@ -1,12 +1,15 @@
 package org.streamring.direct.request;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamring.kernel.admission.PlacePace;
 import org.streamring.kernel.admission.WaitDecision;
 import org.streamring.kernel.admission.WaitPolicy;
@@ -14,6 +17,7 @@
 
 /** Requests that wait for a place at a replica; the most urgent and oldest goes first. Confined to the event loop. */
 final class PlaceQueue {
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlaceQueue.class);
     private static final long TICK_MILLIS = 15;
 
     private final EventLoop loop;
@@ -84,22 +88,43 @@
     /** Lets requests that wait go on where there is room now. */
     void poke() {
         for (Waiting request : List.copyOf(waiting)) {
-            if (waiting.contains(request) && request.tryPlace()) {
+            if (waiting.contains(request)) {
+                look(request);
+            }
+        }
+    }
+
+    /** A request that fails waits no more, so that it holds up nobody behind it; its deadline ends it. */
+    private void look(Waiting request) {
+        boolean waitsOn = false;
+        try {
+            waitsOn = !request.tryPlace();
+        } finally {
+            if (!waitsOn) {
                 waiting.remove(request);
             }
         }
     }
 
     private void scheduleTick() {
-        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS).addListener(PlaceQueue::logFailure);
     }
 
     private void tick() {
-        poke();
-        if (waiting.isEmpty()) {
-            ticking = false;
-        } else {
-            scheduleTick();
+        try {
+            poke();
+        } finally {
+            if (waiting.isEmpty()) {
+                ticking = false;
+            } else {
+                scheduleTick();
+            }
+        }
+    }
+
+    private static void logFailure(Future<?> ticked) {
+        if (ticked.cause() != null) {
+            LOGGER.error("a request that waits for a place failed", ticked.cause());
         }
     }
 }
