Receive no call of a caller that left while an entry with sidecars stood still

Callers saw nothing of it; an engine ran work for one that had left.

Cause: the same as at direct entries. A call was received in the turn that read it, and the close behind it in the same socket was read later.

Evidence: 20 callers ask and leave while the entry stands still for 0.7 s: one of the 20 ran (integration's SentAfterCallerLeftTest failed before), as the others were cancelled in time.

Now a call is received after all that has arrived with it was read, by the same look as at direct entries (ArrivedBytes, moved to net). Open: a call that waits for a lease or is tried again is given up by its caller's close only once the loop has read that; and a sidecar reads an order and its cancelling in the order that they came.

Run: SentAfterCallerLeftTest (both), CallerServerTest, TruthToCallersTest, green.

--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -26,6 +26,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.process.ArrivedBytes;
 
 /**
  * One connection of a caller: requests are served one after the other, in order.
--- a/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
@@ -22,6 +22,7 @@
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
 import org.streamring.net.generated.Wire.Header;
+import org.streamring.net.process.ArrivedBytes;
 
 /** Turns HTTP requests of one connection into calls, one after the other. */
 final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -45,6 +46,7 @@
     private final SlowCallGuard guard;
     private Runnable onCallerGone = CallHandler::nothing;
     private @Nullable HttpAnswer current;
+    private @Nullable FullHttpRequest arrived;
 
     CallHandler(CallReceiver receiver, SlowCallGuard guard) {
         this.receiver = receiver;
@@ -54,11 +56,33 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         guard.callArrived();
-        if (current != null && !current.isDone()) {
+        if (arrived != null || (current != null && !current.isDone())) {
             // Pipelined calls could get each other's answers.
             context.close();
             return;
         }
+        arrived = request.retain();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        FullHttpRequest request = arrived;
+        arrived = null;
+        if (request == null) {
+            return;
+        }
+        try {
+            serve(context, request);
+        } finally {
+            request.release();
+        }
+    }
+
+    private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+        if (!ArrivedBytes.leaveOpen(context.channel())) {
+            LOGGER.debug("caller_left_before_its_call_was_received");
+            return;
+        }
         String requestId = UUID.randomUUID().toString();
         boolean keepAlive =
                 HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
