Tell when the link is full, and count what fills it

Something else fills the link.

By reading: after each long prompt the entry tells up to 40 others its whole load within 10 ms, so up to 100 times a second. These reports now count as well; link_full and link_free tell what was written of each kind. No other decision changes.

LinkPaceTest, RequestRouterTest, PlacementExchangeTest green.

--- a/core/src/main/java/org/streamring/kernel/admission/LinkPace.java
+++ b/core/src/main/java/org/streamring/kernel/admission/LinkPace.java
@@ -1,5 +1,7 @@
 package org.streamring.kernel.admission;
 
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 
@@ -13,7 +15,7 @@
  */
 public final class LinkPace {
     /** Half of the time in which a caller's leaving must reach a server. */
-    static final long MOST_QUEUED_MILLIS = 250;
+    public static final long MOST_QUEUED_MILLIS = 250;
 
     /** Bytes of one packet: holding them back would not shorten the queue. */
     static final long SMALL_BYTES = 1_460;
@@ -24,8 +26,19 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Supplier<OptionalLong> bytesPerSecond;
+    private final Map<Traffic, Long> bytes = new EnumMap<>(Traffic.class);
     private double emptyAtMillis;
 
+    /** What the link carries. */
+    public enum Traffic {
+        /** Requests to servers. */
+        REQUESTS,
+        /** Answers of servers that are passed on to callers. */
+        ANSWERS,
+        /** Reports of load to other entries. */
+        REPORTS
+    }
+
     /**
      * Starts with an empty queue.
      *
@@ -36,13 +49,20 @@
     }
 
     /** Notes bytes that are written. */
-    public void written(long bytes, long nowMillis) {
-        emptyAtMillis = Math.max(emptyAtMillis, (double) nowMillis) + millisFor(bytes);
+    public void written(Traffic traffic, long count, long nowMillis) {
+        bytes.merge(traffic, count, Long::sum);
+        emptyAtMillis = Math.max(emptyAtMillis, (double) nowMillis) + millisFor(count);
     }
 
     /** Takes back bytes that were noted and are not written after all. */
-    public void notWritten(long bytes) {
-        emptyAtMillis -= millisFor(bytes);
+    public void notWritten(Traffic traffic, long count) {
+        bytes.merge(traffic, -count, Long::sum);
+        emptyAtMillis -= millisFor(count);
+    }
+
+    /** Bytes written so far. */
+    public long bytes(Traffic traffic) {
+        return bytes.getOrDefault(traffic, 0L);
     }
 
     /** How long bytes that are written now wait for the link. */
@@ -51,12 +71,12 @@
     }
 
     /** Time until a request of so many bytes may be written; 0 if it may now. */
-    public long closedMillis(long bytes, long nowMillis) {
-        return bytes <= SMALL_BYTES ? 0 : Math.max(0, queuedMillis(nowMillis) - MOST_QUEUED_MILLIS);
+    public long closedMillis(long count, long nowMillis) {
+        return count <= SMALL_BYTES ? 0 : Math.max(0, queuedMillis(nowMillis) - MOST_QUEUED_MILLIS);
     }
 
-    private double millisFor(long bytes) {
+    private double millisFor(long count) {
         OptionalLong rate = bytesPerSecond.get();
-        return rate.isEmpty() ? 0 : bytes * MILLIS_PER_SECOND / (rate.getAsLong() * PART_OF_LINK);
+        return rate.isEmpty() ? 0 : count * MILLIS_PER_SECOND / (rate.getAsLong() * PART_OF_LINK);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -22,6 +22,7 @@
 import org.streamring.direct.ledger.TokenDesk;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
+import org.streamring.direct.metrics.LinkWatch;
 import org.streamring.direct.metrics.LoopWatch;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.PermitExchange;
@@ -151,7 +152,9 @@
                 loop, peers, settings.nodeName(), this::permitOwners, clock, metrics, log, new LimitLog(log, metrics));
         this.fleet = fleet(permits.desk(), cold, random);
         this.backends = new BackendFeed(platform.operatorRows(), registry, cold, fleet.placement(), clock, log);
-        this.exchange = new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, clock);
+        this.link = new LinkPace(() -> this.settings.linkBytesPerSecond());
+        this.exchange =
+                new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, link, clock);
         OperatorRows operatorRows = platform.operatorRows();
         this.configurationWatch = watch(
                 operatorRows.configurationTable(),
@@ -167,12 +170,11 @@
                 new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch =
                 watch(SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, suspectExchange);
-        this.link = new LinkPace(() -> this.settings.linkBytesPerSecond());
         this.router = new RequestRouter(requestServices(random, metrics));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
         showState(metrics);
-        this.loopWatch = new LoopWatch(loop, clock, metrics, log);
+        this.loopWatch = new LoopWatch(loop, clock, new LinkWatch(link, clock, log), metrics, log);
         new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
--- a/direct/src/main/java/org/streamring/direct/metrics/LoopWatch.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/LoopWatch.java
@@ -14,12 +14,18 @@
     private final LongSupplier clock;
     private final EntryMetrics metrics;
     private final DecisionLog log;
+    private final LinkWatch linkWatch;
     private final LoopLateness lateness = new LoopLateness();
 
-    /** Creates one. */
-    public LoopWatch(EventLoop loop, LongSupplier clock, EntryMetrics metrics, DecisionLog log) {
+    /**
+     * Creates one.
+     *
+     * @param linkWatch looks at the link with the same timer
+     */
+    public LoopWatch(EventLoop loop, LongSupplier clock, LinkWatch linkWatch, EntryMetrics metrics, DecisionLog log) {
         this.loop = loop;
         this.clock = clock;
+        this.linkWatch = linkWatch;
         this.metrics = metrics;
         this.log = log;
     }
@@ -35,6 +41,7 @@
         long delay = Math.max(0, now - due);
         metrics.loopDelay(delay);
         lateness.ran(delay, now).ifPresent(this::log);
+        linkWatch.look();
         start();
     }
 
--- a/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
@@ -9,6 +9,8 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
+import org.streamring.kernel.admission.LinkPace;
+import org.streamring.kernel.admission.LinkPace.Traffic;
 import org.streamring.kernel.placement.PlacementReport;
 import org.streamring.kernel.placement.PlacementTable;
 import org.streamring.kernel.placement.PromptPart;
@@ -40,6 +42,7 @@
     private final PlacementTable table;
     private final IntSupplier entries;
     private final ToLongFunction<String> memoryOf;
+    private final LinkPace link;
     private final LongSupplier clock;
     private final Map<String, Long> heardMillis = new HashMap<>();
     private boolean toldNothing;
@@ -50,6 +53,7 @@
      *
      * @param entries number of live entries
      * @param memoryOf memory of a replica in tokens, by its identifier
+     * @param link told what the reports add to it
      */
     public PlacementExchange(
             EventLoop loop,
@@ -57,12 +61,14 @@
             PlacementTable table,
             IntSupplier entries,
             ToLongFunction<String> memoryOf,
+            LinkPace link,
             LongSupplier clock) {
         this.loop = loop;
         this.peers = peers;
         this.table = table;
         this.entries = entries;
         this.memoryOf = memoryOf;
+        this.link = link;
         this.clock = clock;
     }
 
@@ -107,7 +113,9 @@
 
     /** A report that is lost is made good by the next. */
     private void tellAll(Frame frame) {
-        peers.toldOfLoad().forEach(each -> each.send(frame));
+        List<PeerConnection> told = peers.toldOfLoad();
+        told.forEach(each -> each.send(frame));
+        link.written(Traffic.REPORTS, (long) frame.getSerializedSize() * told.size(), clock.getAsLong());
     }
 
     private void forgetSilent() {
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -14,6 +14,7 @@
 import org.streamring.direct.backend.BackendAttempt;
 import org.streamring.direct.backend.BackendRequest;
 import org.streamring.direct.backend.Silence;
+import org.streamring.kernel.admission.LinkPace.Traffic;
 import org.streamring.kernel.placement.PlacedPrompt;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
@@ -156,7 +157,7 @@
 
     @Override
     public void onData(byte[] data) {
-        services.link().written(data.length, services.clock().getAsLong());
+        services.link().written(Traffic.ANSWERS, data.length, services.clock().getAsLong());
         if (!streaming) {
             body.writeBytes(data);
             return;
--- a/direct/src/main/java/org/streamring/direct/request/LinkShare.java
+++ b/direct/src/main/java/org/streamring/direct/request/LinkShare.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 import org.streamring.kernel.admission.LinkPace;
+import org.streamring.kernel.admission.LinkPace.Traffic;
 
 /** What one request adds to the link of this box each time it is sent. Confined to the event loop. */
 final class LinkShare {
@@ -25,11 +26,11 @@
 
     /** The request is about to be sent. */
     void taken() {
-        link.written(bytes, clock.getAsLong());
+        link.written(Traffic.REQUESTS, bytes, clock.getAsLong());
     }
 
     /** The request was not sent after all. */
     void givenBack() {
-        link.notWritten(bytes);
+        link.notWritten(Traffic.REQUESTS, bytes);
     }
 }
