Bound the early reports of load by the box's link

Callers of the busiest entry waited for seconds, and what left that box for servers too.

Cause: after each long prompt an entry told up to 40 others its whole load within 10 ms. With a busy account's callers at one entry on a link of 10 Mbit/s its reports took more of the link than its requests.

Now early reports wait until what was told before has passed at a tenth of the link's rate; regular ones, and all on links of unknown rate, are as before, and so is the frame.

ReportPaceTest (3): a long prompt each 10 ms, to 29 entries on that link, tells at most a tenth of it and one report more.

--- /dev/null
+++ b/core/src/test/java/org/streamring/kernel/placement/ReportPaceTest.java
@@ -0,0 +1,45 @@
+package org.streamring.kernel.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+public class ReportPaceTest {
+    private static final long LINK_BYTES_PER_SECOND = 1_250_000;
+    private static final long REPORT_BYTES = 29 * 2_000L;
+
+    /** Bytes told in ten seconds in which a long prompt begins each ten milliseconds. */
+    private static long told(ReportPace pace) {
+        long bytes = 0;
+        long due = 0;
+        for (long now = 0; now < 10_000; now += 10) {
+            if (now >= due) {
+                pace.told(REPORT_BYTES, now);
+                bytes += REPORT_BYTES;
+                due = now + pace.waitMillis(now);
+            }
+        }
+        return bytes;
+    }
+
+    @Test
+    public void longPromptsInARowLeaveTheLinkToRequests() {
+        long told = told(new ReportPace(() -> OptionalLong.of(LINK_BYTES_PER_SECOND)));
+        assertThat(told)
+                .isLessThanOrEqualTo((long) (10 * LINK_BYTES_PER_SECOND * ReportPace.PART_OF_LINK) + REPORT_BYTES);
+    }
+
+    @Test
+    public void aFirstLongPromptIsToldAtOnce() {
+        ReportPace pace = new ReportPace(() -> OptionalLong.of(LINK_BYTES_PER_SECOND));
+        assertThat(pace.waitMillis(5_000)).isEqualTo(ReportPace.SOONEST_MILLIS);
+    }
+
+    @Test
+    public void onALinkOfUnknownRateEachIsToldAtOnce() {
+        ReportPace pace = new ReportPace(OptionalLong::empty);
+        pace.told(100 * REPORT_BYTES, 0);
+        assertThat(pace.waitMillis(0)).isEqualTo(ReportPace.SOONEST_MILLIS);
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -42,6 +42,7 @@
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.permit.PermitDesk;
 import org.streamring.kernel.placement.ColdReplicas;
+import org.streamring.kernel.placement.ReportPace;
 import org.streamring.kernel.prepaid.AccountHomes;
 import org.streamring.kernel.prepaid.PrepaidBook;
 import org.streamring.kernel.prepaid.PrepaidSettings;
@@ -153,8 +154,9 @@
         this.fleet = fleet(permits.desk(), cold, random);
         this.backends = new BackendFeed(platform.operatorRows(), registry, cold, fleet.placement(), clock, log);
         this.link = new LinkPace(() -> this.settings.linkBytesPerSecond());
-        this.exchange =
-                new PlacementExchange(loop, peers, fleet.placement(), members::live, this::memoryOf, link, clock);
+        ReportPace reportPace = new ReportPace(() -> this.settings.linkBytesPerSecond());
+        this.exchange = new PlacementExchange(
+                loop, peers, fleet.placement(), members::live, this::memoryOf, link, reportPace, clock);
         OperatorRows operatorRows = platform.operatorRows();
         this.configurationWatch = watch(
                 operatorRows.configurationTable(),
--- a/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PlacementExchange.java
@@ -16,6 +16,7 @@
 import org.streamring.kernel.placement.PromptPart;
 import org.streamring.kernel.placement.PromptRead;
 import org.streamring.kernel.placement.ReplicaShare;
+import org.streamring.kernel.placement.ReportPace;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.generated.Wire.PlacementLoad;
 import org.streamring.net.generated.Wire.ReadPrompt;
@@ -33,7 +34,6 @@
      */
     private static final long MILLIS_PER_ENTRY = 25;
 
-    private static final long SOON_MILLIS = 10;
     /** What was told this many intervals ago is no longer true. */
     private static final int INTERVALS_KEPT = 5;
 
@@ -43,6 +43,7 @@
     private final IntSupplier entries;
     private final ToLongFunction<String> memoryOf;
     private final LinkPace link;
+    private final ReportPace pace;
     private final LongSupplier clock;
     private final Map<String, Long> heardMillis = new HashMap<>();
     private boolean toldNothing;
@@ -54,6 +55,7 @@
      * @param entries number of live entries
      * @param memoryOf memory of a replica in tokens, by its identifier
      * @param link told what the reports add to it
+     * @param pace when long prompts may be told early
      */
     public PlacementExchange(
             EventLoop loop,
@@ -62,6 +64,7 @@
             IntSupplier entries,
             ToLongFunction<String> memoryOf,
             LinkPace link,
+            ReportPace pace,
             LongSupplier clock) {
         this.loop = loop;
         this.peers = peers;
@@ -69,6 +72,7 @@
         this.entries = entries;
         this.memoryOf = memoryOf;
         this.link = link;
+        this.pace = pace;
         this.clock = clock;
     }
 
@@ -92,7 +96,14 @@
     private void tellSoon() {
         if (!tellingSoon) {
             tellingSoon = true;
-            loop.schedule(this::tell, SOON_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::tellEarly, pace.waitMillis(clock.getAsLong()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A regular report may have told it meanwhile. */
+    private void tellEarly() {
+        if (tellingSoon) {
+            tell();
         }
     }
 
@@ -115,7 +126,9 @@
     private void tellAll(Frame frame) {
         List<PeerConnection> told = peers.toldOfLoad();
         told.forEach(each -> each.send(frame));
-        link.written(Traffic.REPORTS, (long) frame.getSerializedSize() * told.size(), clock.getAsLong());
+        long bytes = (long) frame.getSerializedSize() * told.size();
+        pace.told(bytes, clock.getAsLong());
+        link.written(Traffic.REPORTS, bytes, clock.getAsLong());
     }
 
     private void forgetSilent() {
