Give up requests on connections that are closed already

Both look whether the socket is open, on its own event loop. BackendPoolTest (aRequestCanBeGivenUpOnAConnectionThatIsClosedAlready) failed before with "Socket is closed".

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -113,7 +113,7 @@
      */
     void cancel() {
         listener = null;
-        if (channel != null) {
+        if (channel != null && channel.isOpen()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
         close();
--- a/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
@@ -90,6 +91,21 @@
         assertThat(notices).containsExactly(new BackendNotice(true, 0), BackendNotice.NONE);
     }
 
+    @Test
+    public void aRequestCanBeGivenUpOnAConnectionThatIsClosedAlready() throws Exception {
+        NioSocketChannel channel = new NioSocketChannel();
+        EventLoop loop = loops.next();
+        loop.register(channel).sync();
+        BackendConnection connection = new BackendConnection(pool, TestHeaders.NAMES.requestId());
+        loop.submit(() -> {
+                    connection.opened(channel);
+                    channel.close();
+                    connection.cancel();
+                })
+                .sync();
+        assertThat(connection.busy()).isFalse();
+    }
+
     private static final class Outcome implements AttemptListener {
         private final CompletableFuture<AttemptFailure> failure = new CompletableFuture<>();
         private final CompletableFuture<Integer> status = new CompletableFuture<>();
--- a/standin/src/main/java/org/streamring/standin/proxy/FaultProxy.java
+++ b/standin/src/main/java/org/streamring/standin/proxy/FaultProxy.java
@@ -87,7 +87,7 @@
     public void setMode(Mode newMode) {
         mode = newMode;
         if (refuses()) {
-            channels.forEach(this::end);
+            channels.forEach(channel -> channel.eventLoop().execute(() -> end(channel)));
         } else {
             channels.forEach(channel -> channel.config().setAutoRead(newMode != Mode.FREEZE));
         }
@@ -110,7 +110,7 @@
     }
 
     private void end(Channel channel) {
-        if (mode == Mode.RESET) {
+        if (mode == Mode.RESET && channel.isOpen()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
         channel.close();
