Log which views of the store are out of date, and why an answer is dropped

Callers saw a configuration and a leaving server ignored for seconds. Cause not decided yet: no line told whether lists were dropped, by which version, or how old a view was. Changed: answers of the store carry their position (era, from the header that the store's operators announced, and version); a list that is dropped is logged and counted with both positions (list_dropped, streamring_direct_store_answers_dropped_total); the age of each view is a metric (streamring_direct_store_view_age_ms) and logged when it passes the wait of its calls by 900 ms (view_out_of_date, view_current). No logic changes.

--- a/core/src/main/java/org/streamring/kernel/store/RowPage.java
+++ b/core/src/main/java/org/streamring/kernel/store/RowPage.java
@@ -6,11 +6,11 @@
  * Rows read at one version of the store, or changed since one.
  *
  * @param rows the rows
- * @param version latest version of the store at the time of the read
+ * @param position latest position of the store at the time of the read
  * @param storeMillis time of the answer by the store's monotonic clock, in milliseconds
  * @param changesMissing whether changes are missing, so that all rows have to be listed again
  */
-public record RowPage(List<StoredRow> rows, long version, long storeMillis, boolean changesMissing) {
+public record RowPage(List<StoredRow> rows, StorePosition position, long storeMillis, boolean changesMissing) {
     /** Creates a page with a copy of the list. */
     public RowPage {
         rows = List.copyOf(rows);
--- a/core/src/main/java/org/streamring/kernel/store/RowStore.java
+++ b/core/src/main/java/org/streamring/kernel/store/RowStore.java
@@ -15,8 +15,8 @@
     /**
      * Waits for changes of a table.
      *
-     * @param sinceVersion version after which changes are returned
+     * @param since position after which changes are returned
      * @param wait maximum wait, after which a page without rows is returned
      */
-    CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait);
+    CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait);
 }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -18,6 +18,7 @@
 import org.streamring.direct.feed.EvacuationFeed;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.feed.TableWatch;
+import org.streamring.direct.feed.ViewAgeLog;
 import org.streamring.direct.feed.WatchLog;
 import org.streamring.direct.ledger.TokenAllocator;
 import org.streamring.direct.log.DecisionLog;
@@ -109,6 +110,7 @@
     private final TableWatch configurationWatch;
     private final TableWatch backendWatch;
     private final TableWatch suspectWatch;
+    private final ViewAgeLog viewAges;
     private final SuspectTable suspects;
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
@@ -139,6 +141,7 @@
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
         ColdReplicas cold = new ColdReplicas(settings.nodeName(), this::possiblyLiveEntries);
         EntryMetrics metrics = new EntryMetrics();
+        this.viewAges = new ViewAgeLog(clock, metrics, log);
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         this.homeEntries = new HomeEntries(settings.nodeName());
@@ -168,15 +171,28 @@
                 "configuration",
                 TableWatch.AfterGap.LIST,
                 TableWatch.WAIT,
+                metrics,
                 configuration,
                 new EvacuationFeed(operatorRows, registry, log));
         this.backendWatch =
-                watch(operatorRows.backendTable(), "backends", TableWatch.AfterGap.CHANGES, TableWatch.WAIT, backends);
+                watch(
+                operatorRows.backendTable(),
+                "backends",
+                TableWatch.AfterGap.CHANGES,
+                TableWatch.WAIT,
+                metrics,
+                backends);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
         this.suspectExchange =
                 new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch =
-                watch(SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, suspectExchange);
+                watch(
+                SuspectExchange.TABLE,
+                "suspects",
+                TableWatch.AfterGap.LIST,
+                SUSPECTS_WAIT,
+                metrics,
+                suspectExchange);
         this.router = new RequestRouter(requestServices(random, metrics));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
@@ -207,10 +223,13 @@
             String watcher,
             TableWatch.AfterGap afterGap,
             Duration wait,
+            EntryMetrics metrics,
             TableWatch.Listener... listeners) {
         List<TableWatch.Listener> all = new ArrayList<>(List.of(listeners));
-        all.add(new WatchLog(watcher, log));
-        return new TableWatch(loop, platform.store(), table, afterGap, wait, all);
+        all.add(new WatchLog(watcher, metrics, log));
+        TableWatch watch = new TableWatch(loop, platform.store(), table, afterGap, wait, clock, all);
+        viewAges.add(watcher, watch.view(), wait);
+        return watch;
     }
 
     private RequestServices requestServices(Random random, EntryMetrics metrics) {
@@ -415,6 +434,7 @@
     private void cleanUp() {
         registry.expire(clock.getAsLong()).forEach(id -> log.line("backend_lapsed", "backend", id));
         fleet.removeStale();
+        viewAges.check();
         callers.closeIdle();
     }
 }
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -199,7 +199,7 @@
     private void write(String value) {
         store.commit(List.of(new RowChange(ownKey, ownVersion, value))).whenComplete((result, failure) -> {
             if (failure == null && result.committed()) {
-                ownVersion = result.version();
+                ownVersion = result.position().version();
             }
         });
     }
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -6,8 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StorePosition;
+import org.streamring.kernel.store.StoreView;
 import org.streamring.kernel.store.StoredRow;
 
 /**
@@ -37,9 +40,10 @@
     private final String table;
     private final AfterGap afterGap;
     private final Duration wait;
+    private final LongSupplier clock;
     private final List<Listener> listeners;
+    private final StoreView view = new StoreView();
     private final Map<String, Long> versions = new HashMap<>();
-    private long knownVersion = -1;
     private boolean listed;
     private boolean unreachable;
     private boolean stopped;
@@ -69,6 +73,14 @@
 
         /** Called when the store is reachable again, before its current state is reported. */
         default void onReachable() {}
+
+        /**
+         * Called when a list is not used because it is older than what is known.
+         *
+         * @param listed position of the list
+         * @param known latest position that is known
+         */
+        default void onListDropped(StorePosition listed, StorePosition known) {}
     }
 
     /**
@@ -76,15 +88,23 @@
      *
      * @param wait longest wait of a call for changes; a longer wait needs fewer calls, but a change is noticed later if
      *     a call hangs
+     * @param clock milliseconds on a monotonic clock
      * @param listeners listeners, called in this order
      */
     public TableWatch(
-            EventLoop loop, RowStore store, String table, AfterGap afterGap, Duration wait, List<Listener> listeners) {
+            EventLoop loop,
+            RowStore store,
+            String table,
+            AfterGap afterGap,
+            Duration wait,
+            LongSupplier clock,
+            List<Listener> listeners) {
         this.loop = loop;
         this.store = store;
         this.table = table;
         this.afterGap = afterGap;
         this.wait = wait;
+        this.clock = clock;
         this.listeners = List.copyOf(listeners);
     }
 
@@ -93,6 +113,11 @@
         list();
     }
 
+    /** Returns the position of the last answer that was used, and when it arrived. */
+    public StoreView view() {
+        return view;
+    }
+
     /** Stops watching the table. */
     public void stop() {
         stopped = true;
@@ -105,7 +130,8 @@
         store.list(table, "").whenComplete((page, failure) -> {
             if (failure != null) {
                 failed(failure);
-            } else if (page.version() < knownVersion) {
+            } else if (page.position().version() < view.position().version()) {
+                listeners.forEach(each -> each.onListDropped(page.position(), view.position()));
                 scheduleRetry();
             } else {
                 handleList(page);
@@ -116,7 +142,7 @@
     private void handleList(RowPage page) {
         markReachable();
         listed = true;
-        knownVersion = page.version();
+        view.confirm(page.position(), clock.getAsLong());
         page.rows().forEach(row -> versions.merge(row.key().key(), row.version(), Math::max));
         listeners.forEach(each -> each.onList(page.rows()));
         watch();
@@ -145,7 +171,7 @@
         }
 
         private void call() {
-            store.watch(table, knownVersion, wait).whenComplete((page, failure) -> {
+            store.watch(table, view.position(), wait).whenComplete((page, failure) -> {
                 if (finished) {
                     return;
                 }
@@ -171,7 +197,8 @@
 
     private void handleChanges(RowPage page) {
         markReachable();
-        knownVersion = Math.max(knownVersion, page.version());
+        boolean older = page.position().version() < view.position().version();
+        view.confirm(older ? view.position() : page.position(), clock.getAsLong());
         for (StoredRow row : page.rows()) {
             long before = versions.getOrDefault(row.key().key(), -1L);
             if (row.version() > before) {
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -373,7 +373,7 @@
 
     private void applyResult(CommitResult answer, Map<String, PrepaidRow> changed, MarkRow usageCaps) {
         if (answer.committed()) {
-            rows.cacheWritten(changed, usageCaps, answer.version());
+            rows.cacheWritten(changed, usageCaps, answer.position().version());
         } else {
             logConflict(rows.outdated(answer.current()), changed.size());
             rows.cacheRows(answer.current());
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -99,4 +99,17 @@
     public void gauge(String name, Supplier<Number> value) {
         Gauge.builder("streamring.direct." + name, value).register(registry);
     }
+
+    /** Registers a gauge with a tag. */
+    public void gauge(String name, String tag, String tagValue, Supplier<Number> value) {
+        Gauge.builder("streamring.direct." + name, value).tag(tag, tagValue).register(registry);
+    }
+
+    /** Counts an answer of the store that was not used, by reason. */
+    public void storeAnswerDropped(String reason) {
+        Counter.builder("streamring.direct.store.answers.dropped")
+                .tag("reason", reason)
+                .register(registry)
+                .increment();
+    }
 }
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -127,7 +127,7 @@
     private void written(CommitResult result, Throwable failure) {
         writing = false;
         if (failure == null && result.committed()) {
-            ownVersion = result.version();
+            ownVersion = result.position().version();
             write();
             return;
         }
--- a/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -17,6 +17,7 @@
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoredRow;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -103,16 +104,16 @@
         @Override
         public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
             written.add(changes.get(0).value());
-            return CompletableFuture.completedFuture(new CommitResult(true, 100, 0, List.of()));
+            return CompletableFuture.completedFuture(new CommitResult(true, StorePosition.withoutEra(100), 0, List.of()));
         }
 
         @Override
         public CompletableFuture<RowPage> list(String table, String partition) {
-            return CompletableFuture.completedFuture(new RowPage(rows, 100, 0, false));
+            return CompletableFuture.completedFuture(new RowPage(rows, StorePosition.withoutEra(100), 0, false));
         }
 
         @Override
-        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+        public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
             return new CompletableFuture<>();
         }
     }
--- a/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
@@ -14,6 +14,7 @@
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StoreException;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoredRow;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -24,6 +25,7 @@
     private static final long MAX_NOTICE_DELAY_MILLIS = 1_500;
 
     private EmbeddedChannel time;
+    private long nowMillis;
     private ManualStore store;
     private RecordingListener listener;
     private TableWatch watch;
@@ -35,9 +37,15 @@
         store = new ManualStore();
         listener = new RecordingListener();
         watch = new TableWatch(
-                time.eventLoop(), store, "servers", TableWatch.AfterGap.CHANGES, TableWatch.WAIT, List.of(listener));
+                time.eventLoop(),
+                store,
+                "servers",
+                TableWatch.AfterGap.CHANGES,
+                TableWatch.WAIT,
+                () -> nowMillis,
+                List.of(listener));
         watch.start();
-        store.lists.get(0).complete(new RowPage(List.of(), 1, 0, false));
+        store.lists.get(0).complete(new RowPage(List.of(), StorePosition.withoutEra(1), 0, false));
     }
 
     @AfterMethod(alwaysRun = true)
@@ -56,7 +64,7 @@
     @Test
     public void noSecondCallIsSentIfTheFirstIsAnswered() {
         advance(TableWatch.WAIT.toMillis() + 5);
-        store.watches.get(0).complete(new RowPage(List.of(), 1, 0, false));
+        store.watches.get(0).complete(new RowPage(List.of(), StorePosition.withoutEra(1), 0, false));
         advance(TableWatch.WAIT.toMillis());
         assertThat(store.watches).as("the first call and the one after it").hasSize(2);
     }
@@ -92,6 +100,7 @@
 
     private void advance(long millis) {
         for (long i = 0; i < millis; i++) {
+            nowMillis++;
             time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
             time.runScheduledPendingTasks();
         }
@@ -99,7 +108,7 @@
 
     private static RowPage change(long version) {
         StoredRow row = new StoredRow(new RowKey("servers", "", "i-1"), "draining", version, false);
-        return new RowPage(List.of(row), version, 0, false);
+        return new RowPage(List.of(row), StorePosition.withoutEra(version), 0, false);
     }
 
     private static final class RecordingListener implements TableWatch.Listener {
@@ -139,7 +148,7 @@
         }
 
         @Override
-        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+        public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
             watches.add(new CompletableFuture<>());
             return watches.get(watches.size() - 1);
         }
--- a/direct/src/test/java/org/streamring/direct/ledger/SlowRows.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/SlowRows.java
@@ -14,6 +14,7 @@
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoredRow;
 
 /** In-memory row store that applies a write at once and answers it with a delay. */
@@ -52,7 +53,7 @@
         CompletableFuture<CommitResult> answer = new CompletableFuture<>();
         version++;
         changes.forEach(each -> stored.put(each.key(), new StoredRow(each.key(), each.value(), version, false)));
-        CommitResult result = new CommitResult(true, version, clock.getAsLong(), List.of());
+        CommitResult result = new CommitResult(true, StorePosition.withoutEra(version), clock.getAsLong(), List.of());
         if (answers) {
             loop.schedule(() -> answer.complete(result), writeMillis, TimeUnit.MILLISECONDS);
         }
@@ -64,11 +65,11 @@
     public CompletableFuture<RowPage> list(String table, String partition) {
         List<StoredRow> found = new ArrayList<>(stored.values());
         found.removeIf(each -> !each.key().table().equals(table));
-        return CompletableFuture.completedFuture(new RowPage(found, version, clock.getAsLong(), false));
+        return CompletableFuture.completedFuture(new RowPage(found, StorePosition.withoutEra(version), clock.getAsLong(), false));
     }
 
     @Override
-    public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+    public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
         return new CompletableFuture<>();
     }
 }
--- a/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
+++ b/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
@@ -26,6 +26,7 @@
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoredRow;
 import org.streamring.net.peer.PeerIdentity;
 import org.streamring.standin.proxy.FaultProxy;
@@ -116,11 +117,11 @@
 
         @Override
         public CompletableFuture<RowPage> list(String table, String partition) {
-            return CompletableFuture.completedFuture(new RowPage(List.of(KEY), 1, 0, false));
+            return CompletableFuture.completedFuture(new RowPage(List.of(KEY), StorePosition.withoutEra(1), 0, false));
         }
 
         @Override
-        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+        public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
             return new CompletableFuture<>();
         }
     }
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -42,6 +42,7 @@
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.model.route.CallerLimits;
@@ -345,7 +346,7 @@
         }
 
         @Override
-        public CompletableFuture<RowPage> watch(String table, long sinceVersion, Duration wait) {
+        public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
             return new CompletableFuture<>();
         }
     }
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -233,7 +233,8 @@
             } else {
                 context.close();
             }
-            HttpReply completeReply = new HttpReply(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            HttpReply completeReply = new HttpReply(
+                    response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
             completed.reply.complete(completeReply);
         }
 
