Follow the store into a new era, and order its versions within one only

Cause: a store that is restored from an older copy gives its versions out again, and the feeds dropped every list whose version was below the known one. Ruled out: lagging lists (all cached rows conflicted at once), late entries (loop and link in time). Changed, as one class: a position in the store is (era, version). EraCheckedStore stands between the platform's client and all users: it drops answers of an older era or without one, tells of a new era before the answer that named it, calls changes since a position of another era incomplete, and fails a write that was planned in one era and confirmed in another. TableWatch follows a list of a newer era; for 2.2 s after it rows that are missing are kept and rows that were removed are not taken back, then the table is listed once more. Entries write their member and suspect rows and the fleet's key again. Why it works: no version is compared across eras, and a watch that is ahead again is told by the era, not by its version.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -15,6 +15,7 @@
 import org.streamring.direct.caller.CallerServer;
 import org.streamring.direct.feed.BackendFeed;
 import org.streamring.direct.feed.ConfigurationFeed;
+import org.streamring.direct.feed.EraLog;
 import org.streamring.direct.feed.EvacuationFeed;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.feed.TableWatch;
@@ -50,6 +51,7 @@
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.routing.RendezvousHash;
+import org.streamring.kernel.store.EraCheckedStore;
 import org.streamring.kernel.suspect.RequestDigest;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
@@ -111,6 +113,7 @@
     private final TableWatch backendWatch;
     private final TableWatch suspectWatch;
     private final ViewAgeLog viewAges;
+    private final EraCheckedStore store;
     private final SuspectTable suspects;
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
@@ -142,14 +145,15 @@
         ColdReplicas cold = new ColdReplicas(settings.nodeName(), this::possiblyLiveEntries);
         EntryMetrics metrics = new EntryMetrics();
         this.viewAges = new ViewAgeLog(clock, metrics, log);
+        this.store = new EraCheckedStore(platform.store());
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         this.homeEntries = new HomeEntries(settings.nodeName());
-        this.peers = new EntryPeers(loops, loop, platform.store(), settings.peers(), own, homeEntries, metrics, log);
+        this.peers = new EntryPeers(loops, loop, store, settings.peers(), own, homeEntries, metrics, log);
         this.witnesses = new UsageWitnesses(peers, settings.nodeName());
         this.lending = new TokenLending(loop, peers, homeEntries, random, metrics, log);
         this.members = new MemberRegister(
-                loop, platform.store(), settings.nodeName(), incarnation, settings.peers(), clock, otherEntries -> {
+                loop, store, settings.nodeName(), incarnation, settings.peers(), clock, otherEntries -> {
                     homeEntries.updatePeers(otherEntries.live().stream()
                             .map(MemberRegister.Member::name)
                             .toList());
@@ -174,8 +178,7 @@
                 metrics,
                 configuration,
                 new EvacuationFeed(operatorRows, registry, log));
-        this.backendWatch =
-                watch(
+        this.backendWatch = watch(
                 operatorRows.backendTable(),
                 "backends",
                 TableWatch.AfterGap.CHANGES,
@@ -183,16 +186,16 @@
                 metrics,
                 backends);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
-        this.suspectExchange =
-                new SuspectExchange(loop, platform.store(), peers, settings.nodeName(), suspects, clock, log);
-        this.suspectWatch =
-                watch(
-                SuspectExchange.TABLE,
-                "suspects",
-                TableWatch.AfterGap.LIST,
-                SUSPECTS_WAIT,
-                metrics,
-                suspectExchange);
+        this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
+        this.suspectWatch = watch(
+                SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, metrics, suspectExchange);
+        store.listen(new EraLog(metrics, log));
+        store.listen(new EraCheckedStore.Listener() {
+            @Override
+            public void eraChanged(long before, long now) {
+                peers.storeRestored();
+            }
+        });
         this.router = new RequestRouter(requestServices(random, metrics));
         this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
@@ -227,7 +230,7 @@
             TableWatch.Listener... listeners) {
         List<TableWatch.Listener> all = new ArrayList<>(List.of(listeners));
         all.add(new WatchLog(watcher, metrics, log));
-        TableWatch watch = new TableWatch(loop, platform.store(), table, afterGap, wait, clock, all);
+        TableWatch watch = new TableWatch(loop, store, table, afterGap, wait, clock, all);
         viewAges.add(watcher, watch.view(), wait);
         return watch;
     }
@@ -254,7 +257,7 @@
             PrepaidLedger ledger, HomeEntries homeEntries, Random random, EntryMetrics metrics) {
         return new TokenAllocator(
                 loop,
-                platform.store(),
+                store,
                 ledger,
                 settings.nodeName() + "@" + settings.callers().getHostString(),
                 configuration::inForce,
@@ -315,6 +318,7 @@
         metrics.gauge("requests.running", callers::connectionsWithRequest);
         metrics.gauge("link.queued.ms", () -> link.queuedMillis(clock.getAsLong()));
         metrics.gauge("store.away", () -> tokens.storeUnreachable() ? 1 : 0);
+        metrics.gauge("store.era", store::era);
         metrics.gauge("entries.live", members::live);
         metrics.gauge("entries.connected", peers::connected);
         metrics.gauge("backends.leaving", availability::shuttingDownCount);
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -1,8 +1,10 @@
 package org.streamring.direct.feed;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.placement.ColdReplicas;
@@ -15,12 +17,18 @@
 
 /** Updates the registry of backend servers from their table in the store. Confined to the event loop. */
 public final class BackendFeed implements TableWatch.Listener {
+    /** Servers removed in some minutes even if hundreds of them are replaced. */
+    private static final int MAX_REMOVED = 10_000;
+
     private final OperatorRows rows;
     private final BackendRegistry registry;
     private final ColdReplicas cold;
     private final PlacementTable placement;
     private final LongSupplier clock;
     private final DecisionLog log;
+    /** Servers whose rows were removed, which a restored store may list again. */
+    private final Set<String> removed = new HashSet<>();
+
     private boolean loaded;
 
     /**
@@ -53,6 +61,7 @@
     @Override
     public void onList(List<StoredRow> list) {
         loaded = true;
+        removed.clear();
         List<BackendInstance> instances = new ArrayList<>();
         List<String> malformed = new ArrayList<>();
         for (StoredRow row : list) {
@@ -66,9 +75,19 @@
         log.line("backends_listed", "count", instances.size(), "unreadable", malformed.size());
     }
 
+    /** Keeps servers whose rows are missing, and ignores rows of servers that were removed. */
+    @Override
+    public void onRestoredList(List<StoredRow> list) {
+        List<StoredRow> current =
+                list.stream().filter(row -> !removed.contains(row.key().key())).toList();
+        current.forEach(this::onChange);
+        log.line("backends_restored", "count", current.size(), "removed_before", list.size() - current.size());
+    }
+
     @Override
     public void onChange(StoredRow row) {
         if (row.removed()) {
+            noteRemoved(row.key().key());
             registry.remove(row.key().key(), clock.getAsLong());
             log.line("backend_gone", "backend", row.key().key(), "version", row.version());
             return;
@@ -79,12 +98,20 @@
                         () -> registry.drop(row.key().key()));
     }
 
+    private void noteRemoved(String id) {
+        if (removed.size() >= MAX_REMOVED) {
+            removed.clear();
+        }
+        removed.add(id);
+    }
+
     private void recordInstance(BackendInstance instance) {
         placement.listed(instance);
         cold.recordCold(instance.id(), instance.coldMillis(), clock.getAsLong());
     }
 
     private void put(BackendInstance instance, long version) {
+        removed.remove(instance.id());
         recordInstance(instance);
         registry.put(instance, clock.getAsLong());
         log.line(
--- a/direct/src/main/java/org/streamring/direct/feed/EvacuationFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/EvacuationFeed.java
@@ -17,6 +17,8 @@
     private final BackendRegistry registry;
     private final DecisionLog log;
     private final Set<String> evacuated = new TreeSet<>();
+    /** Failure domains whose evacuation has ended, which a restored store may list again. */
+    private final Set<String> ended = new TreeSet<>();
 
     /** Creates a feed without evacuated failure domains. */
     public EvacuationFeed(OperatorRows rows, BackendRegistry registry, DecisionLog log) {
@@ -33,6 +35,14 @@
         list.forEach(this::onChange);
     }
 
+    /** Keeps evacuations whose rows are missing, and ignores rows of those that have ended. */
+    @Override
+    public void onRestoredList(List<StoredRow> list) {
+        list.stream()
+                .filter(row -> rows.evacuated(row).filter(ended::contains).isEmpty())
+                .forEach(this::onChange);
+    }
+
     @Override
     public void onChange(StoredRow row) {
         rows.evacuated(row).ifPresent(domain -> {
@@ -45,6 +55,7 @@
     }
 
     private void evacuate(String domain, long version) {
+        ended.remove(domain);
         if (evacuated.add(domain)) {
             registry.evacuated(evacuated);
             log.line("domain_evacuated", "domain", domain, "version", version);
@@ -52,6 +63,7 @@
     }
 
     private void restore(String domain, String cause) {
+        ended.add(domain);
         if (evacuated.remove(domain)) {
             registry.evacuated(evacuated);
             log.line("domain_restored", "domain", domain, "cause", cause);
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -16,6 +16,7 @@
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoredRow;
 
 /**
@@ -46,13 +47,19 @@
     private final LongSupplier clock;
     private final Map<String, ObservedRow> observed = new HashMap<>();
     private long ownVersion;
+    private long oldestLiveMillis = Long.MIN_VALUE;
     private int live = 1;
     private Set<String> possiblyLive = Set.of();
     private boolean stopping;
 
-    private record ObservedRow(long version, long changedMillis, String value, int readings) {
+    private record ObservedRow(StorePosition position, long changedMillis, String value, int readings) {
         ObservedRow withUnchangedReading() {
-            return new ObservedRow(version, changedMillis, value, readings + 1);
+            return new ObservedRow(position, changedMillis, value, readings + 1);
+        }
+
+        /** Returns this row at its position in a restored store; that the position differs is no heartbeat. */
+        ObservedRow restoredAt(StorePosition restored) {
+            return new ObservedRow(restored, changedMillis, value, readings);
         }
 
         boolean live(long oldestMillis) {
@@ -153,27 +160,34 @@
     }
 
     private void handlePage(RowPage page) {
-        long now = clock.getAsLong();
+        ownVersion = 0;
         for (StoredRow row : page.rows()) {
             if (row.key().equals(ownKey)) {
                 ownVersion = row.version();
-                continue;
-            }
-            ObservedRow before = observed.get(row.key().key());
-            if (before == null || before.version() != row.version()) {
-                observed.put(row.key().key(), new ObservedRow(row.version(), now, row.value(), 0));
             } else {
-                observed.put(row.key().key(), before.withUnchangedReading());
+                observe(row, new StorePosition(page.position().era(), row.version()));
             }
         }
-        long oldest = now - intervalMillis() * MAX_MISSED_HEARTBEATS;
-        OtherEntries otherEntries =
-                new OtherEntries(members(each -> each.live(oldest)), members(each -> !each.live(oldest)));
+        oldestLiveMillis = clock.getAsLong() - intervalMillis() * MAX_MISSED_HEARTBEATS;
+        OtherEntries otherEntries = new OtherEntries(
+                members(each -> each.live(oldestLiveMillis)), members(each -> !each.live(oldestLiveMillis)));
         live = 1 + otherEntries.live().size();
         possiblyLive = namesOfPossiblyLive();
         onChange.accept(otherEntries);
     }
 
+    private void observe(StoredRow row, StorePosition position) {
+        observed.compute(row.key().key(), (name, before) -> {
+            if (before != null && before.position().equals(position)) {
+                return before.withUnchangedReading();
+            }
+            if (before != null && before.position().era() < position.era() && !before.live(oldestLiveMillis)) {
+                return before.restoredAt(position);
+            }
+            return new ObservedRow(position, clock.getAsLong(), row.value(), 0);
+        });
+    }
+
     private List<Member> members(Predicate<ObservedRow> which) {
         return observed.entrySet().stream()
                 .filter(each -> which.test(each.getValue()))
--- a/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
+++ b/direct/src/main/java/org/streamring/direct/feed/TableWatch.java
@@ -16,8 +16,10 @@
 /**
  * Watches a table: lists it, then waits for changes, and lists it again if changes were missed.
  *
- * <p>The observed state never goes back: a list older than the last known version is requested again, and a row older
- * than its last known version is ignored. Confined to the event loop.
+ * <p>The observed state goes back only if the store was restored from an older copy: otherwise, a list older than the
+ * last known position is requested again, and a row older than its last known version is ignored. After a restore, the
+ * rows may lack what other writers have not written again yet, so they are listed once more after they had time to.
+ * Confined to the event loop.
  */
 public final class TableWatch {
     /**
@@ -35,6 +37,9 @@
 
     private static final long RETRY_DELAY_MILLIS = 200;
 
+    /** Time within which the operator and the servers write again what a restored store has lost, and some margin. */
+    private static final long REWRITE_MILLIS = 2_200;
+
     private final EventLoop loop;
     private final RowStore store;
     private final String table;
@@ -44,6 +49,8 @@
     private final List<Listener> listeners;
     private final StoreView view = new StoreView();
     private final Map<String, Long> versions = new HashMap<>();
+    private long rewrittenMillis = Long.MIN_VALUE;
+    private boolean rewriting;
     private boolean listed;
     private boolean unreachable;
     private boolean stopped;
@@ -65,6 +72,14 @@
         /** Called with all current rows of the table. */
         void onList(List<StoredRow> rows);
 
+        /**
+         * Called instead of {@link #onList} while rows that a restored store has lost may still be written again. Rows
+         * may be missing, older than known, or present although they were removed.
+         */
+        default void onRestoredList(List<StoredRow> rows) {
+            onList(rows);
+        }
+
         /** Called when a row was written or removed. */
         void onChange(StoredRow row);
 
@@ -130,7 +145,7 @@
         store.list(table, "").whenComplete((page, failure) -> {
             if (failure != null) {
                 failed(failure);
-            } else if (page.position().version() < view.position().version()) {
+            } else if (page.position().isBefore(view.position())) {
                 listeners.forEach(each -> each.onListDropped(page.position(), view.position()));
                 scheduleRetry();
             } else {
@@ -142,16 +157,42 @@
     private void handleList(RowPage page) {
         markReachable();
         listed = true;
+        if (isOfNewEra(page.position())) {
+            versions.clear();
+            rewriting = true;
+            rewrittenMillis = clock.getAsLong() + REWRITE_MILLIS;
+        }
+        rewriting &= clock.getAsLong() < rewrittenMillis;
         view.confirm(page.position(), clock.getAsLong());
         page.rows().forEach(row -> versions.merge(row.key().key(), row.version(), Math::max));
-        listeners.forEach(each -> each.onList(page.rows()));
+        listeners.forEach(each -> passOn(page.rows(), each));
         watch();
     }
 
+    private boolean isOfNewEra(StorePosition position) {
+        return listedBefore() && position.era() > view.position().era();
+    }
+
+    private boolean listedBefore() {
+        return !view.position().equals(StorePosition.NONE);
+    }
+
+    private void passOn(List<StoredRow> rows, Listener listener) {
+        if (rewriting) {
+            listener.onRestoredList(rows);
+        } else {
+            listener.onList(rows);
+        }
+    }
+
     private void watch() {
         if (stopped) {
             return;
         }
+        if (rewriting && clock.getAsLong() >= rewrittenMillis) {
+            list();
+            return;
+        }
         new PendingWatch().begin();
     }
 
@@ -197,7 +238,7 @@
 
     private void handleChanges(RowPage page) {
         markReachable();
-        boolean older = page.position().version() < view.position().version();
+        boolean older = page.position().isBefore(view.position());
         view.confirm(older ? view.position() : page.position(), clock.getAsLong());
         for (StoredRow row : page.rows()) {
             long before = versions.getOrDefault(row.key().key(), -1L);
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.feed.MemberRegister;
 import org.streamring.direct.log.DecisionLog;
@@ -117,13 +118,23 @@
     public void start() {
         keyRow.fetch(fetched -> {
             key = fetched;
-            listen(fetched);
+            listen(() -> key);
             connect();
         });
     }
 
-    private void listen(FleetKey fetched) {
-        PeerServer.open(loops, address, fetched, own, new ConnectionListener()).addListener(done -> {
+    /**
+     * Fetches the key of the fleet again, because the store was restored from an older copy and another entry may have
+     * written another key. Open connections are kept; new ones use the key that the store has now.
+     */
+    public void storeRestored() {
+        if (key != null) {
+            keyRow.fetch(fetched -> key = fetched);
+        }
+    }
+
+    private void listen(Supplier<FleetKey> current) {
+        PeerServer.open(loops, address, current, own, new ConnectionListener()).addListener(done -> {
             if (!done.isSuccess()) {
                 log.line("peers_not_listening", "address", address, "reason", String.valueOf(done.cause()));
             }
@@ -140,8 +151,7 @@
     }
 
     private void connect() {
-        FleetKey fleetKey = key;
-        if (fleetKey == null) {
+        if (key == null) {
             return;
         }
         List<InetSocketAddress> targets = connectionAddresses();
@@ -154,7 +164,7 @@
         });
         for (InetSocketAddress peer : targets) {
             connectors.computeIfAbsent(peer, to -> {
-                PeerConnector connector = new PeerConnector(loops, to, fleetKey, own, new ConnectionListener());
+                PeerConnector connector = new PeerConnector(loops, to, () -> key, own, new ConnectionListener());
                 connector.start();
                 return connector;
             });
--- a/direct/src/main/java/org/streamring/direct/peer/FleetKeyRow.java
+++ b/direct/src/main/java/org/streamring/direct/peer/FleetKeyRow.java
@@ -23,29 +23,37 @@
 
     private final EventLoop loop;
     private final RowStore store;
+    private String secret = "";
 
     FleetKeyRow(EventLoop loop, RowStore store) {
         this.loop = loop;
         this.store = store;
     }
 
-    /** Reads or creates the key, and retries until the store answers. */
+    /**
+     * Reads the key, or writes it if there is none, and retries until the store answers. After the store was restored
+     * from an older copy, this writes the key again, or returns the one that another entry has written meanwhile.
+     */
     void fetch(Consumer<FleetKey> then) {
         store.list(KEY.table(), KEY.partition()).whenComplete((page, failure) -> {
             if (failure != null) {
                 retryLater(then);
             } else if (page.rows().isEmpty()) {
-                create(then);
+                write(then);
             } else {
                 acceptKey(page.rows(), then);
             }
         });
     }
 
-    private void create(Consumer<FleetKey> then) {
+    private static String randomSecret() {
         byte[] secret = new byte[KEY_BYTES];
         new SecureRandom().nextBytes(secret);
-        String text = HexFormat.of().formatHex(secret);
+        return HexFormat.of().formatHex(secret);
+    }
+
+    private void write(Consumer<FleetKey> then) {
+        String text = secret.isEmpty() ? randomSecret() : secret;
         store.commit(List.of(new RowChange(KEY, 0, text))).whenComplete((result, failure) -> {
             if (failure == null && !result.committed()) {
                 acceptKey(result.current(), then);
@@ -59,7 +67,12 @@
         rows.stream()
                 .filter(row -> row.key().equals(KEY) && !row.value().isEmpty())
                 .findFirst()
-                .ifPresentOrElse(row -> then.accept(new FleetKey(row.value())), () -> retryLater(then));
+                .ifPresentOrElse(row -> use(row.value(), then), () -> retryLater(then));
+    }
+
+    private void use(String text, Consumer<FleetKey> then) {
+        secret = text;
+        then.accept(new FleetKey(text));
     }
 
     private void retryLater(Consumer<FleetKey> then) {
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -133,9 +133,11 @@
         }
         writePending = true;
         if (failure == null) {
-            result.current().stream()
+            ownVersion = result.current().stream()
                     .filter(row -> row.key().equals(ownKey))
-                    .forEach(row -> ownVersion = row.version());
+                    .findFirst()
+                    .map(StoredRow::version)
+                    .orElse(0L);
         }
         log.line("suspects_not_told", "reason", failure == null ? "conflict" : String.valueOf(failure.getMessage()));
     }
@@ -147,6 +149,15 @@
         scheduleReport();
     }
 
+    /** Writes the row of this entry again, which the restored store may have lost. */
+    @Override
+    public void onRestoredList(List<StoredRow> rows) {
+        ownVersion = 0;
+        onList(rows);
+        writePending = true;
+        write();
+    }
+
     @Override
     public void onChange(StoredRow row) {
         readRow(row);
--- a/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -6,10 +6,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.streamring.kernel.store.CommitResult;
@@ -93,9 +93,24 @@
         assertThat(otherEntries.absent()).isEmpty();
     }
 
+    /** Guards against writes that conflict for ever because the own row was lost when the store was restored. */
+    @Test
+    public void theOwnRowIsWrittenAgainIfARestoredStoreHasLostIt() throws InterruptedException {
+        rows.addRow("entry-1", "entry-1.old 127.0.0.1:7340");
+        loop.execute(register::start);
+        received.poll(5, TimeUnit.SECONDS);
+        rows.rows.clear();
+        received.poll(5, TimeUnit.SECONDS);
+        rows.written.poll(5, TimeUnit.SECONDS);
+        rows.written.poll(5, TimeUnit.SECONDS);
+        assertThat(rows.expectedVersions.poll(5, TimeUnit.SECONDS)).isEqualTo(1);
+        assertThat(rows.expectedVersions.poll(5, TimeUnit.SECONDS)).isZero();
+    }
+
     private static final class FakeRowStore implements RowStore {
-        private final List<StoredRow> rows = new ArrayList<>();
+        private final List<StoredRow> rows = new CopyOnWriteArrayList<>();
         private final BlockingQueue<String> written = new LinkedBlockingQueue<>();
+        private final BlockingQueue<Long> expectedVersions = new LinkedBlockingQueue<>();
 
         private void addRow(String key, String value) {
             rows.add(new StoredRow(new RowKey("streamring-members", "", key), value, rows.size() + 1L, false));
@@ -103,8 +118,10 @@
 
         @Override
         public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
+            expectedVersions.add(changes.get(0).expectedVersion());
             written.add(changes.get(0).value());
-            return CompletableFuture.completedFuture(new CommitResult(true, StorePosition.withoutEra(100), 0, List.of()));
+            return CompletableFuture.completedFuture(
+                    new CommitResult(true, StorePosition.withoutEra(100), 0, List.of()));
         }
 
         @Override
--- a/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/TableWatchTest.java
@@ -24,6 +24,8 @@
     /** A replica serves for 2 s after it announced its shutdown; 0.5 s of it is reserved for requests on their way. */
     private static final long MAX_NOTICE_DELAY_MILLIS = 1_500;
 
+    private static final long REWRITE_MILLIS = 2_200;
+
     private EmbeddedChannel time;
     private long nowMillis;
     private ManualStore store;
@@ -98,6 +100,67 @@
         assertThat(store.watches).hasSize(1);
     }
 
+    @Test
+    public void aListOfARestoredStoreIsUsedThoughItsVersionIsLower() {
+        store.watches.get(0).complete(change(10));
+        restore(2, "ready");
+        assertThat(listener.restored).containsExactly(2L);
+        assertThat(watch.view().position()).isEqualTo(new StorePosition(1, 2));
+    }
+
+    @Test
+    public void changesOfARestoredStoreAreNoticedThoughTheirVersionsAreLower() {
+        store.watches.get(0).complete(change(10));
+        restore(2, "ready");
+        store.watches.get(store.watches.size() - 1).complete(changeInEra(1, 3));
+        assertThat(listener.changed).containsExactly(10L, 3L);
+    }
+
+    @Test
+    public void aRestoredTableIsListedOnceMoreAfterItsRowsWereWrittenAgain() {
+        restore(2, "ready");
+        answerWatchesFor(REWRITE_MILLIS);
+        assertThat(store.lists)
+                .as("the first list, that after the restore, and the one after the rewrite")
+                .hasSize(3);
+        store.lists.get(2).complete(page(1, 5, "ready"));
+        assertThat(listener.listed).as("rows of the last list").containsExactly(5L);
+    }
+
+    @Test
+    public void aListOfTheSameEraThatIsOlderThanKnownIsNotUsed() {
+        store.watches.get(0).complete(new RowPage(List.of(), StorePosition.withoutEra(9), 0, true));
+        store.lists.get(1).complete(page(0, 0, "ready"));
+        assertThat(listener.listed).isEmpty();
+        assertThat(listener.dropped).isEqualTo(1);
+    }
+
+    private void restore(long version, String state) {
+        int lists = store.lists.size();
+        store.watches
+                .get(store.watches.size() - 1)
+                .complete(new RowPage(List.of(), new StorePosition(1, version), 0, true));
+        store.lists.get(lists).complete(page(1, version, state));
+    }
+
+    private void answerWatchesFor(long millis) {
+        for (long passed = 0; passed <= millis; passed += 100) {
+            advance(100);
+            store.watches
+                    .get(store.watches.size() - 1)
+                    .complete(new RowPage(List.of(), new StorePosition(1, 2), 0, false));
+        }
+    }
+
+    private static RowPage page(long era, long version, String state) {
+        StoredRow row = new StoredRow(new RowKey("servers", "", "i-1"), state, version, false);
+        return new RowPage(List.of(row), new StorePosition(era, version), 0, false);
+    }
+
+    private static RowPage changeInEra(long era, long version) {
+        return page(era, version, "draining");
+    }
+
     private void advance(long millis) {
         for (long i = 0; i < millis; i++) {
             nowMillis++;
@@ -113,11 +176,24 @@
 
     private static final class RecordingListener implements TableWatch.Listener {
         private final List<Long> changed = new ArrayList<>();
+        private final List<Long> listed = new ArrayList<>();
+        private final List<Long> restored = new ArrayList<>();
         private int lost;
+        private int dropped;
 
         @Override
         public void onList(List<StoredRow> rows) {
-            rows.forEach(this::onChange);
+            rows.forEach(row -> listed.add(row.version()));
+        }
+
+        @Override
+        public void onRestoredList(List<StoredRow> rows) {
+            rows.forEach(row -> restored.add(row.version()));
+        }
+
+        @Override
+        public void onListDropped(StorePosition list, StorePosition known) {
+            dropped++;
         }
 
         @Override
--- a/direct/src/test/java/org/streamring/direct/ledger/SlowRows.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/SlowRows.java
@@ -65,7 +65,8 @@
     public CompletableFuture<RowPage> list(String table, String partition) {
         List<StoredRow> found = new ArrayList<>(stored.values());
         found.removeIf(each -> !each.key().table().equals(table));
-        return CompletableFuture.completedFuture(new RowPage(found, StorePosition.withoutEra(version), clock.getAsLong(), false));
+        return CompletableFuture.completedFuture(
+                new RowPage(found, StorePosition.withoutEra(version), clock.getAsLong(), false));
     }
 
     @Override
--- a/net/src/main/java/org/streamring/net/peer/PeerConnector.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerConnector.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.generated.Wire.Frame;
 import org.streamring.net.peer.FleetKey.Side;
@@ -32,11 +33,25 @@
             FleetKey fleetKey,
             PeerIdentity ownIdentity,
             PeerListener listener) {
+        this(loops, address, () -> fleetKey, ownIdentity, listener);
+    }
+
+    /**
+     * Creates a connector; {@link #start} opens the connection.
+     *
+     * @param fleetKey supplies the key for each new connection
+     */
+    public PeerConnector(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            Supplier<FleetKey> fleetKey,
+            PeerIdentity ownIdentity,
+            PeerListener listener) {
         this.loops = loops;
         this.address = address;
         PeerListener resettingListener = new BackoffReset(listener);
         this.pipelineInitializer = created -> FrameCodec.install(
-                created, new HandshakeHandler(Side.CONNECTING, fleetKey, ownIdentity, resettingListener));
+                created, new HandshakeHandler(Side.CONNECTING, fleetKey.get(), ownIdentity, resettingListener));
     }
 
     /** Starts connecting; does nothing after {@link #stop}. */
--- a/net/src/main/java/org/streamring/net/peer/PeerServer.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerServer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 import org.streamring.net.peer.FleetKey.Side;
 import org.streamring.net.process.ListeningSocket;
 
@@ -29,18 +30,22 @@
                         accepted, new HandshakeHandler(Side.ACCEPTING, fleetKey, ownIdentity, listener)));
     }
 
-    /** Binds the address without blocking; the future completes once the socket is listening. */
+    /**
+     * Binds the address without blocking; the future completes once the socket is listening.
+     *
+     * @param fleetKey supplies the key for each new connection
+     */
     public static Future<Void> open(
             EventLoopGroup loops,
             InetSocketAddress address,
-            FleetKey fleetKey,
+            Supplier<FleetKey> fleetKey,
             PeerIdentity ownIdentity,
             PeerListener listener) {
         return ListeningSocket.open(
                 loops,
                 address,
                 accepted -> FrameCodec.install(
-                        accepted, new HandshakeHandler(Side.ACCEPTING, fleetKey, ownIdentity, listener)));
+                        accepted, new HandshakeHandler(Side.ACCEPTING, fleetKey.get(), ownIdentity, listener)));
     }
 
     /** Returns the local port. */
