Restore what the store has lost of leases, and keep copies of grants at other entries

Cause: 'what was acknowledged is never lost' no longer holds. Three faults of the class: grants that only the lost rows named were granted again; a conditional write on a row that the copy lacks conflicts for ever, as a conflict returns no row; a successor reclaimed by usage caps that may be older than those its predecessor used. Changed: each row carries the position of the row it was derived from (at its end, where older versions don't read), so that AccountKnowledge tells which known changes a row lacks, also behind a late write that met a version given out again. At a new era entries stop writing, ask the connected ones for the rows they know (1 s at most), read, and write back what is missing (ledger_collected, leases_restored). An entry that starts and finds rows written before the current era does the same.

--- a/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/MarkRow.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import org.streamring.kernel.store.StorePosition;
 
 /**
  * Row with the usage caps of one incarnation.
@@ -14,19 +15,31 @@
  *     caps that are not recorded at one of them
  * @param fullReleaseMillis time since the last confirmed write over which its grants are released evenly; 0 if it may
  *     use all of them after the silence timeout, as processes of older versions do
+ * @param era era of the store in which the row was written; {@link StorePosition#NO_ERA} if it is not known
  */
 public record MarkRow(
         String incarnation,
         long confirmedMillis,
         Map<String, Mark> caps,
         Set<String> witnesses,
-        long fullReleaseMillis) {
+        long fullReleaseMillis,
+        long era) {
     /** Copies the map and the set. */
     public MarkRow {
         caps = Map.copyOf(caps);
         witnesses = Set.copyOf(witnesses);
     }
 
+    /** Creates a row whose era is not known. */
+    public MarkRow(
+            String incarnation,
+            long confirmedMillis,
+            Map<String, Mark> caps,
+            Set<String> witnesses,
+            long fullReleaseMillis) {
+        this(incarnation, confirmedMillis, caps, witnesses, fullReleaseMillis, StorePosition.NO_ERA);
+    }
+
     /**
      * Returns whether this incarnation used no tokens above its caps, because it ended before its silence timeout.
      *
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidLedger.java
@@ -262,6 +262,11 @@
                 lease.waiting());
     }
 
+    /** Returns the tokens that the store holds for this incarnation under every outcome of the writes in progress. */
+    public long granted(String account) {
+        return lease(account).granted();
+    }
+
     /** Measures the demand since the last call. */
     public void sample(long nowMillis) {
         leases.values().forEach(lease -> lease.sample(nowMillis, settings.rateWindow()));
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -27,6 +27,7 @@
 import org.streamring.direct.metrics.EventLoopDelayMonitor;
 import org.streamring.direct.metrics.LinkBacklogMonitor;
 import org.streamring.direct.peer.EntryPeers;
+import org.streamring.direct.peer.GrantExchange;
 import org.streamring.direct.peer.PermitExchange;
 import org.streamring.direct.peer.PlacementExchange;
 import org.streamring.direct.peer.TokenLending;
@@ -45,6 +46,7 @@
 import org.streamring.kernel.permit.PermitCoordinator;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.ReportPace;
+import org.streamring.kernel.prepaid.AccountKnowledge;
 import org.streamring.kernel.prepaid.HomeEntries;
 import org.streamring.kernel.prepaid.PrepaidLedger;
 import org.streamring.kernel.prepaid.PrepaidSettings;
@@ -105,6 +107,8 @@
     private final EntryPeers peers;
     private final TokenLending lending;
     private final UsageWitnesses witnesses;
+    private final AccountKnowledge knowledge = new AccountKnowledge();
+    private final GrantExchange grants;
     private final PermitExchange permits;
     private final HomeEntries homeEntries;
     private final BackendFleet fleet;
@@ -151,6 +155,7 @@
         this.homeEntries = new HomeEntries(settings.nodeName());
         this.peers = new EntryPeers(loops, loop, store, settings.peers(), own, homeEntries, metrics, log);
         this.witnesses = new UsageWitnesses(peers, settings.nodeName());
+        this.grants = new GrantExchange(loop, peers, settings.nodeName(), store, knowledge, log);
         this.lending = new TokenLending(loop, peers, homeEntries, random, metrics, log);
         this.members = new MemberRegister(
                 loop, store, settings.nodeName(), incarnation, settings.peers(), clock, otherEntries -> {
@@ -194,6 +199,7 @@
             @Override
             public void eraChanged(long before, long now) {
                 peers.storeRestored();
+                tokens.storeRestored();
             }
         });
         this.router = new RequestRouter(requestServices(random, metrics));
@@ -265,6 +271,10 @@
                 members::live,
                 lending,
                 witnesses,
+                grants,
+                knowledge,
+                store::era,
+                () -> members.possiblyLive().size() != 1,
                 clock,
                 DirectEntry::processAgeMillis,
                 random,
@@ -338,6 +348,7 @@
         members.start();
         lending.start(tokens.lender());
         witnesses.start();
+        grants.start();
         permits.start();
         peers.start();
         placementExchange.start();
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseReader.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseReader.java
@@ -72,11 +72,16 @@
         stopped = true;
     }
 
+    /** Stops using what was read so far and the reads in progress; {@link #read} starts again. */
+    void invalidate() {
+        rowsLoaded = false;
+        failedWrites++;
+    }
+
     /** Schedules another read, because it is unknown whether a write took effect. */
     void readAgainLater() {
         if (!stopped) {
-            rowsLoaded = false;
-            failedWrites++;
+            invalidate();
             loop.schedule(this::read, READ_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
@@ -110,8 +115,7 @@
         if (rowsLoaded || failedBefore != failedWrites) {
             return;
         }
-        rows.cacheRows(accounts.rows());
-        rows.cacheRows(usageCaps.rows());
+        rows.cacheTables(accounts, usageCaps);
         rowsLoaded = true;
         listener.rowsRead(usageCaps.storeMillis());
     }
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -30,6 +31,7 @@
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StoreException;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.model.route.PrepaidAccount;
 
 /**
@@ -41,6 +43,8 @@
     private static final long WATCH_INTERVAL_MILLIS = 50;
     private static final long WRITE_TIMEOUT_MILLIS = 700;
     private static final long CLOSE_RETRY_MILLIS = 10;
+    /** Time after the first reading of the rows within which a new process is connected to the live entries. */
+    private static final long FIRST_CONNECTIONS_MILLIS = 1_000;
 
     private static final int MAX_ACCOUNTS_PER_WRITE = 90;
 
@@ -53,6 +57,9 @@
     private final IntSupplier entries;
     private final LongSupplier clock;
     private final Witnesses witnesses;
+    private final GrantCopies copies;
+    private final LongSupplier era;
+    private final BooleanSupplier mayHavePeers;
     private final PredecessorLeases predecessor;
     private final DecisionLog log;
     private final Listener listener;
@@ -68,6 +75,13 @@
     private boolean stopping;
     private boolean storeUnreachable;
     private boolean renewedOnce;
+    /** Number of times that this entry has asked the others what they know of the rows. */
+    private int collections;
+
+    private boolean collecting;
+    private long collectingSinceMillis;
+    private boolean logRestoredRows;
+    private boolean firstRowsChecked;
     /** Leases of a predecessor that the write in progress reclaims. */
     private ReclaimedLeases reclaimed = ReclaimedLeases.NOTHING;
 
@@ -88,6 +102,8 @@
     /**
      * Creates a renewer; nothing is read or written before {@link #start}.
      *
+     * @param era returns the current era of the store
+     * @param mayHavePeers returns whether other entries may be live
      * @param clock milliseconds since this process started, on a monotonic clock
      * @param processAge milliseconds since the JVM of this process began to start
      */
@@ -100,6 +116,9 @@
             HomeEntries homeEntries,
             IntSupplier entries,
             Witnesses witnesses,
+            GrantCopies copies,
+            LongSupplier era,
+            BooleanSupplier mayHavePeers,
             LongSupplier clock,
             LongSupplier processAge,
             Random random,
@@ -113,6 +132,9 @@
         this.homeEntries = homeEntries;
         this.entries = entries;
         this.witnesses = witnesses;
+        this.copies = copies;
+        this.era = era;
+        this.mayHavePeers = mayHavePeers;
         this.predecessor = new PredecessorLeases(ledger, witnesses, clock, processAge, log);
         this.clock = clock;
         this.log = log;
@@ -147,6 +169,72 @@
         return clock.getAsLong() - rise.usable().localMillis();
     }
 
+    /**
+     * Writes nothing until the other entries have told what they know of the rows, because the store was restored from
+     * an older copy. Tokens of confirmed leases remain usable meanwhile.
+     */
+    void storeRestored() {
+        predecessor.storeRestored();
+        reader.invalidate();
+        collect();
+    }
+
+    private void collect() {
+        collections++;
+        int current = collections;
+        collecting = true;
+        collectingSinceMillis = clock.getAsLong();
+        copies.collect().thenAccept(answered -> {
+            if (current == collections) {
+                collected(answered);
+            }
+        });
+    }
+
+    private void collected(int answered) {
+        log.line("ledger_collected", "entries", answered, "ms", clock.getAsLong() - collectingSinceMillis);
+        collecting = false;
+        logRestoredRows = true;
+        reader.invalidate();
+        reader.read();
+    }
+
+    /**
+     * Returns whether the store was restored after the rows were written, so that other entries may know changes that it
+     * has lost.
+     */
+    private boolean rowsMayLackChanges() {
+        return era.getAsLong() != StorePosition.NO_ERA
+                && mayHavePeers.getAsBoolean()
+                && !rows.allWrittenIn(era.getAsLong());
+    }
+
+    private void collectOnceConnected() {
+        collecting = true;
+        loop.schedule(
+                () -> {
+                    if (collections == 0) {
+                        collect();
+                    }
+                },
+                FIRST_CONNECTIONS_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void logRestoredRows() {
+        if (logRestoredRows) {
+            logRestoredRows = false;
+            log.line(
+                    "leases_restored",
+                    "era",
+                    era.getAsLong(),
+                    "lost_tokens",
+                    rows.lostTokens(),
+                    "ms",
+                    clock.getAsLong() - collectingSinceMillis);
+        }
+    }
+
     /** Schedules a write as soon as possible, ahead of a later one that is already scheduled. */
     void renewSoon() {
         renewAgainSoon |= writing;
@@ -183,7 +271,7 @@
                         rows.account(account).holding(ledger.incarnation()).isPresent())
                 .map(account -> ledger.planClose(account, rows.account(account)))
                 .toList();
-        if (proposals.isEmpty() || !reader.rowsLoaded()) {
+        if (proposals.isEmpty() || collecting || !reader.rowsLoaded()) {
             closed.complete(null);
             return;
         }
@@ -204,6 +292,13 @@
     @Override
     public void rowsRead(long storeMillis) {
         storeAnswered(storeMillis);
+        boolean first = !firstRowsChecked;
+        firstRowsChecked = true;
+        if (first && rowsMayLackChanges()) {
+            collectOnceConnected();
+            return;
+        }
+        logRestoredRows();
         renewSoon();
     }
 
@@ -234,12 +329,12 @@
         if (writing || stopping) {
             return;
         }
-        if (!reader.rowsLoaded()) {
+        if (collecting || !reader.rowsLoaded()) {
             renewLater();
             return;
         }
         if (!renewedOnce) {
-            predecessor.usageCapsRead(rows.usageCaps());
+            predecessor.usageCapsRead(rows.usageCaps(), era.getAsLong());
             predecessor.logOnce();
         }
         predecessor.askWitnesses();
@@ -280,13 +375,23 @@
         PrepaidLedger.Proposal proposal = homeEntries.isHome(account)
                 ? ledger.plan(account, rowToWrite, homeEntries.of(account).size(), homeEntries.shape())
                 : ledger.planNonHome(account, rowToWrite);
-        return rowToWrite.equals(row) ? proposal : proposal.orElseWrite(rowToWrite);
+        boolean mustWrite = !rowToWrite.equals(row) || (rows.hasLostChanges(account) && isWriter(account));
+        return mustWrite ? proposal.orElseWrite(rowToWrite) : proposal;
+    }
+
+    private boolean isWriter(String account) {
+        return homeEntries.isHome(account)
+                || rows.account(account).holding(ledger.incarnation()).isPresent();
     }
 
     private CompletableFuture<Boolean> write(List<PrepaidLedger.Proposal> proposals) {
         Map<String, PrepaidRow> changed = new HashMap<>();
         Map<String, Mark> usageCaps = new HashMap<>();
+        Map<String, Long> grown = new HashMap<>();
         for (PrepaidLedger.Proposal proposal : proposals) {
+            if (proposal.granted() > ledger.granted(proposal.account())) {
+                grown.put(proposal.account(), proposal.granted());
+            }
             proposal.row().ifPresent(row -> changed.put(proposal.account(), row));
             usageCaps.put(proposal.account(), proposal.cap());
         }
@@ -298,9 +403,9 @@
         long sentMillis = clock.getAsLong();
         RiseStart start = rise.proposed(new RiseStart(sentMillis, anchorStoreMillis + sentMillis - anchorLocalMillis));
         updateStoreSilence();
-        MarkRow usageCapRow =
-                new MarkRow(ledger.incarnation(), start.storeMillis(), usageCaps, witnessIds, releaseMillis);
-        return commit(changed, usageCapRow).whenComplete((committed, failure) -> {
+        MarkRow usageCapRow = new MarkRow(
+                ledger.incarnation(), start.storeMillis(), usageCaps, witnessIds, releaseMillis, era.getAsLong());
+        return commit(changed, usageCapRow, grown).whenComplete((committed, failure) -> {
             if (failure != null) {
                 boolean nothingDone = failure instanceof StoreException store && store.hasNoEffect();
                 notConfirmed(proposals, nothingDone);
@@ -348,7 +453,8 @@
         }
     }
 
-    private CompletableFuture<Boolean> commit(Map<String, PrepaidRow> changed, MarkRow usageCaps) {
+    private CompletableFuture<Boolean> commit(
+            Map<String, PrepaidRow> changed, MarkRow usageCaps, Map<String, Long> grown) {
         writing = true;
         renewAgainSoon = false;
         writeSentMillis = clock.getAsLong();
@@ -357,8 +463,8 @@
         changes.add(rows.usageCapsChange(usageCaps));
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         store.commit(changes).whenComplete((answer, failure) -> {
-            writing = false;
             if (failure != null) {
+                writing = false;
                 result.completeExceptionally(failure);
                 storeFailed(failure);
                 reader.readAgainLater();
@@ -366,17 +472,38 @@
             }
             storeAnswered(answer.storeMillis());
             applyResult(answer, changed, usageCaps);
-            result.complete(answer.committed());
+            if (answer.committed() && !grown.isEmpty()) {
+                keepCopies(grown, answer.position(), result);
+            } else {
+                writing = false;
+                result.complete(answer.committed());
+            }
         });
         return result;
     }
 
+    /** Completes the write once another entry keeps the grants that have grown. */
+    private void keepCopies(Map<String, Long> grown, StorePosition position, CompletableFuture<Boolean> result) {
+        writeSentMillis = clock.getAsLong();
+        copies.keep(grown, position).thenAccept(kept -> {
+            writing = false;
+            if (kept) {
+                result.complete(true);
+            } else {
+                result.completeExceptionally(new StoreException("keep grants at other entries", "no answer", false));
+                log.line("grants_not_kept", "accounts", grown.size());
+                renewLater();
+            }
+        });
+    }
+
     private void applyResult(CommitResult answer, Map<String, PrepaidRow> changed, MarkRow usageCaps) {
         if (answer.committed()) {
-            rows.cacheWritten(changed, usageCaps, answer.position().version());
+            rows.cacheWritten(changed, usageCaps, answer.position());
         } else {
             logConflict(rows.outdated(answer.current()), changed.size());
-            rows.cacheRows(answer.current());
+            rows.cacheConflict(
+                    changed.keySet(), answer.current(), answer.position().era());
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PredecessorLeases.java
@@ -32,6 +32,7 @@
     private long bootMillis;
     private long foundMillis;
     private boolean logged;
+    private boolean lastWritesMayBeLost;
 
     /**
      * Creates an instance without a predecessor.
@@ -54,11 +55,17 @@
         startStoreMillis = Math.min(startStoreMillis, storeMillis);
     }
 
-    /** Sets the usage caps that the store holds for this box. Later writes of the predecessor replace earlier ones. */
-    void usageCapsRead(Optional<MarkRow> usageCaps) {
-        Optional<MarkRow> ofPredecessor =
-                usageCaps.filter(each -> !each.incarnation().equals(ledger.incarnation()));
-        if (ofPredecessor.isEmpty()) {
+    /**
+     * Sets the usage caps that the store holds for this box. Later writes of the predecessor replace earlier ones. Caps
+     * of an older era are ignored, because the predecessor may have raised them by a write that the store has lost.
+     *
+     * @param era current era of the store
+     */
+    void usageCapsRead(Optional<MarkRow> usageCaps, long era) {
+        Optional<MarkRow> ofPredecessor = usageCaps
+                .filter(each -> !each.incarnation().equals(ledger.incarnation()))
+                .filter(each -> each.era() == era);
+        if (ofPredecessor.isEmpty() || lastWritesMayBeLost) {
             return;
         }
         if (predecessorRow.isEmpty()) {
@@ -68,6 +75,12 @@
         predecessorRow = ofPredecessor;
     }
 
+    /** Leaves the predecessor's leases counted as used, because its last writes may be lost. */
+    void storeRestored() {
+        lastWritesMayBeLost = true;
+        predecessorRow = Optional.empty();
+    }
+
     /**
      * Returns an upper bound of the store time at which the predecessor ended. On a small box the JVM takes a second or
      * more to start before the clock starts, and the predecessor had ended before that. Without subtracting this time,
--- a/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/PrepaidRowCodec.java
@@ -16,18 +16,21 @@
 import org.streamring.kernel.prepaid.Mark;
 import org.streamring.kernel.prepaid.MarkRow;
 import org.streamring.kernel.prepaid.PrepaidRow;
+import org.streamring.kernel.store.StorePosition;
 
 /**
  * Encodes rows as text. The row of an account is
- * {@code [closed, limit, limit version, holder, granted, spent, holder, …]}, which is short because the store charges
- * by the byte.
+ * {@code [closed, limit, limit version, holder, granted, spent, holder, …, era, version]}, which is short because the
+ * store charges by the byte. The last two numbers are the position of the basis; older versions neither read nor write
+ * them, and they are absent if the store has no eras.
  */
-final class PrepaidRowCodec {
+public final class PrepaidRowCodec {
     private static final JsonFactory JSON = new JsonFactory();
 
     private PrepaidRowCodec() {}
 
-    static String write(PrepaidRow row) {
+    /** Encodes the row of an account. */
+    public static String write(PrepaidRow row) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = JSON.createGenerator(text)) {
             generator.writeStartArray();
@@ -39,6 +42,10 @@
                 generator.writeNumber(holding.getValue().granted());
                 generator.writeNumber(holding.getValue().spent());
             }
+            if (row.basis().era() != StorePosition.NO_ERA) {
+                generator.writeNumber(row.basis().era());
+                generator.writeNumber(row.basis().version());
+            }
             generator.writeEndArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -47,7 +54,7 @@
     }
 
     /** Decodes the row of an account. Returns empty if the text has another format. */
-    static Optional<PrepaidRow> read(String text) {
+    public static Optional<PrepaidRow> read(String text) {
         try (JsonParser parser = JSON.createParser(text)) {
             if (parser.nextToken() != JsonToken.START_ARRAY) {
                 return Optional.empty();
@@ -60,17 +67,25 @@
                 String holder = parser.getText();
                 holdings.put(holder, new Holding(readNumber(parser), readNumber(parser)));
             }
-            return Optional.of(new PrepaidRow(closed, limit, limitVersion, holdings));
+            return Optional.of(new PrepaidRow(closed, limit, limitVersion, holdings, readBasis(parser)));
         } catch (IOException e) {
             return Optional.empty();
         }
     }
 
+    /** Reads the position of the basis, if the current token is its first number. */
+    private static StorePosition readBasis(JsonParser parser) throws IOException {
+        if (parser.currentToken() != JsonToken.VALUE_NUMBER_INT) {
+            return StorePosition.NONE;
+        }
+        return new StorePosition(parser.getLongValue(), readNumber(parser));
+    }
+
     /**
      * Encodes usage caps as
-     * {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …, cover]},
-     * where "at patience" is the cap at the silence timeout. Older versions read up to the last account, and do not
-     * write the cover.
+     * {@code [incarnation, confirmed, [witness, …], account, start, at once, at patience, …, cover, era]},
+     * where "at patience" is the cap at the silence timeout. Older versions read up to the last account or the cover,
+     * and do not write what follows; the era is absent if the store has none.
      */
     static String writeUsageCaps(MarkRow usageCaps) {
         StringWriter text = new StringWriter();
@@ -90,6 +105,9 @@
                 generator.writeNumber(cap.getValue().atSilenceTimeout());
             }
             generator.writeNumber(usageCaps.fullReleaseMillis());
+            if (usageCaps.era() != StorePosition.NO_ERA) {
+                generator.writeNumber(usageCaps.era());
+            }
             generator.writeEndArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -112,7 +130,9 @@
                 usageCaps.put(account, new Mark(readNumber(parser), readNumber(parser), readNumber(parser)));
             }
             long cover = parser.currentToken() == JsonToken.VALUE_NUMBER_INT ? parser.getLongValue() : 0;
-            return Optional.of(new MarkRow(incarnation, confirmed, usageCaps, witnesses, cover));
+            boolean namesEra = parser.nextToken() == JsonToken.VALUE_NUMBER_INT;
+            long era = namesEra ? parser.getLongValue() : StorePosition.NO_ERA;
+            return Optional.of(new MarkRow(incarnation, confirmed, usageCaps, witnesses, cover, era));
         } catch (IOException e) {
             return Optional.empty();
         }
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -15,6 +16,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.request.TokenSource;
+import org.streamring.kernel.prepaid.AccountKnowledge;
 import org.streamring.kernel.prepaid.HomeEntries;
 import org.streamring.kernel.prepaid.PrepaidLedger;
 import org.streamring.kernel.prepaid.PrepaidRow;
@@ -69,6 +71,10 @@
      * Creates an allocator; nothing is read or written before {@link #start}.
      *
      * @param box name and address of this box
+     * @param copies other entries that keep copies of this entry's grants
+     * @param knowledge what this entry knows of the accounts' rows
+     * @param era returns the current era of the store
+     * @param mayHavePeers returns whether other entries may be live
      * @param clock milliseconds since this process started, on a monotonic clock
      * @param processAge milliseconds since the JVM of this process began to start
      */
@@ -82,6 +88,10 @@
             IntSupplier entries,
             Lenders lenders,
             Witnesses witnesses,
+            GrantCopies copies,
+            AccountKnowledge knowledge,
+            LongSupplier era,
+            BooleanSupplier mayHavePeers,
             LongSupplier clock,
             LongSupplier processAge,
             Random random,
@@ -89,7 +99,7 @@
             DecisionLog log) {
         this.loop = loop;
         this.ledger = ledger;
-        this.rows = new LeaseRows(log, box);
+        this.rows = new LeaseRows(log, box, knowledge);
         this.routes = routes;
         this.homeEntries = homeEntries;
         this.lenders = lenders;
@@ -105,6 +115,9 @@
                 homeEntries,
                 entries,
                 witnesses,
+                copies,
+                era,
+                mayHavePeers,
                 clock,
                 processAge,
                 random,
@@ -142,6 +155,11 @@
         return renewer.renewedOnce();
     }
 
+    /** Restores what the store has lost, because it was restored from an older copy. */
+    public void storeRestored() {
+        renewer.storeRestored();
+    }
+
     /** Stops taking tokens, and from now on returns those that no request uses or waits for. */
     public void release() {
         renewer.release();
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -72,6 +72,9 @@
     public interface FrameListener {
         /** Called for each frame. Both sides of a connection send queries and answers, whichever side opened it. */
         void received(PeerConnection connection, Frame frame);
+
+        /** Called when a connection to another entry was opened. */
+        default void connected(PeerConnection connection) {}
     }
 
     /** Adds a listener for received frames. */
@@ -182,6 +185,7 @@
         public void connected(PeerConnection connection) {
             connections.add(connection);
             log.line("peer_connected", "peer", connection.remote().name());
+            listeners.forEach(each -> each.connected(connection));
         }
 
         @Override
--- a/direct/src/test/java/org/streamring/direct/ledger/PredecessorLeasesTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/PredecessorLeasesTest.java
@@ -15,6 +15,7 @@
 import org.streamring.kernel.prepaid.PrepaidLedger;
 import org.streamring.kernel.prepaid.PrepaidRow;
 import org.streamring.kernel.prepaid.PrepaidSettings;
+import org.streamring.kernel.store.StorePosition;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -70,7 +71,8 @@
                 log);
         predecessor.startedBefore(clockStartMillis);
         predecessor.usageCapsRead(
-                Optional.of(new MarkRow(DEAD, CONFIRMED, Map.of(ACCOUNT, USAGE_CAP), Set.of("entry-2.a"), 20_000)));
+                Optional.of(new MarkRow(DEAD, CONFIRMED, Map.of(ACCOUNT, USAGE_CAP), Set.of("entry-2.a"), 20_000)),
+                StorePosition.NO_ERA);
         PrepaidRow row = PrepaidRow.EMPTY.withLimit(LIMIT, 1).withHolding(DEAD, new Holding(LEASE, 0));
         return predecessor.removeFrom(ACCOUNT, row).used();
     }
--- a/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -23,6 +24,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.request.TokenSource.Outcome;
+import org.streamring.kernel.prepaid.AccountKnowledge;
 import org.streamring.kernel.prepaid.Holding;
 import org.streamring.kernel.prepaid.HomeEntries;
 import org.streamring.kernel.prepaid.Mark;
@@ -32,6 +34,7 @@
 import org.streamring.kernel.prepaid.PrepaidSettings;
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.store.RowKey;
+import org.streamring.kernel.store.StorePosition;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.model.route.PrepaidAccount;
 import org.streamring.model.route.RoutingConfiguration;
@@ -116,6 +119,10 @@
                 () -> 33,
                 lenders,
                 new NoWitnesses(),
+                new NoCopies(),
+                new AccountKnowledge(),
+                () -> 0,
+                () -> true,
                 () -> nowMillis,
                 () -> nowMillis,
                 new Random(1),
@@ -379,6 +386,19 @@
         }
     }
 
+    /** Stands for a fleet in which no other entry is connected. */
+    private static final class NoCopies implements GrantCopies {
+        @Override
+        public CompletableFuture<Boolean> keep(Map<String, Long> grants, StorePosition position) {
+            return CompletableFuture.completedFuture(true);
+        }
+
+        @Override
+        public CompletableFuture<Integer> collect() {
+            return CompletableFuture.completedFuture(0);
+        }
+    }
+
     private static final class NoWitnesses implements Witnesses {
         @Override
         public Set<String> choose(Set<String> present) {
