--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -75,13 +75,24 @@
         log.line("backends_listed", "count", instances.size(), "unreadable", malformed.size());
     }
 
-    /** Keeps servers whose rows are missing, and ignores rows of servers that were removed. */
+    /**
+     * Keeps servers whose rows are missing, and ignores rows of servers that were removed and of earlier processes of
+     * servers that were restarted.
+     */
     @Override
     public void onRestoredList(List<StoredRow> list) {
-        List<StoredRow> current =
-                list.stream().filter(row -> !removed.contains(row.key().key())).toList();
+        List<StoredRow> current = list.stream().filter(row -> !isOutdated(row)).toList();
         current.forEach(this::onChange);
-        log.line("backends_restored", "count", current.size(), "removed_before", list.size() - current.size());
+        log.line("backends_restored", "count", current.size(), "outdated", list.size() - current.size());
+    }
+
+    private boolean isOutdated(StoredRow row) {
+        String id = row.key().key();
+        long knownStart = registry.find(id).map(BackendInstance::startedMillis).orElse(Long.MIN_VALUE);
+        return removed.contains(id)
+                || read(row)
+                        .filter(listed -> listed.startedMillis() < knownStart)
+                        .isPresent();
     }
 
     @Override
