--- a/core/src/main/java/org/streamring/kernel/prepaid/AccountKnowledge.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/AccountKnowledge.java
@@ -83,9 +83,9 @@
     }
 
     /**
-     * Returns whether a row includes the change at another position. A row includes its own change and all changes up to
-     * its basis. If its basis is not known, all changes of its era and of older ones up to its version are assumed to be
-     * included.
+     * Returns whether a row includes the change at another position. A row includes its own change and all changes up
+     * to its basis. If its basis is not known, all changes of its era and of older ones up to its version are assumed
+     * to be included.
      */
     private static boolean includes(PrepaidRow row, StorePosition position, StorePosition change) {
         if (change.equals(position)) {
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidRow.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidRow.java
@@ -12,8 +12,8 @@
  * @param limit prepaid tokens, from the newest configuration known to any writer
  * @param limitVersion version of that configuration
  * @param holdings holdings by incarnation
- * @param basis position of the row from which this one was derived; {@link StorePosition#NONE} if it is not known, as in
- *     rows of older versions
+ * @param basis position of the row from which this one was derived; {@link StorePosition#NONE} if it is not known, as
+ *     in rows of older versions
  */
 public record PrepaidRow(
         long closed, long limit, long limitVersion, Map<String, Holding> holdings, StorePosition basis) {
--- a/core/src/main/java/org/streamring/kernel/store/EraCheckedStore.java
+++ b/core/src/main/java/org/streamring/kernel/store/EraCheckedStore.java
@@ -11,7 +11,8 @@
  * Store that passes on only answers of the latest era known.
  *
  * <p>A new era begins when the store is restored from an older copy: its last changes are lost, and their versions are
- * given out again. Listeners are told of a new era before the answer that named it is passed on. Confined to one thread.
+ * given out again. Listeners are told of a new era before the answer that named it is passed on. Confined to one
+ * thread.
  */
 public final class EraCheckedStore implements RowStore {
     private final RowStore store;
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -157,13 +157,7 @@
         this.witnesses = new UsageWitnesses(peers, settings.nodeName());
         this.grants = new GrantExchange(loop, peers, settings.nodeName(), store, knowledge, log);
         this.lending = new TokenLending(loop, peers, homeEntries, random, metrics, log);
-        this.members = new MemberRegister(
-                loop, store, settings.nodeName(), incarnation, settings.peers(), clock, otherEntries -> {
-                    homeEntries.updatePeers(otherEntries.live().stream()
-                            .map(MemberRegister.Member::name)
-                            .toList());
-                    peers.members(otherEntries);
-                });
+        this.members = createMemberRegister(incarnation);
         this.tokens = createTokenAllocator(
                 new PrepaidLedger(incarnation, PrepaidSettings.DEFAULT), homeEntries, random, metrics);
         this.permits = new PermitExchange(
@@ -174,8 +168,47 @@
         ReportPace reportPace = new ReportPace(() -> this.settings.linkBytesPerSecond());
         this.placementExchange = new PlacementExchange(
                 loop, peers, fleet.placement(), members::live, this::memoryTokensOf, link, reportPace, clock);
+        this.configurationWatch = watchConfiguration(metrics);
+        this.backendWatch = watchBackends(metrics);
+        this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
+        this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
+        this.suspectWatch = watch(
+                SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, metrics, suspectExchange);
+        listenToEras(metrics);
+        this.router = new RequestRouter(requestServices(random, metrics));
+        this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
+        new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
+        registerGauges(metrics);
+        this.eventLoopDelayMonitor =
+                new EventLoopDelayMonitor(loop, clock, new LinkBacklogMonitor(link, clock, log), metrics, log);
+        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
+        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
+    }
+
+    private MemberRegister createMemberRegister(String incarnation) {
+        return new MemberRegister(
+                loop, store, settings.nodeName(), incarnation, settings.peers(), clock, otherEntries -> {
+                    homeEntries.updatePeers(otherEntries.live().stream()
+                            .map(MemberRegister.Member::name)
+                            .toList());
+                    peers.members(otherEntries);
+                });
+    }
+
+    private void listenToEras(EntryMetrics metrics) {
+        store.listen(new EraLog(metrics, log));
+        store.listen(new EraCheckedStore.Listener() {
+            @Override
+            public void eraChanged(long before, long now) {
+                peers.storeRestored();
+                tokens.storeRestored();
+            }
+        });
+    }
+
+    private TableWatch watchConfiguration(EntryMetrics metrics) {
         OperatorRows operatorRows = platform.operatorRows();
-        this.configurationWatch = watch(
+        return watch(
                 operatorRows.configurationTable(),
                 "configuration",
                 TableWatch.AfterGap.LIST,
@@ -183,33 +216,16 @@
                 metrics,
                 configuration,
                 new EvacuationFeed(operatorRows, registry, log));
-        this.backendWatch = watch(
-                operatorRows.backendTable(),
+    }
+
+    private TableWatch watchBackends(EntryMetrics metrics) {
+        return watch(
+                platform.operatorRows().backendTable(),
                 "backends",
                 TableWatch.AfterGap.CHANGES,
                 TableWatch.WAIT,
                 metrics,
                 backends);
-        this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
-        this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
-        this.suspectWatch = watch(
-                SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, metrics, suspectExchange);
-        store.listen(new EraLog(metrics, log));
-        store.listen(new EraCheckedStore.Listener() {
-            @Override
-            public void eraChanged(long before, long now) {
-                peers.storeRestored();
-                tokens.storeRestored();
-            }
-        });
-        this.router = new RequestRouter(requestServices(random, metrics));
-        this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
-        new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
-        registerGauges(metrics);
-        this.eventLoopDelayMonitor =
-                new EventLoopDelayMonitor(loop, clock, new LinkBacklogMonitor(link, clock, log), metrics, log);
-        new AdminServer(loops, settings.metrics(), metrics.registry(), this::ready);
-        log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
     private BackendFleet createFleet(PermitCoordinator permitCoordinator, ColdReplicas cold, Random random) {
--- a/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LeaseRenewer.java
@@ -43,8 +43,6 @@
     private static final long WATCH_INTERVAL_MILLIS = 50;
     private static final long WRITE_TIMEOUT_MILLIS = 700;
     private static final long CLOSE_RETRY_MILLIS = 10;
-    /** Time after the first reading of the rows within which a new process is connected to the live entries. */
-    private static final long FIRST_CONNECTIONS_MILLIS = 1_000;
 
     private static final int MAX_ACCOUNTS_PER_WRITE = 90;
 
@@ -59,11 +57,11 @@
     private final Witnesses witnesses;
     private final GrantCopies copies;
     private final LongSupplier era;
-    private final BooleanSupplier mayHavePeers;
     private final PredecessorLeases predecessor;
     private final DecisionLog log;
     private final Listener listener;
     private final LeaseReader reader;
+    private final RowRecovery recovery;
     private final ConflictBackoff backoff;
     private final SettlementSchedule settlementSchedule;
     private boolean writing;
@@ -75,13 +73,6 @@
     private boolean stopping;
     private boolean storeUnreachable;
     private boolean renewedOnce;
-    /** Number of times that this entry has asked the others what they know of the rows. */
-    private int collections;
-
-    private boolean collecting;
-    private long collectingSinceMillis;
-    private boolean logRestoredRows;
-    private boolean firstRowsChecked;
     /** Leases of a predecessor that the write in progress reclaims. */
     private ReclaimedLeases reclaimed = ReclaimedLeases.NOTHING;
 
@@ -134,12 +125,12 @@
         this.witnesses = witnesses;
         this.copies = copies;
         this.era = era;
-        this.mayHavePeers = mayHavePeers;
         this.predecessor = new PredecessorLeases(ledger, witnesses, clock, processAge, log);
         this.clock = clock;
         this.log = log;
         this.listener = listener;
         this.reader = new LeaseReader(loop, store, rows, clock, this);
+        this.recovery = new RowRecovery(loop, reader, rows, copies, era, mayHavePeers, clock, log);
         this.backoff = new ConflictBackoff(random);
         this.settlementSchedule = new SettlementSchedule(random);
     }
@@ -175,64 +166,7 @@
      */
     void storeRestored() {
         predecessor.storeRestored();
-        reader.invalidate();
-        collect();
-    }
-
-    private void collect() {
-        collections++;
-        int current = collections;
-        collecting = true;
-        collectingSinceMillis = clock.getAsLong();
-        copies.collect().thenAccept(answered -> {
-            if (current == collections) {
-                collected(answered);
-            }
-        });
-    }
-
-    private void collected(int answered) {
-        log.line("ledger_collected", "entries", answered, "ms", clock.getAsLong() - collectingSinceMillis);
-        collecting = false;
-        logRestoredRows = true;
-        reader.invalidate();
-        reader.read();
-    }
-
-    /**
-     * Returns whether the store was restored after the rows were written, so that other entries may know changes that it
-     * has lost.
-     */
-    private boolean rowsMayLackChanges() {
-        return era.getAsLong() != StorePosition.NO_ERA
-                && mayHavePeers.getAsBoolean()
-                && !rows.allWrittenIn(era.getAsLong());
-    }
-
-    private void collectOnceConnected() {
-        collecting = true;
-        loop.schedule(
-                () -> {
-                    if (collections == 0) {
-                        collect();
-                    }
-                },
-                FIRST_CONNECTIONS_MILLIS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void logRestoredRows() {
-        if (logRestoredRows) {
-            logRestoredRows = false;
-            log.line(
-                    "leases_restored",
-                    "era",
-                    era.getAsLong(),
-                    "lost_tokens",
-                    rows.lostTokens(),
-                    "ms",
-                    clock.getAsLong() - collectingSinceMillis);
-        }
+        recovery.storeRestored();
     }
 
     /** Schedules a write as soon as possible, ahead of a later one that is already scheduled. */
@@ -271,7 +205,7 @@
                         rows.account(account).holding(ledger.incarnation()).isPresent())
                 .map(account -> ledger.planClose(account, rows.account(account)))
                 .toList();
-        if (proposals.isEmpty() || collecting || !reader.rowsLoaded()) {
+        if (proposals.isEmpty() || recovery.inProgress() || !reader.rowsLoaded()) {
             closed.complete(null);
             return;
         }
@@ -292,14 +226,9 @@
     @Override
     public void rowsRead(long storeMillis) {
         storeAnswered(storeMillis);
-        boolean first = !firstRowsChecked;
-        firstRowsChecked = true;
-        if (first && rowsMayLackChanges()) {
-            collectOnceConnected();
-            return;
+        if (recovery.rowsRead()) {
+            renewSoon();
         }
-        logRestoredRows();
-        renewSoon();
     }
 
     @Override
@@ -329,7 +258,7 @@
         if (writing || stopping) {
             return;
         }
-        if (collecting || !reader.rowsLoaded()) {
+        if (recovery.inProgress() || !reader.rowsLoaded()) {
             renewLater();
             return;
         }
