Log software versions of replicas, and which stream a request resumes

The version in a server's row was required and dropped.

Change: BackendInstance keeps the software version. request_ended and attempt_failed name that of the last replica, request_ended also the stream that the caller resumes and its last event, backend_changed the version of the row. The header is named in platform/ alone. No decision changes.

--- a/core/src/main/java/org/streamring/kernel/registry/BackendInstance.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendInstance.java
@@ -12,6 +12,7 @@
  * @param ready whether the server accepts new requests; false while it is shutting down
  * @param coldMillis remaining warm-up time of a cold server when it wrote the row, in milliseconds; 0 if it is warm
  * @param startedMillis start time of its process, in milliseconds of its own wall clock; 0 if not given
+ * @param softwareVersion version of the server's software; streams of different versions do not fit together
  */
 public record BackendInstance(
         String id,
@@ -22,7 +23,8 @@
         int slots,
         boolean ready,
         long coldMillis,
-        long startedMillis) {
+        long startedMillis,
+        String softwareVersion) {
 
     /** Returns the name of this process; a process that restarts under the same identifier is another incarnation. */
     public String incarnation() {
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -92,7 +92,8 @@
                 before.slots(),
                 true,
                 0,
-                before.startedMillis() + 1);
+                before.startedMillis() + 1,
+                before.softwareVersion());
     }
 
     @Test
@@ -209,7 +210,7 @@
     @Test
     public void aReplicaNeverReceivesMoreRequestsThanItsSlots() {
         start(table, plainQuery(), "i-0");
-        BackendInstance small = new BackendInstance("i-0", "assist", "10.0.0.1", 1, "hall", 1, true, 0, 0);
+        BackendInstance small = new BackendInstance("i-0", "assist", "10.0.0.1", 1, "hall", 1, true, 0, 0, "v1");
         assertThat(table.choose(plainQuery(), PLAIN, List.of(small), 1, 0)).isEmpty();
     }
 
@@ -306,6 +307,6 @@
     }
 
     private static BackendInstance replica(int number) {
-        return new BackendInstance("i-" + number, "assist", "10.0.0." + number, 8_080, "hall", 64, true, 0, 0);
+        return new BackendInstance("i-" + number, "assist", "10.0.0." + number, 8_080, "hall", 64, true, 0, 0, "v1");
     }
 }
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTimes.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTimes.java
@@ -25,7 +25,7 @@
     public static void main(String[] args) {
         List<BackendInstance> replicas = IntStream.range(0, REPLICAS)
                 .mapToObj(number -> new BackendInstance(
-                        "i-" + number, "assist", "10.0.0." + number, 8_080, "hall-" + number % 3, 64, true, 0, 0))
+                        "i-" + number, "assist", "10.0.0." + number, 8_080, "hall-" + number % 3, 64, true, 0, 0, "v1"))
                 .toList();
         PlacementTable table = new PlacementTable(new Random(1));
         for (int entry = 1; entry < ENTRIES; entry++) {
--- a/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -41,7 +41,7 @@
     @Test
     public void aNewProcessWithTheIdentifierOfAServerThatShutDownTakesNewRequests() {
         registry.put(backend("i-1", false), 0);
-        registry.put(new BackendInstance("i-1", "assist", "10.0.0.1", 8_080, "hall-1", 64, true, 0, 7), 0);
+        registry.put(new BackendInstance("i-1", "assist", "10.0.0.1", 8_080, "hall-1", 64, true, 0, 7, "v1"), 0);
         assertThat(ids()).containsExactlyInAnyOrder("i-1", "i-2");
     }
 
@@ -133,6 +133,6 @@
     }
 
     private static BackendInstance backend(String id, boolean ready) {
-        return new BackendInstance(id, "assist", "10.0.0.1", 8_080, "hall-1", 64, ready, 0, 0);
+        return new BackendInstance(id, "assist", "10.0.0.1", 8_080, "hall-1", 64, ready, 0, 0, "v1");
     }
 }
--- a/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
+++ b/direct/src/main/java/org/streamring/direct/feed/BackendFeed.java
@@ -137,6 +137,8 @@
                 instance.coldMillis(),
                 "born",
                 instance.startedMillis(),
+                "software",
+                instance.softwareVersion(),
                 "version",
                 version);
     }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
@@ -63,6 +63,11 @@
         return lastReplica.map(BackendInstance::id).orElse("");
     }
 
+    /** Returns the software version of the replica that was chosen last; an empty string if none was chosen. */
+    String lastSoftwareVersion() {
+        return lastReplica.map(BackendInstance::softwareVersion).orElse("");
+    }
+
     /** Returns how the last attempt ended; empty if none has ended. */
     Optional<AttemptEnd> lastEnd() {
         return lastEnd;
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -397,7 +397,7 @@
             return;
         }
         services.metrics().attemptFailed(end.kind().name());
-        log.attemptFailed(end, attempts.lastReplicaId(), suspect.digest(), elapsed());
+        log.attemptFailed(end, attempts.lastReplicaId(), attempts.lastSoftwareVersion(), suspect.digest(), elapsed());
     }
 
     private RequestLog.Summary summary() {
@@ -407,6 +407,7 @@
                 attempts.unsent(),
                 tokens,
                 attempts.lastReplicaId(),
+                attempts.lastSoftwareVersion(),
                 forecast,
                 timing,
                 sinceSentMillis(),
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -17,6 +17,7 @@
      * @param unsent number of attempts for which no byte was sent
      * @param tokens prepaid tokens used
      * @param replica identifier of the last replica tried; empty if none was tried
+     * @param software software version of that replica; empty if none was tried
      * @param forecast forecast for the last attempt
      * @param timing timing of the events passed on
      * @param sinceSentMillis milliseconds since the attempt in progress was written to its connection; empty if no
@@ -28,6 +29,7 @@
             int unsent,
             long tokens,
             String replica,
+            String software,
             Optional<PlacementForecast> forecast,
             StreamTiming timing,
             OptionalLong sinceSentMillis,
@@ -42,9 +44,10 @@
      * Logs an attempt that did not succeed.
      *
      * @param replica identifier of the replica that was tried
+     * @param software software version of that replica
      * @param digest digest by which a repetition of the request is recognized; empty if it can't be computed yet
      */
-    void attemptFailed(AttemptEnd end, String replica, String digest, long millis) {
+    void attemptFailed(AttemptEnd end, String replica, String software, String digest, long millis) {
         log.line(
                 "attempt_failed",
                 "request",
@@ -57,6 +60,8 @@
                 end.reason(),
                 "replica",
                 replica,
+                "software",
+                software,
                 "digest",
                 digest,
                 "ms",
@@ -89,6 +94,12 @@
                 plan.tokens().map(DeclaredTokens::maxTotal).orElse(0L),
                 "replica",
                 summary.replica(),
+                "software",
+                summary.software(),
+                "resumes",
+                plan.resumed().map(ResumedStream::stream).orElse(""),
+                "last_event",
+                plan.resumed().map(ResumedStream::lastEventId).orElse(""),
                 "tokens_to_read",
                 forecast.map(PlacementForecast::uncachedTokens).orElse(0L),
                 "unread_before",
--- a/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
@@ -19,6 +19,7 @@
  * @param account client account, if the route requires a key
  * @param rank urgency, 0 being the most urgent
  * @param tokens token counts that the caller declares
+ * @param resumed stream that the caller resumes; empty for a new request
  * @param prompt prompt of the request; {@link Prompt#NONE} for a plain request
  * @param deadlineMillis deadline of the final answer, on the process's monotonic clock
  * @param callerWaitMillis milliseconds that the caller waits, from the arrival
@@ -30,6 +31,7 @@
         Optional<PrepaidAccount> account,
         int rank,
         Optional<DeclaredTokens> tokens,
+        Optional<ResumedStream> resumed,
         Prompt prompt,
         long deadlineMillis,
         long callerWaitMillis) {
@@ -56,6 +58,7 @@
                 account,
                 Math.max(0, Math.min(9, rank)),
                 tokens,
+                ResumedStream.of(request.headers(), names),
                 PromptHeader.read(request.headers(), names, tokens),
                 request.arrivedMillis() + timeoutMillis,
                 waitMillis);
--- a/direct/src/test/java/org/streamring/direct/TestHeaders.java
+++ b/direct/src/test/java/org/streamring/direct/TestHeaders.java
@@ -20,6 +20,7 @@
             "hint",
             "urgency",
             "last-event",
+            "resumes",
             Set.of());
 
     private TestHeaders() {}
--- a/direct/src/test/java/org/streamring/direct/feed/BackendFeedTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/BackendFeedTest.java
@@ -98,7 +98,7 @@
         @Override
         public BackendInstance backend(StoredRow row) {
             long startedMillis = Long.parseLong(row.value());
-            return new BackendInstance(row.key().key(), "s", "127.0.0.1", 1, "hall", 1, true, 0, startedMillis);
+            return new BackendInstance(row.key().key(), "s", "127.0.0.1", 1, "hall", 1, true, 0, startedMillis, "v1");
         }
     }
 }
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -142,8 +142,8 @@
     @Test(dataProvider = "whetherTheCallerIsStillConnected")
     public void anAttemptBeginsAfterAWaitForTokensOnlyIfTheCallerIsStillConnected(boolean connected)
             throws InterruptedException {
-        tokens.beforeNext = () ->
-                registry.put(new BackendInstance("i-1", "assist", "127.0.0.1", 1, "hall", 8, true, 0, 0), nowMillis);
+        tokens.beforeNext = () -> registry.put(
+                new BackendInstance("i-1", "assist", "127.0.0.1", 1, "hall", 8, true, 0, 0, "v1"), nowMillis);
         router.serve(request("r-0"), new RecordingWriter());
         RecordingWriter waiting = new RecordingWriter();
         router.serve(request("r-1"), waiting);
--- a/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
+++ b/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
@@ -18,6 +18,7 @@
  * @param lengthHint number of answer tokens expected by the caller
  * @param urgency rank of the request in the queue of the backend server
  * @param lastEventId identifier of the last stream event received
+ * @param resumes identifier of the request that brought the first event of the stream which a caller resumes
  * @param reserved headers that only entries may set; removed from requests of callers
  */
 public record ForwardingHeaders(
@@ -34,6 +35,7 @@
         String lengthHint,
         String urgency,
         String lastEventId,
+        String resumes,
         Set<String> reserved) {
     /** Copies the set of reserved headers. */
     public ForwardingHeaders {
--- a/standin/src/main/java/org/streamring/standin/model/ModelFleet.java
+++ b/standin/src/main/java/org/streamring/standin/model/ModelFleet.java
@@ -76,7 +76,7 @@
     }
 
     private static BackendInstance instance(String id, String service, int number, int slots) {
-        return new BackendInstance(id, service, id, 1, "domain-" + number % FAILURE_DOMAINS, slots, true, 0, 0);
+        return new BackendInstance(id, service, id, 1, "domain-" + number % FAILURE_DOMAINS, slots, true, 0, 0, "v1");
     }
 
     private static double cyclic(List<Double> values, int number) {
