Continue a stream only at the software version that began it

Cause: nothing of what began a stream was part of what continued it. PlacementQuery and BackendFleet knew a service and excluded replicas only, the service of a split route was drawn anew for each request, and another entry knew nothing of the stream.

Change: StreamOrigin (service, software version, client account) is recorded before the first event is passed on, and told to three entries in the same moment. A request that resumes a stream is bound to the recorded origin, found here or by asking the connected entries for 200 ms at most; one whose origin nobody recorded is served only if just one origin was possible for as long as the stream may have lasted and the list of backend servers is current, else refused with Retry-After. Replicas of other versions are no candidates, the last resort included; a stream whose version no untried replica serves is refused at once.

--- a/core/src/main/java/org/streamring/model/route/Route.java
+++ b/core/src/main/java/org/streamring/model/route/Route.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Route for the requests to a host and a path.
@@ -42,6 +44,11 @@
         return kind == RouteKind.REPEATABLE || (kind == RouteKind.STREAM && resumable);
     }
 
+    /** Returns the services that requests are sent to. */
+    public Set<String> services() {
+        return targets.stream().map(RouteTarget::service).collect(Collectors.toSet());
+    }
+
     /** Returns whether the answers are event streams. */
     public boolean stream() {
         return kind == RouteKind.STREAM;
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -30,6 +30,7 @@
 import org.streamring.direct.peer.GrantExchange;
 import org.streamring.direct.peer.PermitExchange;
 import org.streamring.direct.peer.PlacementExchange;
+import org.streamring.direct.peer.StreamOriginExchange;
 import org.streamring.direct.peer.TokenLending;
 import org.streamring.direct.peer.UsageWitnesses;
 import org.streamring.direct.request.AvailabilityLog;
@@ -39,6 +40,7 @@
 import org.streamring.direct.request.RequestDigests;
 import org.streamring.direct.request.RequestRouter;
 import org.streamring.direct.request.RequestServices;
+import org.streamring.direct.request.StreamOrigins;
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.admission.LinkBacklog;
@@ -54,6 +56,7 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.routing.RendezvousHash;
 import org.streamring.kernel.store.EraCheckedStore;
+import org.streamring.kernel.stream.StreamOriginTable;
 import org.streamring.kernel.suspect.RequestDigest;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
@@ -119,6 +122,9 @@
     private final ViewAgeLog viewAges;
     private final EraCheckedStore store;
     private final SuspectTable suspects;
+    private final StreamOriginTable streamOrigins = new StreamOriginTable(StreamOriginTable.DEFAULT_CAPACITY);
+    private final StreamOriginExchange originExchange;
+    private final StreamOrigins streams;
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
     private final LinkBacklog link;
@@ -170,6 +176,15 @@
                 loop, peers, fleet.placement(), members::live, this::memoryTokensOf, link, reportPace, clock);
         this.configurationWatch = watchConfiguration(metrics);
         this.backendWatch = watchBackends(metrics);
+        this.originExchange = new StreamOriginExchange(loop, peers, homeEntries, streamOrigins, clock, metrics);
+        this.streams = new StreamOrigins(
+                streamOrigins,
+                originExchange,
+                registry,
+                configuration::inForce,
+                backendWatch.view(),
+                ViewAgeLog.maxAgeMillis(TableWatch.WAIT),
+                clock);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
         this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch = watch(
@@ -268,6 +283,7 @@
                 configuration::inForce,
                 fleet,
                 tokens,
+                streams,
                 new CrashSuspectGuard(digests, suspects, suspectExchange, registry, clock, log),
                 this::accepts,
                 link,
@@ -352,6 +368,8 @@
         metrics.gauge("backends.limited", permits.coordinator().limits()::count);
         metrics.gauge("suspects", suspects::suspects);
         metrics.gauge("suspects.blocked", suspects::blocked);
+        metrics.gauge("stream.origins", streamOrigins::size);
+        metrics.gauge("stream.origins.dropped", streamOrigins::dropped);
         metrics.gauge("log.lines.dropped", log::dropped);
     }
 
@@ -365,6 +383,7 @@
         lending.start(tokens.lender());
         witnesses.start();
         grants.start();
+        originExchange.start();
         permits.start();
         peers.start();
         placementExchange.start();
@@ -465,6 +484,7 @@
     private void cleanUp() {
         registry.expire(clock.getAsLong()).forEach(id -> log.line("backend_lapsed", "backend", id));
         fleet.removeStale();
+        streams.update();
         viewAges.check();
         callers.closeIdle();
     }
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -48,6 +48,21 @@
                 .increment();
     }
 
+    /** Counts a request that resumes a stream, by the outcome of the decision. */
+    public void streamResumed(String outcome) {
+        Counter.builder("streamring.direct.stream.resumed")
+                .tag("outcome", outcome)
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts a query for the origin of a stream that not all entries answered in time. */
+    public void originQueryTimedOut() {
+        Counter.builder("streamring.direct.stream.origin.timeouts")
+                .register(registry)
+                .increment();
+    }
+
     /** Counts a request that was refused prepaid tokens, by reason. */
     public void tokensRefused(String reason) {
         Counter.builder("streamring.direct.tokens.refused")
--- a/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
+++ b/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
@@ -16,6 +16,7 @@
     private final boolean stream;
     private final HeaderFilter filter;
     private final AnswerWriter writer;
+    private final Runnable beforeStart;
     private Optional<String> lastEventId;
     private EventSplitter splitter = new EventSplitter();
     private @Nullable AnswerHead head;
@@ -23,16 +24,24 @@
     private @Nullable BufferedAnswer bufferedAnswer;
     private final StreamTiming timing;
 
+    /**
+     * Creates a relay that has passed on nothing yet.
+     *
+     * @param beforeStart called once, before the first event of a stream is passed on
+     * @param lastEventId identifier of the last event that the caller has received from earlier requests
+     */
     AnswerRelay(
             boolean stream,
             HeaderFilter filter,
             AnswerWriter writer,
+            Runnable beforeStart,
             Optional<String> lastEventId,
             StreamTiming timing) {
         this.timing = timing;
         this.stream = stream;
         this.filter = filter;
         this.writer = writer;
+        this.beforeStart = beforeStart;
         this.lastEventId = lastEventId;
     }
 
@@ -97,6 +106,7 @@
     private void sendHeadOnce() {
         if (!started && head != null) {
             started = true;
+            beforeStart.run();
             writer.writeHead(head.status(), filter.forCaller(head.headers()));
         }
     }
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -29,6 +29,7 @@
 import org.streamring.kernel.placement.ReplicaState;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
+import org.streamring.kernel.stream.StreamOrigin;
 import org.streamring.model.route.ServiceTraits;
 import org.streamring.platform.node.ForwardingHeaders;
 import org.streamring.platform.node.NodeSettings;
@@ -110,7 +111,7 @@
     Optional<BackendInstance> choose(ServiceTraits service, PlacementQuery query) {
         long now = clock.getAsLong();
         ColdLimit limit = limit(service);
-        List<BackendInstance> accepting = acceptingInstances(service.name(), now);
+        List<BackendInstance> accepting = acceptingInstances(candidates(service.name(), query), now);
         accepting.forEach(instance -> permits.wanted(instance.incarnation(), now));
         List<BackendInstance> ready = accepting.stream()
                 .filter(instance -> limits.mayBePlaced(instance.incarnation(), now))
@@ -124,8 +125,11 @@
                 .or(() -> placement.choose(query, service, ready, entries.getAsInt(), now));
     }
 
-    private List<BackendInstance> acceptingInstances(String service, long now) {
-        List<BackendInstance> instances = registry.inService(service);
+    private List<BackendInstance> candidates(String service, PlacementQuery query) {
+        return registry.inService(service).stream().filter(query::matches).toList();
+    }
+
+    private List<BackendInstance> acceptingInstances(List<BackendInstance> instances, long now) {
         List<BackendInstance> accepting = instances.stream()
                 .filter(instance -> availability.isAvailable(instance.incarnation(), now))
                 .toList();
@@ -137,11 +141,15 @@
                 .toList();
     }
 
-    /** Returns for how long the replicas of a service accept no requests, according to their own notices. */
-    ServiceUnavailability unavailability(String service) {
+    /** Returns for how long the replicas that match a query accept no requests, according to their own notices. */
+    ServiceUnavailability unavailability(String service, PlacementQuery query) {
         long now = clock.getAsLong();
-        List<BackendInstance> instances = registry.inService(service);
-        List<BackendInstance> accepting = acceptingInstances(service, now);
+        List<BackendInstance> instances = candidates(service, query);
+        boolean allTried = instances.stream().map(BackendInstance::id).allMatch(query.excluded()::contains);
+        if (query.softwareVersion().isPresent() && allTried) {
+            return ServiceUnavailability.versionNotServed();
+        }
+        List<BackendInstance> accepting = acceptingInstances(instances, now);
         if (!accepting.isEmpty()) {
             long limitedMillis = accepting.stream()
                     .mapToLong(instance -> limits.millisUntilPlaceable(instance.incarnation(), now))
@@ -176,6 +184,17 @@
         return placement.started(query, service, instance, clock.getAsLong());
     }
 
+    /**
+     * Returns the software version of the process that answers as a replica. It is unknown if another process has been
+     * listed under the replica's identifier since the replica was chosen.
+     */
+    String softwareVersionOf(BackendInstance chosen) {
+        boolean replaced = registry.find(chosen.id())
+                .filter(listed -> !listed.incarnation().equals(chosen.incarnation()))
+                .isPresent();
+        return replaced ? StreamOrigin.UNKNOWN_VERSION : chosen.softwareVersion();
+    }
+
     /** Returns the load and health of a replica. */
     ReplicaState state(BackendInstance instance) {
         return placement.state(instance.id());
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -14,6 +14,7 @@
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
+import org.streamring.kernel.stream.StreamOrigin;
 
 /**
  * Processes one request from its arrival to its final answer: reserves tokens, chooses a replica, sends the request,
@@ -44,6 +45,7 @@
     private final AnswerWriter writer;
     private final Runnable onFinished;
     private final AnswerRelay relay;
+    private final StreamBinding binding;
     private final StreamTiming timing;
     private final Optional<Reservation> reservation;
     private final CrashSuspectGuard.Watched suspect;
@@ -63,6 +65,7 @@
             SlotQueue slots,
             HeaderFilter filter,
             RequestPlan plan,
+            Optional<StreamOrigin> resumed,
             CallerRequest request,
             AnswerWriter writer,
             Runnable onFinished) {
@@ -75,10 +78,13 @@
         this.writer = writer;
         this.onFinished = onFinished;
         this.timing = new StreamTiming(services.clock(), request.arrivedMillis());
+        this.binding =
+                new StreamBinding(plan, services.fleet(), services.streams().exchange(), resumed);
         this.relay = new AnswerRelay(
                 plan.route().stream(),
                 filter,
                 writer,
+                this::bindToOrigin,
                 Optional.ofNullable(request.headers().get(services.names().lastEventId())),
                 timing);
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
@@ -154,7 +160,8 @@
             return true;
         }
         long linkBlockedMillis = linkUsage.closedMillis();
-        PlacementQuery query = plan.placement(services.failureDomain(), attempts.excludedReplicas());
+        PlacementQuery query =
+                plan.placement(services.failureDomain(), attempts.excludedReplicas(), binding.softwareVersion());
         Optional<BackendInstance> chosen =
                 linkBlockedMillis > 0 ? Optional.empty() : services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
@@ -165,7 +172,7 @@
         }
         ServiceUnavailability unavailability = linkBlockedMillis > 0
                 ? ServiceUnavailability.linkFull(linkBlockedMillis)
-                : services.fleet().unavailability(plan.service().name());
+                : services.fleet().unavailability(plan.service().name(), query);
         long unavailableMillis = unavailability.millis();
         WaitDecision decision =
                 slots.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis(), unavailableMillis);
@@ -211,6 +218,10 @@
         forecast = currentAttempt.forecast();
     }
 
+    private void bindToOrigin() {
+        attempts.lastReplica().ifPresent(replica -> binding.firstEvent(replica, plan.callerWaitMillis() - elapsed()));
+    }
+
     @Override
     public boolean isStillLive() {
         return liveness.at(now()) == RequestLiveness.Verdict.WANTED;
--- a/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
@@ -68,17 +68,24 @@
         return account.filter(each -> each.prepaid().isPresent()).map(PrepaidAccount::name);
     }
 
-    PlacementQuery placement(String failureDomain, Set<String> excluded) {
+    /** Returns the name of the client account; empty if the route needs none. */
+    String accountName() {
+        return account.map(PrepaidAccount::name).orElse("");
+    }
+
+    PlacementQuery placement(String failureDomain, Set<String> excluded, Optional<String> softwareVersion) {
         return new PlacementQuery(
                 prompt,
                 rank,
                 route.targetLatency().toMillis(),
                 route.targetPause().toMillis(),
                 failureDomain,
-                excluded);
+                excluded,
+                softwareVersion);
     }
 
-    private static long callerWait(CallerRequest request, Route route, ForwardingHeaders names) {
+    /** Returns the time for which the caller waits from the arrival of its request, in milliseconds. */
+    static long callerWait(CallerRequest request, Route route, ForwardingHeaders names) {
         String header = request.headers().get(names.deadline());
         if (header == null) {
             return route.timeout().toMillis();
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -8,6 +8,7 @@
 import org.streamring.direct.caller.RequestSink;
 import org.streamring.kernel.admission.FixedWindow;
 import org.streamring.kernel.route.RouteTable;
+import org.streamring.kernel.stream.StreamOrigin;
 import org.streamring.model.route.PrepaidAccount;
 import org.streamring.model.route.Route;
 
@@ -54,11 +55,53 @@
         if (!services.canFinishBeforeStop().test(route)) {
             return refuse(request, writer, LocalAnswer.retryLater("entry_stops", OTHER_ENTRY_RETRY_AFTER));
         }
+        Arrival arrival = new Arrival(request, writer, table, route, account);
+        Optional<ResumedStream> resumed = ResumedStream.of(request.headers(), services.names());
+        if (resumed.isPresent() && route.stream() && route.resumable()) {
+            return resume(arrival, resumed.get());
+        }
         String service = RouteTable.pickService(route, services.random().nextDouble());
-        RequestPlan plan = RequestPlan.of(request, route, table.service(service), account, services.names());
-        Runnable onFinished = route.stream() ? () -> runningStreams-- : () -> {};
-        runningStreams += route.stream() ? 1 : 0;
-        DirectRequest started = new DirectRequest(services, slots, filter, plan, request, writer, onFinished);
+        return start(arrival, service, Optional.empty());
+    }
+
+    /** A request whose route and account are known. */
+    private record Arrival(
+            CallerRequest request,
+            AnswerWriter writer,
+            RouteTable table,
+            Route route,
+            Optional<PrepaidAccount> account) {}
+
+    private ActiveRequest resume(Arrival arrival, ResumedStream resumed) {
+        StreamResumption.Starter starter = new StreamResumption.Starter() {
+            @Override
+            public ActiveRequest serve(StreamOrigin origin) {
+                return start(arrival, origin.service(), Optional.of(origin));
+            }
+
+            @Override
+            public ActiveRequest refuse(LocalAnswer answer) {
+                return RequestRouter.this.refuse(arrival.request(), arrival.writer(), answer);
+            }
+        };
+        StreamResumption resumption = new StreamResumption(
+                services, arrival.request(), arrival.writer(), arrival.route(), arrival.account(), resumed, starter);
+        resumption.start();
+        return resumption;
+    }
+
+    private ActiveRequest start(Arrival arrival, String service, Optional<StreamOrigin> origin) {
+        RequestPlan plan = RequestPlan.of(
+                arrival.request(),
+                arrival.route(),
+                arrival.table().service(service),
+                arrival.account(),
+                services.names());
+        boolean stream = arrival.route().stream();
+        Runnable onFinished = stream ? () -> runningStreams-- : () -> {};
+        runningStreams += stream ? 1 : 0;
+        DirectRequest started = new DirectRequest(
+                services, slots, filter, plan, origin, arrival.request(), arrival.writer(), onFinished);
         started.start();
         return started;
     }
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -24,6 +24,7 @@
  * @param routes routes of the configuration in force; empty until a configuration was read
  * @param fleet backend servers
  * @param tokens source of prepaid tokens
+ * @param streams where streams began
  * @param suspects blocks requests that crash the servers which run them
  * @param canFinishBeforeStop whether a request that starts on a route now can finish before a planned stop
  * @param link backlog of this box's own network link
@@ -39,6 +40,7 @@
         Supplier<Optional<RouteTable>> routes,
         BackendFleet fleet,
         TokenSource tokens,
+        StreamOrigins streams,
         CrashSuspectGuard suspects,
         Predicate<Route> canFinishBeforeStop,
         LinkBacklog link,
--- a/direct/src/main/java/org/streamring/direct/request/ServiceUnavailability.java
+++ b/direct/src/main/java/org/streamring/direct/request/ServiceUnavailability.java
@@ -7,7 +7,7 @@
  * because the network link of this box is full.
  *
  * @param millis time until one may be asked, in milliseconds: 0 if one may now or none is known, {@link
- *     WaitQuery#NEVER} if all are shutting down
+ *     WaitQuery#NEVER} if all are shutting down or none has the required software version
  * @param reason short name of the cause, for a refusal
  */
 record ServiceUnavailability(long millis, String reason) {
@@ -18,6 +18,11 @@
         return new ServiceUnavailability(millis, "replicas_rest_or_leave");
     }
 
+    /** No replica that was not tried yet has the software version that began the stream. */
+    static ServiceUnavailability versionNotServed() {
+        return new ServiceUnavailability(WaitQuery.NEVER, "software_version_not_served");
+    }
+
     /** The link of this box is full. */
     static ServiceUnavailability linkFull(long millis) {
         return new ServiceUnavailability(millis, "link_full");
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
@@ -0,0 +1,134 @@
+package org.streamring.direct.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.streamring.direct.caller.AnswerWriter;
+import org.streamring.direct.caller.CallerRequest;
+import org.streamring.direct.caller.RequestSink;
+import org.streamring.direct.peer.StreamOriginExchange.KnownOrigin;
+import org.streamring.kernel.stream.ResumeDecision;
+import org.streamring.kernel.stream.StreamOrigin;
+import org.streamring.model.route.PrepaidAccount;
+import org.streamring.model.route.Route;
+
+/**
+ * A request that resumes a stream: finds out where the stream began, then serves the request bound to that origin or
+ * refuses it. Confined to the event loop.
+ */
+final class StreamResumption implements RequestSink.ActiveRequest {
+    /** Another entry may know the origin, or the configuration may change back. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(250);
+
+    private final RequestServices services;
+    private final CallerRequest request;
+    private final AnswerWriter writer;
+    private final Route route;
+    private final String account;
+    private final ResumedStream resumed;
+    private final Starter starter;
+    private final long startedMillis;
+    private RequestSink.@Nullable ActiveRequest continued;
+    private boolean callerGone;
+
+    /** Starts or refuses the request once the decision is made. */
+    interface Starter {
+        RequestSink.ActiveRequest serve(StreamOrigin origin);
+
+        RequestSink.ActiveRequest refuse(LocalAnswer answer);
+    }
+
+    StreamResumption(
+            RequestServices services,
+            CallerRequest request,
+            AnswerWriter writer,
+            Route route,
+            Optional<PrepaidAccount> account,
+            ResumedStream resumed,
+            Starter starter) {
+        this.services = services;
+        this.request = request;
+        this.writer = writer;
+        this.route = route;
+        this.account = account.map(PrepaidAccount::name).orElse("");
+        this.resumed = resumed;
+        this.starter = starter;
+        this.startedMillis = services.clock().getAsLong();
+    }
+
+    void start() {
+        services.streams().exchange().find(resumed.stream(), this::decide);
+    }
+
+    private void decide(Optional<KnownOrigin> known) {
+        if (callerGone || !writer.callerPresent()) {
+            return;
+        }
+        Optional<StreamOrigin> recorded = known.map(KnownOrigin::origin);
+        Optional<StreamOrigin> only = recorded.isPresent() ? Optional.empty() : onlyPossible();
+        ResumeDecision decision = ResumeDecision.of(recorded, only, account, route.services());
+        log(decision, known);
+        services.metrics().streamResumed(decision.outcome().name());
+        continued = decision.origin().map(starter::serve).orElseGet(() -> starter.refuse(refusal(decision)));
+    }
+
+    private Optional<StreamOrigin> onlyPossible() {
+        long callerWait = RequestPlan.callerWait(request, route, services.names());
+        return services.streams()
+                .onlyPossible(route.name(), account, route.timeout().toMillis() + callerWait);
+    }
+
+    private static LocalAnswer refusal(ResumeDecision decision) {
+        return switch (decision.outcome()) {
+            case OTHER_ACCOUNT -> LocalAnswer.refusal(403, "stream_of_other_account");
+            case SERVICE_NOT_ROUTED -> LocalAnswer.retryLater("stream_service_not_routed", RETRY_AFTER);
+            default -> LocalAnswer.retryLater("stream_origin_unknown", RETRY_AFTER);
+        };
+    }
+
+    private void log(ResumeDecision decision, Optional<KnownOrigin> known) {
+        Function<Function<StreamOrigin, String>, String> field = part ->
+                known.map(KnownOrigin::origin).or(decision::origin).map(part).orElse("");
+        services.log()
+                .line(
+                        "stream_resumed",
+                        "request",
+                        Optional.ofNullable(
+                                        request.headers().get(services.names().requestId()))
+                                .orElse(""),
+                        "stream",
+                        resumed.stream(),
+                        "last_event",
+                        resumed.lastEventId(),
+                        "outcome",
+                        decision.outcome(),
+                        "service",
+                        field.apply(StreamOrigin::service),
+                        "software",
+                        field.apply(StreamOrigin::softwareVersion),
+                        "known_by",
+                        known.map(KnownOrigin::knownBy).orElse(""),
+                        "age_ms",
+                        known.map(KnownOrigin::ageMillis).orElse(-1L),
+                        "backends_age_ms",
+                        services.streams().backendsAgeMillis(),
+                        "ms",
+                        services.clock().getAsLong() - startedMillis);
+    }
+
+    @Override
+    public void callerGone() {
+        callerGone = true;
+        if (continued != null) {
+            continued.callerGone();
+        }
+    }
+
+    @Override
+    public void writabilityChanged(boolean writable) {
+        if (continued != null) {
+            continued.writabilityChanged(writable);
+        }
+    }
+}
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -29,6 +29,7 @@
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.PermitExchange;
+import org.streamring.direct.peer.StreamOriginExchange;
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.admission.LinkBacklog;
@@ -43,6 +44,8 @@
 import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StorePosition;
+import org.streamring.kernel.store.StoreView;
+import org.streamring.kernel.stream.StreamOriginTable;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.model.route.CallerLimits;
@@ -222,6 +225,11 @@
                 () -> nowMillis,
                 log);
         RouteTable routes = new RouteTable(configuration());
+        StreamOriginTable origins = new StreamOriginTable(10);
+        StreamOriginExchange exchange =
+                new StreamOriginExchange(loop, peers, new HomeEntries(ENTRY), origins, () -> nowMillis, metrics);
+        StreamOrigins streams = new StreamOrigins(
+                origins, exchange, registry, () -> Optional.of(routes), new StoreView(), 1_000, () -> nowMillis);
         return new RequestServices(
                 loop,
                 () -> nowMillis,
@@ -231,6 +239,7 @@
                 () -> Optional.of(routes),
                 fleet,
                 tokens,
+                streams,
                 guard,
                 route -> true,
                 new LinkBacklog(() -> linkBytesPerSecond),
