--- a/core/src/main/java/org/streamring/kernel/stream/PossibleOrigins.java
+++ b/core/src/main/java/org/streamring/kernel/stream/PossibleOrigins.java
@@ -18,13 +18,11 @@
 
     /** Records the services of a route. Has to be called before and after each change of the configuration. */
     public void routed(String route, Set<String> targets, long nowMillis) {
-        services.observationStarted(nowMillis);
         targets.forEach(service -> services.seen(route, service, nowMillis));
     }
 
     /** Records all servers that are listed. Has to be called after each change, and regularly. */
     public void listed(Collection<BackendInstance> instances, long nowMillis) {
-        softwareVersions.observationStarted(nowMillis);
         instances.forEach(each -> softwareVersions.seen(each.service(), each.softwareVersion(), nowMillis));
     }
 
@@ -35,7 +33,7 @@
     }
 
     /**
-     * Returns the origin of all streams of a route that began during a period, if there is only one.
+     * Returns the origin of all streams of a route that began during a period, if only one is possible.
      *
      * @param account name of the client account that resumes the stream
      * @param periodMillis length of the period that ends now
--- a/core/src/main/java/org/streamring/model/route/Route.java
+++ b/core/src/main/java/org/streamring/model/route/Route.java
@@ -46,7 +46,10 @@
 
     /** Returns the services that requests are sent to. */
     public Set<String> services() {
-        return targets.stream().map(RouteTarget::service).collect(Collectors.toSet());
+        return targets.stream()
+                .filter(target -> target.weight() > 0)
+                .map(RouteTarget::service)
+                .collect(Collectors.toSet());
     }
 
     /** Returns whether the answers are event streams. */
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -178,13 +178,7 @@
         this.backendWatch = watchBackends(metrics);
         this.originExchange = new StreamOriginExchange(loop, peers, homeEntries, streamOrigins, clock, metrics);
         this.streams = new StreamOrigins(
-                streamOrigins,
-                originExchange,
-                registry,
-                configuration::inForce,
-                backendWatch.view(),
-                ViewAgeLog.maxAgeMillis(TableWatch.WAIT),
-                clock);
+                streamOrigins, originExchange, registry, configuration::inForce, backendWatch.view(), loop, clock);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
         this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch = watch(
--- a/direct/src/main/java/org/streamring/direct/feed/ViewAgeLog.java
+++ b/direct/src/main/java/org/streamring/direct/feed/ViewAgeLog.java
@@ -30,11 +30,6 @@
         this.log = log;
     }
 
-    /** Returns the age up to which a view is current, if calls for changes wait for this long. */
-    public static long maxAgeMillis(Duration wait) {
-        return wait.toMillis() + ANSWER_MARGIN_MILLIS;
-    }
-
     /**
      * Adds a view, whose age is also exposed as a metric.
      *
@@ -42,7 +37,7 @@
      * @param wait longest wait of a call for changes of the table
      */
     public void add(String by, StoreView view, Duration wait) {
-        views.put(by, new WatchedView(view, maxAgeMillis(wait)));
+        views.put(by, new WatchedView(view, wait.toMillis() + ANSWER_MARGIN_MILLIS));
         metrics.gauge("store.view.age.ms", "view", by, () -> view.ageMillis(clock.getAsLong()));
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
@@ -1,6 +1,9 @@
 package org.streamring.direct.request;
 
+import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.direct.peer.StreamOriginExchange;
@@ -11,16 +14,22 @@
 import org.streamring.kernel.stream.PossibleOrigins;
 import org.streamring.kernel.stream.StreamOrigin;
 import org.streamring.kernel.stream.StreamOriginTable;
+import org.streamring.model.route.Route;
 
 /** What this entry knows of where streams began. Confined to the event loop. */
 public final class StreamOrigins {
+    /** A call for changes of the list is answered within 600 ms while nothing changes. */
+    static final long MAX_CONFIRMATION_MILLIS = 700;
+
+    private static final long CONFIRMATION_CHECK_MILLIS = 20;
+
     private final StreamOriginTable table;
     private final StreamOriginExchange exchange;
     private final PossibleOrigins possible = new PossibleOrigins();
     private final BackendRegistry registry;
     private final Supplier<Optional<RouteTable>> routes;
     private final StoreView backends;
-    private final long maxBackendsAgeMillis;
+    private final EventLoop loop;
     private final LongSupplier clock;
     private Optional<RouteTable> observedRoutes = Optional.empty();
 
@@ -28,7 +37,6 @@
      * Creates an instance without knowledge of the past.
      *
      * @param backends view of the list of backend servers
-     * @param maxBackendsAgeMillis age up to which that view counts as current
      */
     public StreamOrigins(
             StreamOriginTable table,
@@ -36,14 +44,14 @@
             BackendRegistry registry,
             Supplier<Optional<RouteTable>> routes,
             StoreView backends,
-            long maxBackendsAgeMillis,
+            EventLoop loop,
             LongSupplier clock) {
         this.table = table;
         this.exchange = exchange;
         this.registry = registry;
         this.routes = routes;
         this.backends = backends;
-        this.maxBackendsAgeMillis = maxBackendsAgeMillis;
+        this.loop = loop;
         this.clock = clock;
     }
 
@@ -58,16 +66,28 @@
     }
 
     /**
-     * Returns the origin of all streams of a route that began during a period, if only one is possible. While the list
-     * of backend servers is out of date, servers of any version may have been added, so no origin is returned.
+     * Waits until the store has confirmed the list of backend servers after a time. An older list may lack the server
+     * that began the stream.
+     *
+     * @param onResult receives whether the list was confirmed; {@code false} after {@link #MAX_CONFIRMATION_MILLIS}
      */
-    Optional<StreamOrigin> onlyPossible(String route, String account, long periodMillis) {
+    void awaitCurrentBackends(long sinceMillis, Consumer<Boolean> onResult) {
+        long now = clock.getAsLong();
+        boolean current = now - backends.ageMillis(now) > sinceMillis;
+        if (current || now - sinceMillis > MAX_CONFIRMATION_MILLIS) {
+            onResult.accept(current);
+            return;
+        }
+        loop.schedule(
+                () -> awaitCurrentBackends(sinceMillis, onResult), CONFIRMATION_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the origin of all streams of a route that began during a period, if only one is possible. */
+    Optional<StreamOrigin> onlyPossible(Route route, String account, long periodMillis) {
         long now = clock.getAsLong();
         observe(now);
         observedRoutes.ifPresent(current -> observeRoutes(current, now));
-        return backendsAgeMillis() > maxBackendsAgeMillis
-                ? Optional.empty()
-                : possible.only(route, account, periodMillis, now);
+        return possible.only(address(route), account, periodMillis, now);
     }
 
     /** Records the current routes and servers, and drops what has expired. Has to be called regularly. */
@@ -93,6 +113,11 @@
     private void observeRoutes(RouteTable table, long nowMillis) {
         table.configuration().routes().stream()
                 .filter(route -> route.stream() && route.resumable())
-                .forEach(route -> possible.routed(route.name(), route.services(), nowMillis));
+                .forEach(route -> possible.routed(address(route), route.services(), nowMillis));
+    }
+
+    /** A resumed request has the same address, but its route may have another name by then. */
+    private static String address(Route route) {
+        return route.host() + route.pathPrefix();
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
@@ -62,11 +62,20 @@
     }
 
     private void decide(Optional<KnownOrigin> known) {
+        if (known.isPresent() || onlyPossible().isEmpty()) {
+            decide(known, Optional.empty());
+            return;
+        }
+        services.streams()
+                .awaitCurrentBackends(
+                        startedMillis, current -> decide(known, current ? onlyPossible() : Optional.empty()));
+    }
+
+    private void decide(Optional<KnownOrigin> known, Optional<StreamOrigin> only) {
         if (callerGone || !writer.callerPresent()) {
             return;
         }
         Optional<StreamOrigin> recorded = known.map(KnownOrigin::origin);
-        Optional<StreamOrigin> only = recorded.isPresent() ? Optional.empty() : onlyPossible();
         ResumeDecision decision = ResumeDecision.of(recorded, only, account, route.services());
         log(decision, known);
         services.metrics().streamResumed(decision.outcome().name());
@@ -75,8 +84,7 @@
 
     private Optional<StreamOrigin> onlyPossible() {
         long callerWait = RequestPlan.callerWait(request, route, services.names());
-        return services.streams()
-                .onlyPossible(route.name(), account, route.timeout().toMillis() + callerWait);
+        return services.streams().onlyPossible(route, account, route.timeout().toMillis() + callerWait);
     }
 
     private static LocalAnswer refusal(ResumeDecision decision) {
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -229,7 +229,7 @@
         StreamOriginExchange exchange =
                 new StreamOriginExchange(loop, peers, new HomeEntries(ENTRY), origins, () -> nowMillis, metrics);
         StreamOrigins streams = new StreamOrigins(
-                origins, exchange, registry, () -> Optional.of(routes), new StoreView(), 1_000, () -> nowMillis);
+                origins, exchange, registry, () -> Optional.of(routes), new StoreView(), loop, () -> nowMillis);
         return new RequestServices(
                 loop,
                 () -> nowMillis,
