Report readiness once half of the other entries are connected

Change: an entry that has just started is ready once it is connected to at least half of the other live entries, or after 3 s.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -89,6 +89,9 @@
     private static final long RELOAD_INTERVAL_MILLIS = 5_000;
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
     private static final Duration MAX_LEASE_WAIT = Duration.ofSeconds(4);
+    /** Longest wait for connections to other entries, which may be gone though they are still listed. */
+    private static final Duration MAX_PEER_WAIT = Duration.ofSeconds(3);
+
     private static final Duration MIN_TIME_FOR_NEW_CALL = Duration.ofSeconds(2);
     /**
      * Time within which the load balancer stops sending new connections to this entry. It checks the readiness every
@@ -464,7 +467,20 @@
      */
     private boolean ready() {
         boolean leasesReady = tokens.renewedOnce() || clock.getAsLong() > MAX_LEASE_WAIT.toMillis();
-        return !stopping && leasesReady && configuration.inForce().isPresent() && backends.loaded();
+        return !stopping
+                && leasesReady
+                && peersReached()
+                && configuration.inForce().isPresent()
+                && backends.loaded();
+    }
+
+    /**
+     * Returns whether an entry that has just started is connected to at least half of the other live entries, which it
+     * asks for tokens, permits and origins of streams.
+     */
+    private boolean peersReached() {
+        boolean connected = !members.possiblyLive().isEmpty() && 2 * peers.connected() >= members.live() - 1;
+        return connected || clock.getAsLong() > MAX_PEER_WAIT.toMillis();
     }
 
     private CallerLimits limits() {
