Log software versions that appear and end, and bound what callers and servers name

software_version_listed and software_version_gone name a service, a version, its servers and the streams that only they could continue; a gauge counts the versions.

--- a/core/src/main/java/org/streamring/kernel/stream/StreamOriginTable.java
+++ b/core/src/main/java/org/streamring/kernel/stream/StreamOriginTable.java
@@ -13,6 +13,9 @@
     /** Some 13 seconds of the streams that one of the 24 holders of a fleet of 300 entries records. */
     public static final int DEFAULT_CAPACITY = 20_000;
 
+    /** Callers choose the identifiers. */
+    static final int MAX_IDENTIFIER_LENGTH = 200;
+
     private final int capacity;
     private final Map<String, RecordedOrigin> origins = new LinkedHashMap<>();
     private long dropped;
@@ -37,14 +40,20 @@
     /**
      * Records the origin of a stream. The first one that is recorded for a stream remains in effect.
      *
-     * @param stream identifier of the request that brought the first event
+     * @param stream identifier of the request that brought the first event; a stream whose identifier is empty or too
+     *     long is not recorded
      * @param lifeMillis time for which the caller may resume the stream
+     * @return whether the stream has a recorded origin now
      */
-    public void record(String stream, StreamOrigin origin, long lifeMillis, long nowMillis) {
+    public boolean record(String stream, StreamOrigin origin, long lifeMillis, long nowMillis) {
+        if (stream.isEmpty() || stream.length() > MAX_IDENTIFIER_LENGTH) {
+            return false;
+        }
         if (origins.size() >= capacity && !origins.containsKey(stream)) {
             dropOldest();
         }
         origins.putIfAbsent(stream, new RecordedOrigin(origin, nowMillis, nowMillis + lifeMillis));
+        return true;
     }
 
     private void dropOldest() {
@@ -64,6 +73,15 @@
         origins.values().removeIf(each -> each.expiresMillis() <= nowMillis);
     }
 
+    /** Returns the number of streams that a software version of a service began. */
+    public int count(String service, String softwareVersion) {
+        return (int) origins.values().stream()
+                .map(RecordedOrigin::origin)
+                .filter(origin -> origin.service().equals(service))
+                .filter(origin -> origin.softwareVersion().equals(softwareVersion))
+                .count();
+    }
+
     /** Returns the number of origins. */
     public int size() {
         return origins.size();
--- a/core/src/test/java/org/streamring/kernel/stream/StreamOriginTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/stream/StreamOriginTableTest.java
@@ -28,6 +28,26 @@
         assertThat(empty.find("s-1", 20).orElseThrow().origin()).isEqualTo(OLD);
     }
 
+    @Test
+    public void aStreamWithoutIdentifierOrWithAnOverlongOneIsNotRecorded() {
+        StreamOriginTable empty = new StreamOriginTable(2);
+        String overlong = "s".repeat(StreamOriginTable.MAX_IDENTIFIER_LENGTH + 1);
+        assertThat(empty.record("", OLD, 100, 0)).isFalse();
+        assertThat(empty.record(overlong, OLD, 100, 0)).isFalse();
+        assertThat(empty.find("", 1)).isEmpty();
+        assertThat(empty.size()).isZero();
+    }
+
+    @Test
+    public void theStreamsOfAVersionAreCounted() {
+        StreamOriginTable empty = new StreamOriginTable(3);
+        empty.record("s-1", OLD, 100, 0);
+        empty.record("s-2", OLD, 100, 0);
+        empty.record("s-3", NEW, 100, 0);
+        assertThat(empty.count("assist", "v1")).isEqualTo(2);
+        assertThat(empty.count("other", "v1")).isZero();
+    }
+
     @Test
     public void theOldestOriginIsDroppedAndCountedWhenTheTableIsFull() {
         table.record("s-1", OLD, 100, 0);
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -18,6 +18,7 @@
 import org.streamring.direct.feed.EraLog;
 import org.streamring.direct.feed.EvacuationFeed;
 import org.streamring.direct.feed.MemberRegister;
+import org.streamring.direct.feed.SoftwareVersionLog;
 import org.streamring.direct.feed.TableWatch;
 import org.streamring.direct.feed.ViewAgeLog;
 import org.streamring.direct.feed.WatchLog;
@@ -128,6 +129,7 @@
     private final StreamOriginTable streamOrigins = new StreamOriginTable(StreamOriginTable.DEFAULT_CAPACITY);
     private final StreamOriginExchange originExchange;
     private final StreamOrigins streams;
+    private final SoftwareVersionLog softwareVersions;
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
     private final LinkBacklog link;
@@ -182,6 +184,8 @@
         this.originExchange = new StreamOriginExchange(loop, peers, homeEntries, streamOrigins, clock, metrics);
         this.streams = new StreamOrigins(
                 streamOrigins, originExchange, registry, configuration::inForce, backendWatch.view(), loop, clock);
+        this.softwareVersions = new SoftwareVersionLog(
+                registry, version -> streamOrigins.count(version.service(), version.softwareVersion()), log);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
         this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch = watch(
@@ -365,6 +369,7 @@
         metrics.gauge("backends.limited", permits.coordinator().limits()::count);
         metrics.gauge("suspects", suspects::suspects);
         metrics.gauge("suspects.blocked", suspects::blocked);
+        metrics.gauge("backends.software.versions", softwareVersions::versions);
         metrics.gauge("stream.origins", streamOrigins::size);
         metrics.gauge("stream.origins.dropped", streamOrigins::dropped);
         metrics.gauge("log.lines.dropped", log::dropped);
@@ -495,6 +500,7 @@
         registry.expire(clock.getAsLong()).forEach(id -> log.line("backend_lapsed", "backend", id));
         fleet.removeStale();
         streams.update();
+        softwareVersions.check();
         viewAges.check();
         callers.closeIdle();
     }
--- a/direct/src/main/java/org/streamring/direct/peer/StreamOriginExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/StreamOriginExchange.java
@@ -106,7 +106,9 @@
      */
     public void began(String stream, StreamOrigin origin, long callerWaitMillis) {
         long life = Math.min(callerWaitMillis, MAX_LIFE_MILLIS);
-        table.record(stream, origin, life, clock.getAsLong());
+        if (!table.record(stream, origin, life, clock.getAsLong())) {
+            return;
+        }
         OriginNote note = OriginNote.newBuilder()
                 .setStream(stream)
                 .setOrigin(encode(origin))
