Answer a request whose attempt ends within the call that begins it

Cause: DirectRequest.send read the forecast of the current attempt after it had begun it. An attempt that ends at once (a connection that fails, a replica that takes nothing by then) leaves none, or another one, so a NullPointerException went up into the caller's connection or into whatever had resumed the request; the request hung until its deadline.

Seen as an error in the log of RequestRouterTest, which passed by that deadline. aRequestWhoseAttemptEndsAtOnceIsAnsweredOnce failed with the exception before, and passes (one run each).

--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -209,13 +209,17 @@
         return verdict != RequestLiveness.Verdict.WANTED;
     }
 
+    /** Sends the request to a replica. The attempt may have ended, and another one may be in progress, on return. */
     private void send(BackendInstance instance, PlacementQuery query) {
         attempts.chosen(instance);
         suspect.sent();
         linkUsage.acquire();
-        currentAttempt = new AttemptRun(services, plan, instance, relay, this);
-        currentAttempt.begin(builder.build(instance, plan.callerWaitMillis() - elapsed(), relay.lastEventId()), query);
-        forecast = currentAttempt.forecast();
+        AttemptRun attempt = new AttemptRun(services, plan, instance, relay, this);
+        currentAttempt = attempt;
+        attempt.begin(builder.build(instance, plan.callerWaitMillis() - elapsed(), relay.lastEventId()), query);
+        if (currentAttempt == attempt) {
+            forecast = attempt.forecast();
+        }
     }
 
     private void bindToOrigin() {
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -159,6 +159,16 @@
         assertThat(tokens.settled).isEqualTo(2);
     }
 
+    /** Connecting fails at once, within the call that begins the attempt. */
+    @Test
+    public void aRequestWhoseAttemptEndsAtOnceIsAnsweredOnce() {
+        registry.put(new BackendInstance("i-1", "assist", "127.0.0.1", 1, "hall", 8, true, 0, 0, "v1"), nowMillis);
+        RecordingWriter answer = new RecordingWriter();
+        router.serve(request("r-0"), answer);
+        advance(2 * WINDOW_MILLIS);
+        assertThat(answer.statuses).containsExactly(503);
+    }
+
     @DataProvider
     public Object[][] whetherTheCallerIsStillConnected() {
         return new Object[][] {{true}, {false}};
