--- a/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
@@ -21,6 +21,9 @@
     /** A call for changes of the list is answered within 600 ms while nothing changes. */
     static final long MAX_CONFIRMATION_MILLIS = 700;
 
+    /** Age from which the store is taken to be away, so that waiting for it would only delay a refusal. */
+    private static final long MAX_BACKENDS_AGE_MILLIS = 1_500;
+
     private static final long CONFIRMATION_CHECK_MILLIS = 20;
 
     private final StreamOriginTable table;
@@ -69,12 +72,14 @@
      * Waits until the store has confirmed the list of backend servers after a time. An older list may lack the server
      * that began the stream.
      *
-     * @param onResult receives whether the list was confirmed; {@code false} after {@link #MAX_CONFIRMATION_MILLIS}
+     * @param onResult receives whether the list was confirmed; {@code false} after {@link #MAX_CONFIRMATION_MILLIS}, or at
+     *     once if the store is away
      */
     void awaitCurrentBackends(long sinceMillis, Consumer<Boolean> onResult) {
         long now = clock.getAsLong();
-        boolean current = now - backends.ageMillis(now) > sinceMillis;
-        if (current || now - sinceMillis > MAX_CONFIRMATION_MILLIS) {
+        long age = backends.ageMillis(now);
+        boolean current = now - age > sinceMillis;
+        if (current || age > MAX_BACKENDS_AGE_MILLIS || now - sinceMillis > MAX_CONFIRMATION_MILLIS) {
             onResult.accept(current);
             return;
         }
--- a/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
@@ -96,8 +95,7 @@
     }
 
     private void log(ResumeDecision decision, Optional<KnownOrigin> known) {
-        Function<Function<StreamOrigin, String>, String> field = part ->
-                known.map(KnownOrigin::origin).or(decision::origin).map(part).orElse("");
+        Optional<StreamOrigin> origin = known.map(KnownOrigin::origin).or(decision::origin);
         services.log()
                 .line(
                         "stream_resumed",
@@ -112,9 +110,9 @@
                         "outcome",
                         decision.outcome(),
                         "service",
-                        field.apply(StreamOrigin::service),
+                        origin.map(StreamOrigin::service).orElse(""),
                         "software",
-                        field.apply(StreamOrigin::softwareVersion),
+                        origin.map(StreamOrigin::softwareVersion).orElse(""),
                         "known_by",
                         known.map(KnownOrigin::knownBy).orElse(""),
                         "age_ms",
