--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -57,7 +57,6 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.routing.RendezvousHash;
 import org.streamring.kernel.store.EraCheckedStore;
-import org.streamring.kernel.stream.StreamOriginTable;
 import org.streamring.kernel.suspect.RequestDigest;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
@@ -126,8 +125,6 @@
     private final ViewAgeLog viewAges;
     private final EraCheckedStore store;
     private final SuspectTable suspects;
-    private final StreamOriginTable streamOrigins = new StreamOriginTable(StreamOriginTable.DEFAULT_CAPACITY);
-    private final StreamOriginExchange originExchange;
     private final StreamOrigins streams;
     private final SoftwareVersionLog softwareVersions;
     private final SuspectExchange suspectExchange;
@@ -181,11 +178,14 @@
                 loop, peers, fleet.placement(), members::live, this::memoryTokensOf, link, reportPace, clock);
         this.configurationWatch = watchConfiguration(metrics);
         this.backendWatch = watchBackends(metrics);
-        this.originExchange = new StreamOriginExchange(loop, peers, homeEntries, streamOrigins, clock, metrics);
         this.streams = new StreamOrigins(
-                streamOrigins, originExchange, registry, configuration::inForce, backendWatch.view(), loop, clock);
-        this.softwareVersions = new SoftwareVersionLog(
-                registry, version -> streamOrigins.count(version.service(), version.softwareVersion()), log);
+                new StreamOriginExchange(loop, peers, homeEntries, clock, metrics),
+                registry,
+                configuration::inForce,
+                backendWatch.view(),
+                loop,
+                clock);
+        this.softwareVersions = new SoftwareVersionLog(registry, streams::count, metrics, log);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
         this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
         this.suspectWatch = watch(
@@ -369,9 +369,6 @@
         metrics.gauge("backends.limited", permits.coordinator().limits()::count);
         metrics.gauge("suspects", suspects::suspects);
         metrics.gauge("suspects.blocked", suspects::blocked);
-        metrics.gauge("backends.software.versions", softwareVersions::versions);
-        metrics.gauge("stream.origins", streamOrigins::size);
-        metrics.gauge("stream.origins.dropped", streamOrigins::dropped);
         metrics.gauge("log.lines.dropped", log::dropped);
     }
 
@@ -385,7 +382,7 @@
         lending.start(tokens.lender());
         witnesses.start();
         grants.start();
-        originExchange.start();
+        streams.start();
         permits.start();
         peers.start();
         placementExchange.start();
@@ -472,22 +469,14 @@
      */
     private boolean ready() {
         boolean leasesReady = tokens.renewedOnce() || clock.getAsLong() > MAX_LEASE_WAIT.toMillis();
+        boolean peersReached = peers.reachesOthers() || clock.getAsLong() > MAX_PEER_WAIT.toMillis();
         return !stopping
                 && leasesReady
-                && peersReached()
+                && peersReached
                 && configuration.inForce().isPresent()
                 && backends.loaded();
     }
 
-    /**
-     * Returns whether an entry that has just started is connected to at least half of the other live entries, which it
-     * asks for tokens, permits and origins of streams.
-     */
-    private boolean peersReached() {
-        boolean connected = !members.possiblyLive().isEmpty() && 2 * peers.connected() >= members.live() - 1;
-        return connected || clock.getAsLong() > MAX_PEER_WAIT.toMillis();
-    }
-
     private CallerLimits limits() {
         return configuration
                 .inForce()
--- a/direct/src/main/java/org/streamring/direct/feed/SoftwareVersionLog.java
+++ b/direct/src/main/java/org/streamring/direct/feed/SoftwareVersionLog.java
@@ -5,6 +5,7 @@
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 
@@ -29,15 +30,12 @@
      *
      * @param streams returns the number of known streams that only servers of a version can continue
      */
-    public SoftwareVersionLog(BackendRegistry registry, ToIntFunction<ServedVersion> streams, DecisionLog log) {
+    public SoftwareVersionLog(
+            BackendRegistry registry, ToIntFunction<ServedVersion> streams, EntryMetrics metrics, DecisionLog log) {
         this.registry = registry;
         this.streams = streams;
         this.log = log;
-    }
-
-    /** Returns the number of software versions, over all services. */
-    public int versions() {
-        return servers.size();
+        metrics.gauge("backends.software.versions", () -> servers.size());
     }
 
     /** Logs the versions that have appeared or are gone since the last call. */
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -40,6 +40,7 @@
     private final Set<PeerConnection> connections = new HashSet<>();
     private final List<FrameListener> listeners = new ArrayList<>();
     private @Nullable FleetKey key;
+    private boolean membersRead;
     private MemberRegister.OtherEntries members = new MemberRegister.OtherEntries(List.of(), List.of());
 
     /**
@@ -107,6 +108,14 @@
         return byEntry().size();
     }
 
+    /**
+     * Returns whether a connection is open to at least half of the other live entries, which this entry asks for
+     * tokens, permits and origins of streams; {@code false} until the members have been read.
+     */
+    public boolean reachesOthers() {
+        return membersRead && 2 * connected() >= members.live().size();
+    }
+
     /** Returns the names of the entries to which a connection is open. */
     public Set<String> connectedEntries() {
         return byEntry().keySet();
@@ -150,6 +159,7 @@
      */
     public void members(MemberRegister.OtherEntries otherEntries) {
         members = otherEntries;
+        membersRead = true;
         connect();
     }
 
--- a/direct/src/main/java/org/streamring/direct/peer/StreamOriginExchange.java
+++ b/direct/src/main/java/org/streamring/direct/peer/StreamOriginExchange.java
@@ -43,7 +43,7 @@
     private final EventLoop loop;
     private final EntryPeers peers;
     private final HomeEntries homeEntries;
-    private final StreamOriginTable table;
+    private final StreamOriginTable table = new StreamOriginTable(StreamOriginTable.DEFAULT_CAPACITY);
     private final LongSupplier clock;
     private final EntryMetrics metrics;
     private final Map<Long, Query> pendingQueries = new HashMap<>();
@@ -78,18 +78,14 @@
 
     /** Creates an exchange; nothing is received before {@link #start}. */
     public StreamOriginExchange(
-            EventLoop loop,
-            EntryPeers peers,
-            HomeEntries homeEntries,
-            StreamOriginTable table,
-            LongSupplier clock,
-            EntryMetrics metrics) {
+            EventLoop loop, EntryPeers peers, HomeEntries homeEntries, LongSupplier clock, EntryMetrics metrics) {
         this.loop = loop;
         this.peers = peers;
         this.homeEntries = homeEntries;
-        this.table = table;
         this.clock = clock;
         this.metrics = metrics;
+        metrics.gauge("stream.origins", table::size);
+        metrics.gauge("stream.origins.dropped", table::dropped);
     }
 
     /** Starts receiving frames of other entries. */
@@ -153,6 +149,16 @@
         connected.forEach(peer -> peer.send(frame));
     }
 
+    /** Returns the number of known streams that a software version of a service began. */
+    public int count(String service, String softwareVersion) {
+        return table.count(service, softwareVersion);
+    }
+
+    /** Drops the origins of streams that can no longer be resumed. */
+    public void expire() {
+        table.expire(clock.getAsLong());
+    }
+
     private void timedOut(long number) {
         Query query = pendingQueries.remove(number);
         if (query != null) {
--- a/direct/src/main/java/org/streamring/direct/request/ResumedStream.java
+++ b/direct/src/main/java/org/streamring/direct/request/ResumedStream.java
@@ -8,8 +8,8 @@
 /**
  * Stream that a caller resumes after its connection broke.
  *
- * @param stream identifier of the request that brought the first event of the stream; empty if the caller names none, or
- *     several
+ * @param stream identifier of the request that brought the first event of the stream; empty if the caller names none
+ *     or several
  * @param lastEventId identifier of the last event that the caller received; empty if the caller names none
  */
 record ResumedStream(String stream, String lastEventId) {
--- a/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.streamring.direct.feed.SoftwareVersionLog;
 import org.streamring.direct.peer.StreamOriginExchange;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
@@ -13,7 +14,6 @@
 import org.streamring.kernel.store.StoreView;
 import org.streamring.kernel.stream.PossibleOrigins;
 import org.streamring.kernel.stream.StreamOrigin;
-import org.streamring.kernel.stream.StreamOriginTable;
 import org.streamring.model.route.Route;
 
 /** What this entry knows of where streams began. Confined to the event loop. */
@@ -26,7 +26,6 @@
 
     private static final long CONFIRMATION_CHECK_MILLIS = 20;
 
-    private final StreamOriginTable table;
     private final StreamOriginExchange exchange;
     private final PossibleOrigins possible = new PossibleOrigins();
     private final BackendRegistry registry;
@@ -42,14 +41,12 @@
      * @param backends view of the list of backend servers
      */
     public StreamOrigins(
-            StreamOriginTable table,
             StreamOriginExchange exchange,
             BackendRegistry registry,
             Supplier<Optional<RouteTable>> routes,
             StoreView backends,
             EventLoop loop,
             LongSupplier clock) {
-        this.table = table;
         this.exchange = exchange;
         this.registry = registry;
         this.routes = routes;
@@ -58,6 +55,16 @@
         this.clock = clock;
     }
 
+    /** Starts receiving frames of other entries. */
+    public void start() {
+        exchange.start();
+    }
+
+    /** Returns the number of known streams that only servers of a software version can continue. */
+    public int count(SoftwareVersionLog.ServedVersion version) {
+        return exchange.count(version.service(), version.softwareVersion());
+    }
+
     /** Returns the exchange with other entries. */
     StreamOriginExchange exchange() {
         return exchange;
@@ -72,8 +79,8 @@
      * Waits until the store has confirmed the list of backend servers after a time. An older list may lack the server
      * that began the stream.
      *
-     * @param onResult receives whether the list was confirmed; {@code false} after {@link #MAX_CONFIRMATION_MILLIS}, or at
-     *     once if the store is away
+     * @param onResult receives whether the list was confirmed; {@code false} after {@link #MAX_CONFIRMATION_MILLIS}, or
+     *     at once if the store is away
      */
     void awaitCurrentBackends(long sinceMillis, Consumer<Boolean> onResult) {
         long now = clock.getAsLong();
@@ -100,7 +107,7 @@
         long now = clock.getAsLong();
         observe(now);
         possible.expire(now);
-        table.expire(now);
+        exchange.expire();
     }
 
     private void observe(long nowMillis) {
--- a/direct/src/test/java/org/streamring/direct/feed/SoftwareVersionLogTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/SoftwareVersionLogTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.kernel.availability.AvailabilityEvents;
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.availability.NoticeSource;
@@ -19,14 +20,15 @@
         BackendRegistry registry =
                 new BackendRegistry(2_000, new BackendAvailability(() -> 2_000, new NoOpAvailabilityEvents()));
         ByteArrayOutputStream output = new ByteArrayOutputStream();
+        EntryMetrics metrics = new EntryMetrics();
         DecisionLog log = new DecisionLog(output, "entry-1");
-        SoftwareVersionLog versions = new SoftwareVersionLog(registry, version -> 7, log);
+        SoftwareVersionLog versions = new SoftwareVersionLog(registry, version -> 7, metrics, log);
 
         registry.replaceAll(List.of(instance("i-1", "v1"), instance("i-2", "v1")), 10_000);
         versions.check();
         registry.replaceAll(List.of(instance("i-2", "v1"), instance("i-3", "v2")), 20_000);
         versions.check();
-        assertThat(versions.versions()).isEqualTo(2);
+        assertThat(metrics.registry().scrape()).contains("streamring_direct_backends_software_versions 2.0");
         registry.replaceAll(List.of(instance("i-3", "v2")), 30_000);
         versions.check();
         versions.check();
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -45,7 +45,6 @@
 import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoreView;
-import org.streamring.kernel.stream.StreamOriginTable;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.model.route.CallerLimits;
@@ -235,11 +234,13 @@
                 () -> nowMillis,
                 log);
         RouteTable routes = new RouteTable(configuration());
-        StreamOriginTable origins = new StreamOriginTable(10);
-        StreamOriginExchange exchange =
-                new StreamOriginExchange(loop, peers, new HomeEntries(ENTRY), origins, () -> nowMillis, metrics);
         StreamOrigins streams = new StreamOrigins(
-                origins, exchange, registry, () -> Optional.of(routes), new StoreView(), loop, () -> nowMillis);
+                new StreamOriginExchange(loop, peers, new HomeEntries(ENTRY), () -> nowMillis, metrics),
+                registry,
+                () -> Optional.of(routes),
+                new StoreView(),
+                loop,
+                () -> nowMillis);
         return new RequestServices(
                 loop,
                 () -> nowMillis,
