Record the routes regularly, so that the only origin stays known while the configuration stays the same

Cause: routes were recorded when the configuration changed and forgotten ten minutes later, so a stream that nobody had recorded was refused for its period although one service and one version had served all the time.

--- a/core/src/main/java/org/streamring/kernel/stream/PossibleOrigins.java
+++ b/core/src/main/java/org/streamring/kernel/stream/PossibleOrigins.java
@@ -16,7 +16,7 @@
     private final RecentValues services = new RecentValues(RETENTION_MILLIS);
     private final RecentValues softwareVersions = new RecentValues(RETENTION_MILLIS);
 
-    /** Records the services of a route. Has to be called before and after each change of the configuration. */
+    /** Records the services of a route. Has to be called before and after each change, and regularly. */
     public void routed(String route, Set<String> targets, long nowMillis) {
         targets.forEach(service -> services.seen(route, service, nowMillis));
     }
--- a/core/src/main/java/org/streamring/kernel/stream/StreamOriginTable.java
+++ b/core/src/main/java/org/streamring/kernel/stream/StreamOriginTable.java
@@ -10,7 +10,7 @@
  * as its caller may resume the stream. If the table is full, the oldest one is dropped. Confined to one thread.
  */
 public final class StreamOriginTable {
-    /** Some 13 seconds of the streams that one of the 24 holders of a fleet of 300 entries records. */
+    /** Bounds the memory of an entry that records the streams of many others. */
     public static final int DEFAULT_CAPACITY = 20_000;
 
     /** Callers choose the identifiers. */
--- a/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamOrigins.java
@@ -98,7 +98,6 @@
     Optional<StreamOrigin> onlyPossible(Route route, String account, long periodMillis) {
         long now = clock.getAsLong();
         observe(now);
-        observedRoutes.ifPresent(current -> observeRoutes(current, now));
         return possible.only(address(route), account, periodMillis, now);
     }
 
@@ -117,9 +116,9 @@
         Optional<RouteTable> current = routes.get();
         if (!current.equals(observedRoutes)) {
             observedRoutes.ifPresent(before -> observeRoutes(before, nowMillis));
-            current.ifPresent(changed -> observeRoutes(changed, nowMillis));
             observedRoutes = current;
         }
+        current.ifPresent(inForce -> observeRoutes(inForce, nowMillis));
     }
 
     private void observeRoutes(RouteTable table, long nowMillis) {
