--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -19,7 +19,6 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.streamring.direct.TestHeaders;
@@ -39,11 +38,7 @@
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
-import org.streamring.kernel.store.CommitResult;
-import org.streamring.kernel.store.RowChange;
-import org.streamring.kernel.store.RowPage;
 import org.streamring.kernel.store.RowStore;
-import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoreView;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
@@ -353,21 +348,4 @@
             return callerPresent;
         }
     }
-
-    private static final class UnresponsiveStore implements RowStore {
-        @Override
-        public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<RowPage> list(String table, String partition) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
-            return new CompletableFuture<>();
-        }
-    }
 }
--- a/direct/src/test/java/org/streamring/direct/request/StreamOriginsTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/StreamOriginsTest.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
@@ -21,10 +20,6 @@
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.route.RouteTable;
-import org.streamring.kernel.store.CommitResult;
-import org.streamring.kernel.store.RowChange;
-import org.streamring.kernel.store.RowPage;
-import org.streamring.kernel.store.RowStore;
 import org.streamring.kernel.store.StorePosition;
 import org.streamring.kernel.store.StoreView;
 import org.streamring.kernel.stream.StreamOrigin;
@@ -148,21 +143,4 @@
             time.runPendingTasks();
         }
     }
-
-    private static final class UnresponsiveStore implements RowStore {
-        @Override
-        public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<RowPage> list(String table, String partition) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<RowPage> watch(String table, StorePosition since, Duration wait) {
-            return new CompletableFuture<>();
-        }
-    }
 }
