Log the parts of prompts and the progress of attempts that break off when a server ends

Cause: no log line named the parts of a prompt or how far each answer had come, so the hypotheses of the incident could not be told apart.

RequestDigest becomes SuspectId, an identity with a kind; no decision changes.

Conclusion: grep of a part's digest over all logs now leads from one end to the next.

--- a/core/src/main/java/org/streamring/kernel/suspect/LocalObservations.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/LocalObservations.java
@@ -22,14 +22,14 @@
     /** Crashes by incarnation of the server, the oldest first. */
     private final Map<String, Crash> crashes = new LinkedHashMap<>();
 
-    private final Map<RequestDigest, Set<String>> cleared = new LinkedHashMap<>();
+    private final Map<SuspectId, Set<String>> cleared = new LinkedHashMap<>();
     private boolean urgent;
     private boolean changedSinceReport;
 
-    private record Crash(Map<RequestDigest, Integer> requests, long millis) {}
+    private record Crash(Map<SuspectId, Integer> requests, long millis) {}
 
-    void ended(String server, Map<RequestDigest, Integer> requests, long nowMillis) {
-        Map<RequestDigest, Integer> reported = new HashMap<>();
+    void ended(String server, Map<SuspectId, Integer> requests, long nowMillis) {
+        Map<SuspectId, Integer> reported = new HashMap<>();
         Crash earlier = crashes.remove(server);
         if (earlier != null) {
             reported.putAll(earlier.requests());
@@ -53,7 +53,7 @@
         dropOldest(crashes, MAX_CRASHES + MAX_OLDER_CRASHES);
     }
 
-    void cleared(RequestDigest request, Set<String> servers) {
+    void cleared(SuspectId request, Set<String> servers) {
         boolean added = cleared.computeIfAbsent(request, any -> new HashSet<>()).addAll(servers);
         urgent |= added;
         changedSinceReport |= added;
@@ -61,11 +61,11 @@
     }
 
     /** Removes a request from the reported crashes; entries that received them already keep them. */
-    void removeRequest(RequestDigest request) {
+    void removeRequest(SuspectId request) {
         crashes.values().forEach(crash -> changedSinceReport |= crash.requests().remove(request) != null);
     }
 
-    void forgetCleared(RequestDigest request) {
+    void forgetCleared(SuspectId request) {
         changedSinceReport |= cleared.remove(request) != null;
     }
 
@@ -81,7 +81,7 @@
     }
 
     SuspectReport report() {
-        Map<String, Map<RequestDigest, Integer>> reported = new HashMap<>();
+        Map<String, Map<SuspectId, Integer>> reported = new HashMap<>();
         urgent = false;
         changedSinceReport = false;
         crashes.forEach((server, crash) -> reported.put(server, crash.requests()));
--- a/core/src/main/java/org/streamring/kernel/suspect/RecentAnswers.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/RecentAnswers.java
@@ -8,7 +8,7 @@
     private final long protectionMillis;
     private final int maxAnswers;
     /** Times of the answers, the oldest first. */
-    private final Map<RequestDigest, Long> answered = new LinkedHashMap<>();
+    private final Map<SuspectId, Long> answered = new LinkedHashMap<>();
 
     /**
      * Creates an instance without answers.
@@ -21,7 +21,7 @@
         this.maxAnswers = maxAnswers;
     }
 
-    void add(RequestDigest request, long nowMillis) {
+    void add(SuspectId request, long nowMillis) {
         answered.remove(request);
         answered.put(request, nowMillis);
         dropOldest(nowMillis - protectionMillis);
@@ -40,7 +40,7 @@
     }
 
     /** Returns whether a request received a complete answer within the protection time. */
-    boolean protects(RequestDigest request, long nowMillis) {
+    boolean protects(SuspectId request, long nowMillis) {
         Long last = answered.get(request);
         return last != null && last > nowMillis - protectionMillis;
     }
--- a/core/src/main/java/org/streamring/kernel/suspect/RequestDigester.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/RequestDigester.java
@@ -9,11 +9,13 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * Computes digests of requests. All entries use the same secret and therefore compute the same digest for a request.
- * Without the secret, a digest reveals nothing about the body. Confined to one thread.
+ * Computes digests of requests, parts of prompts and client accounts. All entries use the same secret and therefore
+ * compute the same digests. Without the secret, a digest reveals nothing about its input. Confined to one thread.
  */
 public final class RequestDigester {
     private static final String ALGORITHM = "HmacSHA256";
+    private static final String PROMPT_PART = "prompt part";
+    private static final String ACCOUNT = "account";
     /** Length kept of the 32-byte digest; the probability that any two of a million requests collide is below 1e-16. */
     private static final int KEPT_BYTES = 12;
 
@@ -35,12 +37,36 @@
      * @param path path of the request, including the query
      * @param account name of the client account; empty if there is none
      */
-    public RequestDigest digest(String path, String account, byte[] body) {
+    public SuspectId digest(String path, String account, byte[] body) {
         addPart(path.getBytes(StandardCharsets.UTF_8));
         addPart(account.getBytes(StandardCharsets.UTF_8));
         addPart(body);
+        return SuspectId.request(digestOfParts());
+    }
+
+    /**
+     * Computes the digest of a part of a prompt, which is the same for all accounts.
+     *
+     * @param id identifier of the part, as named by the caller
+     */
+    public SuspectId digestOfPromptPart(String id) {
+        return SuspectId.promptPart(digestOf(PROMPT_PART, id));
+    }
+
+    /** Computes the digest of a client account. */
+    public SuspectId digestOfAccount(String name) {
+        return SuspectId.account(digestOf(ACCOUNT, name));
+    }
+
+    private String digestOf(String kind, String text) {
+        addPart(kind.getBytes(StandardCharsets.UTF_8));
+        addPart(text.getBytes(StandardCharsets.UTF_8));
+        return digestOfParts();
+    }
+
+    private String digestOfParts() {
         byte[] kept = Arrays.copyOf(mac.doFinal(), KEPT_BYTES);
-        return new RequestDigest(Base64.getUrlEncoder().withoutPadding().encodeToString(kept));
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(kept);
     }
 
     /** Adds a part preceded by its length, so that different lists of parts never yield the same bytes. */
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectReport.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectReport.java
@@ -12,12 +12,12 @@
  *     in which each was sent: one more than the latest round in which a recorded crash occurred under the request
  * @param cleared incarnations whose crashes don't count against a request, as it was answered completely elsewhere
  */
-public record SuspectReport(Map<String, Map<RequestDigest, Integer>> crashes, Map<RequestDigest, Set<String>> cleared) {
+public record SuspectReport(Map<String, Map<SuspectId, Integer>> crashes, Map<SuspectId, Set<String>> cleared) {
     /** Copies the maps, so that the report is immutable. */
     public SuspectReport {
-        Map<String, Map<RequestDigest, Integer>> crashesCopy = new HashMap<>();
+        Map<String, Map<SuspectId, Integer>> crashesCopy = new HashMap<>();
         crashes.forEach((server, requests) -> crashesCopy.put(server, Map.copyOf(requests)));
-        Map<RequestDigest, Set<String>> clearedCopy = new HashMap<>();
+        Map<SuspectId, Set<String>> clearedCopy = new HashMap<>();
         cleared.forEach((request, servers) -> clearedCopy.put(request, Set.copyOf(servers)));
         crashes = Map.copyOf(crashesCopy);
         cleared = Map.copyOf(clearedCopy);
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -25,12 +25,12 @@
     private static final int MIN_CRASHES_TO_REPORT_CLEARED = 2;
 
     private final SuspectLimits limits;
-    private final Predicate<RequestDigest> triesHere;
+    private final Predicate<SuspectId> triesHere;
     private final SuspectEvents events;
-    private final Map<RequestDigest, Evidence> suspects = new HashMap<>();
-    private final Map<String, Map<RequestDigest, Integer>> unconfirmed = new HashMap<>();
-    private final Map<RequestDigest, Integer> running = new HashMap<>();
-    private final Set<RequestDigest> blocked = new HashSet<>();
+    private final Map<SuspectId, Evidence> suspects = new HashMap<>();
+    private final Map<String, Map<SuspectId, Integer>> unconfirmed = new HashMap<>();
+    private final Map<SuspectId, Integer> running = new HashMap<>();
+    private final Set<SuspectId> blocked = new HashSet<>();
     private final RecentAnswers answers;
     private final LocalObservations localObservations = new LocalObservations();
 
@@ -39,7 +39,7 @@
      *
      * @param triesHere whether a request is tried at this entry after its block; true at one entry of the fleet
      */
-    public SuspectTable(SuspectLimits limits, Predicate<RequestDigest> triesHere, SuspectEvents events) {
+    public SuspectTable(SuspectLimits limits, Predicate<SuspectId> triesHere, SuspectEvents events) {
         this.limits = limits;
         this.triesHere = triesHere;
         this.events = events;
@@ -47,7 +47,7 @@
     }
 
     /** Decides whether a request may be sent now. */
-    public SuspectDecision decide(RequestDigest request, long nowMillis) {
+    public SuspectDecision decide(SuspectId request, long nowMillis) {
         if (!blocked.contains(request)) {
             return SuspectDecision.UNSUSPECTED;
         }
@@ -62,19 +62,19 @@
     }
 
     /** Records that a request is sent to a server; returns the round of the attempt, for {@link #brokeOff}. */
-    public int sent(RequestDigest request) {
+    public int sent(SuspectId request) {
         running.merge(request, 1, Integer::sum);
         Evidence evidence = suspects.get(request);
         return evidence == null ? 1 : evidence.lastRound() + 1;
     }
 
     /** Records the end of an attempt, with or without an answer. */
-    public void ended(RequestDigest request) {
+    public void ended(SuspectId request) {
         running.computeIfPresent(request, (any, count) -> count > 1 ? count - 1 : null);
     }
 
     /** Records a complete answer to a request. */
-    public void answered(RequestDigest request, long nowMillis) {
+    public void answered(SuspectId request, long nowMillis) {
         answers.add(request, nowMillis);
         Evidence evidence = suspects.get(request);
         if (evidence != null && evidence.unclearedCount() > 0) {
@@ -90,7 +90,7 @@
      * @param round round that {@link #sent} returned for the attempt
      * @return whether the crash is recorded, so that it is to be confirmed or refuted
      */
-    public boolean brokeOff(RequestDigest request, String server, int round, long nowMillis) {
+    public boolean brokeOff(SuspectId request, String server, int round, long nowMillis) {
         if (answers.protects(request, nowMillis)) {
             return false;
         }
@@ -102,7 +102,7 @@
 
     /** Confirms that a server has ended; returns the number of requests that broke off there. */
     public int confirmed(String server, long nowMillis) {
-        Map<RequestDigest, Integer> requests = removeUnconfirmed(server);
+        Map<SuspectId, Integer> requests = removeUnconfirmed(server);
         if (!requests.isEmpty()) {
             localObservations.ended(server, requests, nowMillis);
         }
@@ -111,18 +111,18 @@
 
     /** Records that a server has not ended; returns the number of requests that broke off there for another reason. */
     public int refuted(String server) {
-        Map<RequestDigest, Integer> requests = removeUnconfirmed(server);
+        Map<SuspectId, Integer> requests = removeUnconfirmed(server);
         requests.keySet().forEach(request -> removeCrash(request, server));
         requests.keySet().forEach(this::updateBlock);
         return requests.size();
     }
 
-    private Map<RequestDigest, Integer> removeUnconfirmed(String server) {
-        Map<RequestDigest, Integer> requests = unconfirmed.remove(server);
+    private Map<SuspectId, Integer> removeUnconfirmed(String server) {
+        Map<SuspectId, Integer> requests = unconfirmed.remove(server);
         return requests == null ? Map.of() : requests;
     }
 
-    private void removeCrash(RequestDigest request, String server) {
+    private void removeCrash(SuspectId request, String server) {
         Evidence evidence = suspects.get(request);
         if (evidence != null) {
             evidence.remove(server);
@@ -131,7 +131,7 @@
 
     /** Merges a report of another entry, or of the previous process on this box. */
     public void merge(SuspectReport report, long nowMillis) {
-        Set<RequestDigest> affected = new HashSet<>(report.cleared().keySet());
+        Set<SuspectId> affected = new HashSet<>(report.cleared().keySet());
         report.cleared()
                 .forEach((request, servers) -> evidence(request, nowMillis).clear(servers));
         report.crashes()
@@ -170,7 +170,7 @@
     public void expire(long nowMillis) {
         long oldest = nowMillis - limits.keptMillis();
         localObservations.expire(oldest);
-        List<RequestDigest> old = suspects.entrySet().stream()
+        List<SuspectId> old = suspects.entrySet().stream()
                 .filter(entry -> entry.getValue().lastCrashMillis() <= oldest)
                 .map(Map.Entry::getKey)
                 .toList();
@@ -187,11 +187,11 @@
         return blocked.size();
     }
 
-    private boolean add(RequestDigest request, String server, int round, long nowMillis) {
+    private boolean add(SuspectId request, String server, int round, long nowMillis) {
         return evidence(request, nowMillis).add(server, round, nowMillis);
     }
 
-    private Evidence evidence(RequestDigest request, long nowMillis) {
+    private Evidence evidence(SuspectId request, long nowMillis) {
         Evidence known = suspects.get(request);
         if (known != null) {
             return known;
@@ -206,14 +206,14 @@
 
     private void forgetLeastSuspected() {
         suspects.entrySet().stream()
-                .min(Comparator.comparingInt((Map.Entry<RequestDigest, Evidence> entry) ->
+                .min(Comparator.comparingInt((Map.Entry<SuspectId, Evidence> entry) ->
                                 entry.getValue().unclearedCount())
                         .thenComparingLong(entry -> entry.getValue().lastCrashMillis()))
                 .map(Map.Entry::getKey)
                 .ifPresent(this::forget);
     }
 
-    private void clear(RequestDigest request, Evidence evidence) {
+    private void clear(SuspectId request, Evidence evidence) {
         evidence.clearAll();
         localObservations.removeRequest(request);
         if (evidence.allServers().size() >= MIN_CRASHES_TO_REPORT_CLEARED) {
@@ -221,7 +221,7 @@
         }
     }
 
-    private void forget(RequestDigest request) {
+    private void forget(SuspectId request) {
         suspects.remove(request);
         localObservations.forgetCleared(request);
         if (blocked.remove(request)) {
@@ -229,7 +229,7 @@
         }
     }
 
-    private void updateBlock(RequestDigest request) {
+    private void updateBlock(SuspectId request) {
         Evidence evidence = suspects.get(request);
         if (evidence != null && reachesLimit(evidence)) {
             if (blocked.add(request)) {
--- a/core/src/test/java/org/streamring/kernel/suspect/RequestDigesterTest.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/RequestDigesterTest.java
@@ -33,6 +33,15 @@
         assertThat(digester.digest("/a", "", bytes("bc"))).isNotEqualTo(digester.digest("/a", "b", bytes("c")));
     }
 
+    @Test
+    public void partsOfPromptsAndAccountsOfTheSameNameHaveDifferentIdentities() {
+        SuspectId part = digester.digestOfPromptPart("hotel");
+        assertThat(part).isEqualTo(digester.digestOfPromptPart("hotel"));
+        assertThat(part.digest()).isNotEqualTo(digester.digestOfAccount("hotel").digest());
+        assertThat(part.text()).startsWith("p:");
+        assertThat(digester.digestOfAccount("hotel").text()).startsWith("a:");
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/core/src/test/java/org/streamring/kernel/suspect/SuspectSimulation.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/SuspectSimulation.java
@@ -26,8 +26,8 @@
     private static final long REPORT_INTERVAL_MILLIS = 1_000;
     static final long NEVER = Long.MAX_VALUE / 2;
 
-    static final RequestDigest CRASHING = new RequestDigest("crashing");
-    static final RequestDigest POPULAR = new RequestDigest("popular");
+    static final SuspectId CRASHING = SuspectId.request("crashing");
+    static final SuspectId POPULAR = SuspectId.request("popular");
 
     private final Random random;
     private final SuspectLimits limits;
@@ -82,12 +82,12 @@
 
     private static final class NoOpSuspectEvents implements SuspectEvents {
         @Override
-        public void blocked(RequestDigest request, Set<String> servers) {
+        public void blocked(SuspectId request, Set<String> servers) {
             // the tally counts refusals
         }
 
         @Override
-        public void unblocked(RequestDigest request) {
+        public void unblocked(SuspectId request) {
             // the tally counts refusals
         }
     }
@@ -109,14 +109,14 @@
 
     private static final class Attempt {
         private final Entry entry;
-        private final RequestDigest request;
+        private final SuspectId request;
         private final Server server;
         private final long durationMillis;
         private final int number;
         private final int round;
         private final SuspectTable table;
 
-        Attempt(Entry entry, RequestDigest request, Server server, long durationMillis, int number) {
+        Attempt(Entry entry, SuspectId request, Server server, long durationMillis, int number) {
             this.entry = entry;
             this.request = request;
             this.server = server;
@@ -168,14 +168,14 @@
     }
 
     private void sendSingleRequest() {
-        sendFromRandomEntry(new RequestDigest("single-" + nextNumber), 200 + random.nextInt(4_000));
+        sendFromRandomEntry(SuspectId.request("single-" + nextNumber), 200 + random.nextInt(4_000));
     }
 
-    private void sendFromRandomEntry(RequestDigest request, long durationMillis) {
+    private void sendFromRandomEntry(SuspectId request, long durationMillis) {
         send(entries.get(random.nextInt(ENTRIES)), request, durationMillis, 1);
     }
 
-    private void send(Entry entry, RequestDigest request, long durationMillis, int number) {
+    private void send(Entry entry, SuspectId request, long durationMillis, int number) {
         if (!entry.table.decide(request, now).maySend()) {
             countRefusal(request);
             return;
@@ -192,7 +192,7 @@
         after(durationMillis, () -> finish(attempt));
     }
 
-    private void countRefusal(RequestDigest request) {
+    private void countRefusal(SuspectId request) {
         if (request.equals(POPULAR)) {
             tally.popularRefused++;
         } else if (!request.equals(CRASHING)) {
--- a/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
@@ -10,7 +10,7 @@
 
 public class SuspectTableTest {
     private static final SuspectLimits LIMITS = new SuspectLimits(3, 60_000, 480_000, 600_000, 30_000, 4, 8);
-    private static final RequestDigest REQUEST = new RequestDigest("request");
+    private static final SuspectId REQUEST = SuspectId.request("request");
 
     private final List<String> events = new ArrayList<>();
     private boolean triesHere;
@@ -148,7 +148,7 @@
             crash(table, "s-" + server + "@1", 0);
         }
         for (int number = 0; number < 20; number++) {
-            table.brokeOff(new RequestDigest("other-" + number), "s-9@1", 1, number);
+            table.brokeOff(SuspectId.request("other-" + number), "s-9@1", 1, number);
         }
         assertThat(table.suspects()).isEqualTo(LIMITS.mostRequests());
         assertThat(table.decide(REQUEST, 100).maySend()).isFalse();
@@ -168,7 +168,7 @@
         }
         for (int number = 0; number < 100; number++) {
             String server = "t-" + number + "@1";
-            table.brokeOff(new RequestDigest("other-" + number), server, 1, number);
+            table.brokeOff(SuspectId.request("other-" + number), server, 1, number);
             table.confirmed(server, number);
         }
         assertThat(table.report().crashes()).hasSize(18).containsKeys("s-2@1", "s-3@1", "t-99@1");
@@ -183,12 +183,12 @@
 
     private final class EventRecorder implements SuspectEvents {
         @Override
-        public void blocked(RequestDigest request, Set<String> servers) {
+        public void blocked(SuspectId request, Set<String> servers) {
             events.add("blocked " + request.text() + " " + servers.size());
         }
 
         @Override
-        public void unblocked(RequestDigest request) {
+        public void unblocked(SuspectId request) {
             events.add("unblocked " + request.text());
         }
     }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -57,7 +57,7 @@
 import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.routing.RendezvousHash;
 import org.streamring.kernel.store.EraCheckedStore;
-import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.SuspectId;
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.model.route.CallerLimits;
@@ -323,7 +323,7 @@
      * Returns whether this entry is the one in the fleet that sends a request again after its block has expired. No
      * entry does so before it has read the table of entries.
      */
-    private boolean sendsAfterBlock(RequestDigest request) {
+    private boolean sendsAfterBlock(SuspectId request) {
         return RendezvousHash.order(request.text(), members.possiblyLive()).stream()
                 .findFirst()
                 .filter(settings.nodeName()::equals)
--- a/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
@@ -8,8 +8,9 @@
  * @param kind kind of the result
  * @param reason short name of the cause
  * @param answer failure answer of the backend server, if it sent one
+ * @param progress progress of the answer, for an attempt that broke off
  */
-record AttemptEnd(Kind kind, String reason, Optional<BufferedAnswer> answer) {
+record AttemptEnd(Kind kind, String reason, Optional<BufferedAnswer> answer, AttemptProgress progress) {
     enum Kind {
         /** The complete answer arrived. */
         WHOLE,
@@ -38,34 +39,35 @@
     }
 
     static AttemptEnd whole() {
-        return new AttemptEnd(Kind.WHOLE, "answered", Optional.empty());
+        return new AttemptEnd(Kind.WHOLE, "answered", Optional.empty(), AttemptProgress.NONE);
     }
 
     static AttemptEnd notSent(String reason) {
-        return new AttemptEnd(Kind.NOT_SENT, reason, Optional.empty());
+        return new AttemptEnd(Kind.NOT_SENT, reason, Optional.empty(), AttemptProgress.NONE);
     }
 
     static AttemptEnd withdrawn() {
-        return new AttemptEnd(Kind.WITHDRAWN, "replica_takes_nothing", Optional.empty());
+        return new AttemptEnd(Kind.WITHDRAWN, "replica_takes_nothing", Optional.empty(), AttemptProgress.NONE);
     }
 
     static AttemptEnd notRun(String reason) {
-        return new AttemptEnd(Kind.NOT_RUN, reason, Optional.empty());
+        return new AttemptEnd(Kind.NOT_RUN, reason, Optional.empty(), AttemptProgress.NONE);
     }
 
     static AttemptEnd failed(BufferedAnswer answer) {
-        return new AttemptEnd(Kind.FAILED, "status_" + answer.head().status(), Optional.of(answer));
+        return new AttemptEnd(
+                Kind.FAILED, "status_" + answer.head().status(), Optional.of(answer), AttemptProgress.NONE);
     }
 
     static AttemptEnd unheard() {
-        return new AttemptEnd(Kind.UNHEARD, "connection_silent", Optional.empty());
+        return new AttemptEnd(Kind.UNHEARD, "connection_silent", Optional.empty(), AttemptProgress.NONE);
     }
 
     static AttemptEnd silent() {
-        return new AttemptEnd(Kind.SILENT, "replica_silent", Optional.empty());
+        return new AttemptEnd(Kind.SILENT, "replica_silent", Optional.empty(), AttemptProgress.NONE);
     }
 
-    static AttemptEnd broken(String reason) {
-        return new AttemptEnd(Kind.BROKEN, reason, Optional.empty());
+    static AttemptEnd broken(String reason, AttemptProgress progress) {
+        return new AttemptEnd(Kind.BROKEN, reason, Optional.empty(), progress);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -47,6 +47,7 @@
     private @Nullable PlacedPrompt placedPrompt;
     private @Nullable SendCheck sendCheck;
     private long beganMillis;
+    private int eventsDelivered;
     private boolean streaming;
     private boolean finished;
 
@@ -169,6 +170,7 @@
         int events = relay.streamData(data);
         if (events > 0) {
             ifPlaced(each -> each.answered(services.clock().getAsLong()));
+            eventsDelivered += events;
             owner.eventsDelivered(events);
         }
     }
@@ -230,7 +232,7 @@
 
     private void endBroken(String reason) {
         state.failed(services.clock().getAsLong());
-        endAfterSending(AttemptEnd.broken(reason));
+        endAfterSending(AttemptEnd.broken(reason, new AttemptProgress(head != null, eventsDelivered)));
     }
 
     @Override
--- a/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
@@ -1,6 +1,9 @@
 package org.streamring.direct.request;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.streamring.direct.backend.BackendPool;
@@ -9,10 +12,10 @@
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
-import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.RequestTraits;
 import org.streamring.kernel.suspect.SuspectDecision;
+import org.streamring.kernel.suspect.SuspectId;
 import org.streamring.kernel.suspect.SuspectTable;
-import org.streamring.model.route.PrepaidAccount;
 
 /**
  * Blocks requests that crash the servers which run them. It is queried before each attempt and notified of the end of
@@ -25,6 +28,8 @@
     private final BackendRegistry registry;
     private final LongSupplier clock;
     private final DecisionLog log;
+    /** Attempts that broke off, by incarnation of the server, until it is known whether the server has ended. */
+    private final Map<String, BrokenAttempts> brokenAttempts = new HashMap<>();
 
     /** Creates a guard on a table of suspects that is exchanged with other entries. */
     public CrashSuspectGuard(
@@ -43,16 +48,33 @@
     }
 
     /** Returns the guard state of a new request. */
-    Watched watch(CallerRequest request, String id, Optional<PrepaidAccount> account) {
-        return new Watched(id, digests.of(request, account));
+    Watched watch(CallerRequest request, RequestPlan plan) {
+        return new Watched(plan.id(), digests.of(request, plan.sharedPartIds(), plan.account()));
     }
 
     private void serverEndChecked(String server, boolean ended) {
         int requests = ended ? table.confirmed(server, clock.getAsLong()) : table.refuted(server);
-        if (requests > 0) {
-            log.line("server_end_checked", "server", server, "ended", ended, "requests", requests);
-            exchange.scheduleReport();
+        BrokenAttempts broken = brokenAttempts.remove(server);
+        if (broken == null) {
+            return;
         }
+        log.line(
+                "server_end_checked",
+                "server",
+                server,
+                "ended",
+                ended,
+                "requests",
+                requests,
+                "waiting",
+                broken.waiting(),
+                "begun",
+                broken.begun(),
+                "with_events",
+                broken.withEvents(),
+                "parts",
+                broken.commonParts());
+        exchange.scheduleReport();
     }
 
     /** Whether a server may have crashed: one that is shutting down or is no longer listed ends for another reason. */
@@ -66,18 +88,20 @@
     /** Guard state of one request. */
     final class Watched {
         private final String id;
-        private final Optional<RequestDigest> digest;
+        private final Optional<RequestTraits> traits;
+        private final Optional<SuspectId> digest;
         private int round;
         private boolean running;
 
-        private Watched(String id, Optional<RequestDigest> digest) {
+        private Watched(String id, Optional<RequestTraits> traits) {
             this.id = id;
-            this.digest = digest;
+            this.traits = traits;
+            this.digest = traits.map(RequestTraits::request);
         }
 
-        /** Returns the digest by which a repetition of the request is recognized; empty while it can't be computed. */
-        String digest() {
-            return digest.map(RequestDigest::text).orElse("");
+        /** Returns what the request has in common with others; empty while it can't be computed. */
+        Optional<RequestTraits> traits() {
+            return traits;
         }
 
         /** Returns the time until a retry if the request must not be sent; empty if it may be sent. */
@@ -94,7 +118,7 @@
                     "request",
                     id,
                     "digest",
-                    digest(),
+                    digest.map(SuspectId::text).orElse(""),
                     "crashes",
                     refusal.crashes(),
                     "retry_after_ms",
@@ -122,11 +146,14 @@
         }
 
         /** Called when the attempt broke off; checks whether the process of the server has ended. */
-        void attemptBroken(BackendInstance instance, BackendPool pool) {
+        void attemptBroken(BackendInstance instance, BackendPool pool, AttemptProgress progress) {
             if (digest.isEmpty() || !mayHaveCrashed(instance)) {
                 return;
             }
             String server = instance.incarnation();
+            brokenAttempts
+                    .computeIfAbsent(server, any -> new BrokenAttempts())
+                    .add(progress, traits.map(RequestTraits::parts).orElse(List.of()));
             if (table.brokeOff(digest.get(), server, round, clock.getAsLong())) {
                 pool.checkProcessExited(ended -> serverEndChecked(server, ended));
             }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -88,7 +88,7 @@
                 Optional.ofNullable(request.headers().get(services.names().lastEventId())),
                 timing);
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
-        this.suspect = services.suspects().watch(request, plan.id(), plan.account());
+        this.suspect = services.suspects().watch(request, plan);
         this.liveness = new RequestLiveness(writer::callerPresent, plan.deadlineMillis());
         this.linkUsage = new LinkUsage(services.link(), services.clock(), request.body().length);
         this.builder = new BackendRequestBuilder(services.names(), filter, request, plan);
@@ -283,7 +283,7 @@
         if (end.kind() == AttemptEnd.Kind.BROKEN) {
             attempts.lastReplica()
                     .ifPresent(server ->
-                            suspect.attemptBroken(server, services.fleet().pool(server)));
+                            suspect.attemptBroken(server, services.fleet().pool(server), end.progress()));
         }
         retryOrEnd(end, plan.route().repeatable());
     }
@@ -412,7 +412,7 @@
             return;
         }
         services.metrics().attemptFailed(end.kind().name());
-        log.attemptFailed(end, attempts.lastReplicaId(), attempts.lastSoftwareVersion(), suspect.digest(), elapsed());
+        log.attemptFailed(end, attempts.lastReplicaId(), attempts.lastSoftwareVersion(), suspect.traits(), elapsed());
     }
 
     private RequestLog.Summary summary() {
--- a/direct/src/main/java/org/streamring/direct/request/PromptHeader.java
+++ b/direct/src/main/java/org/streamring/direct/request/PromptHeader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.streamring.kernel.placement.Prompt;
 import org.streamring.kernel.placement.PromptPart;
 import org.streamring.platform.node.ForwardingHeaders;
@@ -15,6 +16,8 @@
  * <p>One header lists the parts of the prompt as comma-separated {@code id:tokens} pairs.
  */
 final class PromptHeader {
+    private static final int MAX_SHARED_PARTS = 512;
+
     private PromptHeader() {}
 
     /**
@@ -31,6 +34,32 @@
         return new Prompt(parts, declared.prompt(), declared.maxAnswer(), Math.min(hint, declared.maxAnswer()));
     }
 
+    /**
+     * Returns the identifiers of the parts that other prompts may share: all except the last, each once. Of a prompt
+     * with very many parts, those in the middle are left out.
+     */
+    static List<String> sharedPartIds(HttpHeaders headers, ForwardingHeaders names) {
+        List<String> ids = Stream.of(headers.get(names.promptParts(), "").split(",", -1))
+                .map(PromptHeader::partId)
+                .toList();
+        List<String> shared = ids.subList(0, ids.size() - 1).stream()
+                .filter(id -> !id.isEmpty())
+                .distinct()
+                .toList();
+        if (shared.size() <= MAX_SHARED_PARTS) {
+            return shared;
+        }
+        return Stream.concat(
+                        shared.stream().limit(MAX_SHARED_PARTS / 2),
+                        shared.stream().skip(shared.size() - MAX_SHARED_PARTS / 2))
+                .toList();
+    }
+
+    private static String partId(String text) {
+        int colon = text.indexOf(':');
+        return (colon < 0 ? text : text.substring(0, colon)).trim();
+    }
+
     private static List<PromptPart> parts(String header) {
         List<PromptPart> parts = new ArrayList<>();
         for (String text : header.split(",", -1)) {
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -1,12 +1,18 @@
 package org.streamring.direct.request;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.placement.PlacementForecast;
+import org.streamring.kernel.suspect.RequestTraits;
+import org.streamring.kernel.suspect.SuspectId;
 
 /** Logs failed attempts and the outcome of one request. Confined to the event loop. */
 final class RequestLog {
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final DecisionLog log;
     private final RequestPlan plan;
 
@@ -45,9 +51,9 @@
      *
      * @param replica identifier of the replica that was tried
      * @param software software version of that replica
-     * @param digest digest by which a repetition of the request is recognized; empty if it can't be computed yet
+     * @param traits what the request has in common with others; empty if it can't be computed yet
      */
-    void attemptFailed(AttemptEnd end, String replica, String software, String digest, long millis) {
+    void attemptFailed(AttemptEnd end, String replica, String software, Optional<RequestTraits> traits, long millis) {
         log.line(
                 "attempt_failed",
                 "request",
@@ -63,11 +69,31 @@
                 "software",
                 software,
                 "digest",
-                digest,
+                traits.map(each -> each.request().text()).orElse(""),
+                "parts",
+                traits.map(RequestLog::partsText).orElse(""),
+                "begun",
+                end.progress().begun(),
+                "events",
+                end.progress().events(),
                 "ms",
                 millis);
     }
 
+    /** Returns the digests of the first and last shared parts of a prompt, in order. */
+    private static String partsText(RequestTraits traits) {
+        List<SuspectId> parts = traits.parts();
+        String text =
+                parts.stream().limit(MAX_LOGGED_PARTS / 2).map(SuspectId::text).collect(Collectors.joining(","));
+        int skipped = Math.max(MAX_LOGGED_PARTS / 2, parts.size() - MAX_LOGGED_PARTS / 2);
+        if (parts.size() <= MAX_LOGGED_PARTS / 2) {
+            return text;
+        }
+        return text
+                + (parts.size() > MAX_LOGGED_PARTS ? ",…," : ",")
+                + parts.stream().skip(skipped).map(SuspectId::text).collect(Collectors.joining(","));
+    }
+
     void ended(String outcome, int status, Summary summary) {
         Optional<PlacementForecast> forecast = summary.forecast();
         log.line(
--- a/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
@@ -1,5 +1,6 @@
 package org.streamring.direct.request;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.streamring.direct.caller.CallerRequest;
@@ -21,6 +22,7 @@
  * @param tokens token counts that the caller declares
  * @param resumed stream that the caller resumes; empty for a new request
  * @param prompt prompt of the request; {@link Prompt#NONE} for a plain request
+ * @param sharedPartIds identifiers of the parts of the prompt that other prompts may share
  * @param deadlineMillis deadline of the final answer, on the process's monotonic clock
  * @param callerWaitMillis milliseconds that the caller waits, from the arrival
  */
@@ -33,6 +35,7 @@
         Optional<DeclaredTokens> tokens,
         Optional<ResumedStream> resumed,
         Prompt prompt,
+        List<String> sharedPartIds,
         long deadlineMillis,
         long callerWaitMillis) {
 
@@ -60,6 +63,7 @@
                 tokens,
                 ResumedStream.of(request.headers(), names),
                 PromptHeader.read(request.headers(), names, tokens),
+                PromptHeader.sharedPartIds(request.headers(), names),
                 request.arrivedMillis() + timeoutMillis,
                 waitMillis);
     }
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectRowCodec.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectRowCodec.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.SuspectId;
 import org.streamring.kernel.suspect.SuspectReport;
 
 /**
@@ -55,14 +55,14 @@
         }
     }
 
-    private static Map<String, Map<RequestDigest, Integer>> crashes(JsonNode tree) {
-        Map<String, Map<RequestDigest, Integer>> crashes = new HashMap<>();
+    private static Map<String, Map<SuspectId, Integer>> crashes(JsonNode tree) {
+        Map<String, Map<SuspectId, Integer>> crashes = new HashMap<>();
         tree.fields().forEachRemaining(server -> {
-            Map<RequestDigest, Integer> rounds = new HashMap<>();
+            Map<SuspectId, Integer> rounds = new HashMap<>();
             server.getValue().fields().forEachRemaining(request -> {
                 if (isRound(request.getValue())) {
                     rounds.put(
-                            new RequestDigest(request.getKey()),
+                            SuspectId.request(request.getKey()),
                             request.getValue().asInt());
                 }
             });
@@ -75,12 +75,12 @@
         return value.isInt() && value.asInt() > 0 && value.asInt() <= MAX_ROUND;
     }
 
-    private static Map<RequestDigest, Set<String>> cleared(JsonNode tree) {
-        Map<RequestDigest, Set<String>> cleared = new HashMap<>();
+    private static Map<SuspectId, Set<String>> cleared(JsonNode tree) {
+        Map<SuspectId, Set<String>> cleared = new HashMap<>();
         tree.fields().forEachRemaining(request -> {
             Set<String> servers = new HashSet<>();
             request.getValue().forEach(server -> servers.add(server.asText()));
-            cleared.put(new RequestDigest(request.getKey()), servers);
+            cleared.put(SuspectId.request(request.getKey()), servers);
         });
         return cleared;
     }
--- a/direct/src/test/java/org/streamring/direct/request/PromptHeaderTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/PromptHeaderTest.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.streamring.direct.TestHeaders;
 import org.streamring.kernel.placement.Prompt;
 import org.streamring.kernel.placement.PromptPart;
@@ -33,6 +35,33 @@
         assertThat(read("a:600", "many").likelyAnswerTokens()).isEqualTo(50);
     }
 
+    @Test
+    public void allPartsExceptTheLastAreShared() {
+        assertThat(sharedPartIds("a:600, b:300,c:9")).containsExactly("a", "b");
+        assertThat(sharedPartIds("a:600")).isEmpty();
+        assertThat(sharedPartIds("")).isEmpty();
+    }
+
+    @Test
+    public void aMalformedPartIsStillAPartThatOthersMayShare() {
+        assertThat(sharedPartIds("a:x,,b,c:9")).containsExactly("a", "b");
+    }
+
+    @Test
+    public void aRepeatedPartIsListedOnceAndThePartsInTheMiddleOfAVeryLongPromptNotAtAll() {
+        assertThat(sharedPartIds("a:1,b:1,a:1,c:1")).containsExactly("a", "b");
+        String many =
+                IntStream.range(0, 2_000).mapToObj(part -> "p" + part + ":1").collect(Collectors.joining(","));
+        assertThat(sharedPartIds(many))
+                .hasSize(512)
+                .contains("p0", "p255", "p1743", "p1998")
+                .doesNotContain("p1999");
+    }
+
+    private static List<String> sharedPartIds(String parts) {
+        return PromptHeader.sharedPartIds(new DefaultHttpHeaders().set("parts", parts), TestHeaders.NAMES);
+    }
+
     private static Prompt read(String parts, String hint) {
         HttpHeaders headers = new DefaultHttpHeaders().set("parts", parts).set("hint", hint);
         return PromptHeader.read(headers, TestHeaders.NAMES, TOKENS);
--- a/direct/src/test/java/org/streamring/direct/suspect/SuspectRowCodecTest.java
+++ b/direct/src/test/java/org/streamring/direct/suspect/SuspectRowCodecTest.java
@@ -4,12 +4,12 @@
 
 import java.util.Map;
 import java.util.Set;
-import org.streamring.kernel.suspect.RequestDigest;
+import org.streamring.kernel.suspect.SuspectId;
 import org.streamring.kernel.suspect.SuspectReport;
 import org.testng.annotations.Test;
 
 public class SuspectRowCodecTest {
-    private static final RequestDigest REQUEST = new RequestDigest("Zk3v_-");
+    private static final SuspectId REQUEST = SuspectId.request("Zk3v_-");
 
     private final SuspectRowCodec codec = new SuspectRowCodec();
 
@@ -33,7 +33,7 @@
         String text = "{\"crashes\":{\"i-1@1\":{\"a\":\"2\",\"b\":-1,\"c\":2147483647,\"d\":3.5,\"e\":1},\"i-2@1\":7},"
                 + "\"cleared\":\"all\",\"other\":[]}";
         assertThat(codec.read(text).orElseThrow().crashes())
-                .containsEntry("i-1@1", Map.of(new RequestDigest("e"), 1))
+                .containsEntry("i-1@1", Map.of(SuspectId.request("e"), 1))
                 .containsEntry("i-2@1", Map.of());
     }
 }
