--- a/core/src/main/java/org/streamring/kernel/suspect/RecentAnswers.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/RecentAnswers.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Requests that recently received a complete answer. Confined to one thread. */
+/** Requests, or parts of prompts, that were answered recently. Confined to one thread. */
 final class RecentAnswers {
     private final long protectionMillis;
     private final int maxAnswers;
@@ -13,7 +13,7 @@
     /**
      * Creates an instance without answers.
      *
-     * @param protectionMillis how long an answer protects its request from suspicion, in milliseconds
+     * @param protectionMillis how long an answer counts as recent, in milliseconds
      * @param maxAnswers maximum number of answers kept
      */
     RecentAnswers(long protectionMillis, int maxAnswers) {
@@ -39,7 +39,7 @@
                 : answered.values().iterator().next();
     }
 
-    /** Returns whether a request received a complete answer within the protection time. */
+    /** Returns whether there was an answer within the protection time. */
     boolean protects(SuspectId request, long nowMillis) {
         Long last = answered.get(request);
         return last != null && last > nowMillis - protectionMillis;
--- a/core/src/main/java/org/streamring/kernel/suspect/RequestTraits.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/RequestTraits.java
@@ -1,7 +1,8 @@
 package org.streamring.kernel.suspect;
 
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.stream.Stream;
+import java.util.Set;
 
 /**
  * What a request has in common with its repetitions and with other requests.
@@ -16,8 +17,11 @@
         parts = List.copyOf(parts);
     }
 
-    /** Returns everything that may crash the servers which process the request. */
-    public Stream<SuspectId> suspects() {
-        return Stream.concat(Stream.of(request), parts.stream());
+    /** Returns everything that may crash the servers which process the request: the request itself and its parts. */
+    public Set<SuspectId> suspects() {
+        Set<SuspectId> suspects = new LinkedHashSet<>();
+        suspects.add(request);
+        suspects.addAll(parts);
+        return suspects;
     }
 }
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectEvents.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectEvents.java
@@ -4,12 +4,16 @@
 
 /** Receives the decisions of a {@link SuspectTable}. */
 public interface SuspectEvents {
-    /** Called when a request is blocked because the given servers ended while running it. */
-    void blocked(SuspectId request, Set<String> servers);
+    /**
+     * Called when a suspect is blocked because the given servers ended while processing it.
+     *
+     * @param companions what always came together with the suspect; only requests that hold all of it are blocked
+     */
+    void blocked(SuspectId suspect, Set<String> servers, Set<SuspectId> companions);
 
     /**
-     * Called when a request is no longer blocked: an entry received a complete answer to it, its servers turned out to
-     * be alive, or its crashes have expired.
+     * Called when a suspect is no longer blocked: an entry received an answer to it, its servers turned out to be
+     * alive, or its crashes have expired.
      */
-    void unblocked(SuspectId request);
+    void unblocked(SuspectId suspect);
 }
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectId.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectId.java
@@ -38,6 +38,16 @@
         return new SuspectId(Kind.ACCOUNT, digest);
     }
 
+    /** Returns the identity that {@link #text} represents. */
+    public static SuspectId parse(String text) {
+        for (Kind kind : Kind.values()) {
+            if (!kind.prefix.isEmpty() && text.startsWith(kind.prefix)) {
+                return new SuspectId(kind, text.substring(kind.prefix.length()));
+            }
+        }
+        return request(text);
+    }
+
     /** Returns the text for rows and log lines; the text of a request is its digest. */
     public String text() {
         return kind.prefix + digest;
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -1,21 +1,27 @@
 package org.streamring.kernel.suspect;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
 /**
- * Decides which requests are blocked because servers ended while running them.
+ * Decides which requests are blocked because servers ended while processing them.
  *
- * <p>Every request that ran on a server when it ended is a suspect, and the entries report their suspects to each
- * other. A request is blocked when enough servers have ended under it one after the other; servers that end together
- * count once, since a popular request runs on many servers, which may end together for another reason. A complete
- * answer clears a request of its earlier crashes and protects it from suspicion for some time. When a block expires,
- * one entry sends the request once as a trial. Confined to one thread.
+ * <p>Suspects are the requests whose attempts broke off when a server ended, and the parts of their prompts, which
+ * other requests may share. The entries report their suspects to each other. A suspect is blocked when enough servers
+ * have ended under it one after the other; servers that end together count once, since a popular suspect is processed
+ * by many servers, which may end together for another reason. An answer clears a suspect of the crashes before it.
+ *
+ * <p>A request is not sent if it holds a blocked suspect and all that always came together with this suspect: a request
+ * that holds only some of it tells which of them crashes the servers. When a block expires, one entry sends one request
+ * as a trial. Confined to one thread.
  */
 public final class SuspectTable {
     /** Time after which to decide again on a request that waits for a trial, here or at another entry. */
@@ -24,124 +30,252 @@
     /** Number of crashes from which a clearance is reported to other entries, which may have received these crashes. */
     private static final int MIN_CRASHES_TO_REPORT_CLEARED = 2;
 
+    /** Part of the suspects, one in this number, that is removed when their maximum number is reached. */
+    private static final int REMOVED_SHARE = 8;
+
     private final SuspectLimits limits;
     private final Predicate<SuspectId> triesHere;
     private final SuspectEvents events;
     private final Map<SuspectId, Evidence> suspects = new HashMap<>();
-    private final Map<String, Map<SuspectId, Integer>> unconfirmed = new HashMap<>();
+    private final Map<String, PendingEnd> unconfirmed = new HashMap<>();
     private final Map<SuspectId, Integer> running = new HashMap<>();
     private final Set<SuspectId> blocked = new HashSet<>();
-    private final RecentAnswers answers;
+    private final RecentAnswers answeredRequests;
+    private final RecentAnswers answeredParts;
     private final LocalObservations localObservations = new LocalObservations();
+    private final KnownEnds knownEnds = new KnownEnds();
+    private long sequence;
 
     /**
      * Creates a table without suspects.
      *
-     * @param triesHere whether a request is tried at this entry after its block; true at one entry of the fleet
+     * @param triesHere whether a suspect is tried at this entry after its block; true at one entry of the fleet
      */
     public SuspectTable(SuspectLimits limits, Predicate<SuspectId> triesHere, SuspectEvents events) {
         this.limits = limits;
         this.triesHere = triesHere;
         this.events = events;
-        this.answers = new RecentAnswers(limits.answerMillis(), limits.mostAnswers());
+        this.answeredRequests = new RecentAnswers(limits.answerMillis(), limits.mostAnswers());
+        this.answeredParts = new RecentAnswers(limits.answerMillis(), limits.mostAnswers());
     }
 
     /** Decides whether a request may be sent now. */
-    public SuspectDecision decide(SuspectId request, long nowMillis) {
-        if (!blocked.contains(request)) {
+    public SuspectDecision decide(RequestTraits request, long nowMillis) {
+        if (blocked.isEmpty()) {
             return SuspectDecision.UNSUSPECTED;
         }
-        Evidence evidence = suspects.get(request);
-        int crashes = evidence.unclearedCount();
-        long remainingMillis = evidence.lastCrashMillis() + limits.blockMillis(crashes) - nowMillis;
+        Set<SuspectId> held = request.suspects();
+        SuspectDecision decision = SuspectDecision.UNSUSPECTED;
+        for (SuspectId suspect : held) {
+            if (blocked.contains(suspect) && isBlockedBy(suspect, held, request.account())) {
+                decision = stricter(decision, decide(suspect, nowMillis));
+            }
+        }
+        return decision;
+    }
+
+    private static SuspectDecision stricter(SuspectDecision first, SuspectDecision second) {
+        return first.suspect().isEmpty() || second.retryAfterMillis() > first.retryAfterMillis() ? second : first;
+    }
+
+    private boolean isBlockedBy(SuspectId suspect, Set<SuspectId> held, SuspectId account) {
+        Evidence evidence = evidenceOf(suspect);
+        Set<String> servers = evidence.uncleared();
+        boolean mustDecide = servers.size() < limits.of(suspect).lastCrashes();
+        if (isExplained(servers, held, mustDecide)) {
+            return false;
+        }
+        return evidence.companions().stream()
+                .allMatch(companion -> companion.kind() == SuspectId.Kind.ACCOUNT
+                        ? companion.equals(account)
+                        : !mustDecide || held.contains(companion) || !mayExplain(companion, servers));
+    }
+
+    /**
+     * Returns whether a blocked suspect that the request doesn't hold accounts for these crashes.
+     *
+     * @param mustDecide whether one that accounts for no further crashes is enough, so that the request is sent to tell
+     *     which of the two crashes servers
+     */
+    private boolean isExplained(Set<String> servers, Set<SuspectId> held, boolean mustDecide) {
+        int minCrashes = mustDecide ? servers.size() : servers.size() + 1;
+        return blocked.stream()
+                .filter(other -> !held.contains(other))
+                .map(this::evidenceOf)
+                .anyMatch(other -> other.unclearedCount() >= minCrashes && other.hasUncleared(servers));
+    }
+
+    private boolean mayExplain(SuspectId companion, Set<String> servers) {
+        Evidence evidence = suspects.get(companion);
+        return evidence != null && evidence.hasUncleared(servers);
+    }
+
+    private SuspectDecision decide(SuspectId suspect, long nowMillis) {
+        int crashes = evidenceOf(suspect).unclearedCount();
+        long remainingMillis = remainingBlockMillis(suspect, nowMillis);
         if (remainingMillis > 0) {
-            return new SuspectDecision(false, crashes, remainingMillis);
+            return new SuspectDecision(false, Optional.of(suspect), crashes, remainingMillis);
         }
-        boolean mustWait = running.containsKey(request) || !triesHere.test(request);
-        return new SuspectDecision(!mustWait, crashes, mustWait ? TRIAL_WAIT_MILLIS : 0);
+        boolean mustWait = running.containsKey(suspect) || !triesHere.test(suspect);
+        return new SuspectDecision(!mustWait, Optional.of(suspect), crashes, mustWait ? TRIAL_WAIT_MILLIS : 0);
     }
 
-    /** Records that a request is sent to a server; returns the round of the attempt, for {@link #brokeOff}. */
-    public int sent(SuspectId request) {
-        running.merge(request, 1, Integer::sum);
-        Evidence evidence = suspects.get(request);
-        return evidence == null ? 1 : evidence.lastRound() + 1;
+    private long remainingBlockMillis(SuspectId suspect, long nowMillis) {
+        Evidence evidence = evidenceOf(suspect);
+        int sends = evidence.unclearedCount() + evidence.trials();
+        long blockMillis = limits.blockMillis(suspect, sends, evidence.answeredBefore());
+        return evidence.blockStartMillis() + blockMillis - nowMillis;
+    }
+
+    private Evidence evidenceOf(SuspectId blockedSuspect) {
+        Evidence evidence = suspects.get(blockedSuspect);
+        if (evidence == null) {
+            throw new IllegalStateException("no evidence for " + blockedSuspect);
+        }
+        return evidence;
+    }
+
+    /**
+     * Records that a request is sent to a server.
+     *
+     * @param incarnation incarnation of the server
+     */
+    public SentAttempt sent(RequestTraits request, String incarnation, long nowMillis) {
+        Map<SuspectId, Integer> rounds = new HashMap<>();
+        boolean trial = false;
+        for (SuspectId suspect : request.suspects()) {
+            running.merge(suspect, 1, Integer::sum);
+            Evidence evidence = suspects.get(suspect);
+            if (evidence != null) {
+                rounds.put(suspect, evidence.lastRound() + 1);
+            }
+            if (evidence != null && blocked.contains(suspect) && remainingBlockMillis(suspect, nowMillis) <= 0) {
+                evidence.trialSent(nowMillis);
+                trial = true;
+            }
+        }
+        return new SentAttempt(request, knownEnds.currentName(incarnation), rounds, trial);
+    }
+
+    /**
+     * Records the end of an attempt, with or without an answer.
+     *
+     * @param wasSent whether the request may have reached the server
+     */
+    public void ended(SentAttempt attempt, boolean wasSent) {
+        for (SuspectId suspect : attempt.traits().suspects()) {
+            running.computeIfPresent(suspect, (any, count) -> count > 1 ? count - 1 : null);
+            Evidence evidence = suspects.get(suspect);
+            if (attempt.trial() && !wasSent && evidence != null && evidence.trials() > 0) {
+                evidence.trialWithdrawn();
+            }
+        }
     }
 
-    /** Records the end of an attempt, with or without an answer. */
-    public void ended(SuspectId request) {
-        running.computeIfPresent(request, (any, count) -> count > 1 ? count - 1 : null);
+    /** Records that the answer to an attempt has begun. */
+    public void begun(SentAttempt attempt) {
+        attempt.begun(sequence);
     }
 
-    /** Records a complete answer to a request. */
-    public void answered(SuspectId request, long nowMillis) {
-        answers.add(request, nowMillis);
+    /**
+     * Records that an answer goes on after its beginning, which clears the parts of the prompt of the crashes that were
+     * recorded before the answer began.
+     */
+    public void continued(SentAttempt attempt, long nowMillis) {
+        for (SuspectId part : attempt.traits().parts()) {
+            answeredParts.add(part, nowMillis);
+            Evidence evidence = suspects.get(part);
+            if (evidence != null) {
+                clear(part, evidence, evidence.serversUpTo(attempt.begunSequence()));
+            }
+        }
+    }
+
+    /** Records a complete answer, which clears the request and the parts of its prompt. */
+    public void answered(SentAttempt attempt, long nowMillis) {
+        begun(attempt);
+        continued(attempt, nowMillis);
+        SuspectId request = attempt.traits().request();
+        answeredRequests.add(request, nowMillis);
         Evidence evidence = suspects.get(request);
-        if (evidence != null && evidence.unclearedCount() > 0) {
-            clear(request, evidence);
-            updateBlock(request);
+        if (evidence != null) {
+            clear(request, evidence, evidence.allServers());
         }
     }
 
     /**
      * Records that an attempt broke off. Its server is assumed to have ended until this is confirmed or refuted.
      *
-     * @param server incarnation of the server
-     * @param round round that {@link #sent} returned for the attempt
-     * @return whether the crash is recorded, so that it is to be confirmed or refuted
+     * @param answerContinued whether the answer had gone on after its beginning; the parts of the prompt are then no
+     *     suspects
      */
-    public boolean brokeOff(SuspectId request, String server, int round, long nowMillis) {
-        if (answers.protects(request, nowMillis)) {
-            return false;
+    public void brokeOff(SentAttempt attempt, boolean answerContinued, long nowMillis) {
+        List<SuspectId> suspected = new ArrayList<>();
+        if (!answeredRequests.protects(attempt.traits().request(), nowMillis)) {
+            suspected.add(attempt.traits().request());
+        }
+        if (!answerContinued) {
+            suspected.addAll(attempt.traits().parts());
+        }
+        if (suspected.isEmpty()) {
+            return;
         }
-        unconfirmed.computeIfAbsent(server, any -> new HashMap<>()).merge(request, round, Math::max);
-        add(request, server, round, nowMillis);
-        updateBlock(request);
-        return true;
+        BrokenAttempt broken = unconfirmed
+                .computeIfAbsent(attempt.server(), any -> new PendingEnd())
+                .add(attempt, suspected, suspects::containsKey);
+        add(attempt.server(), broken, nowMillis);
+        broken.rounds().keySet().forEach(this::updateBlock);
     }
 
-    /** Confirms that a server has ended; returns the number of requests that broke off there. */
+    /**
+     * Confirms that a server has ended; returns the number of attempts with suspects that broke off there.
+     *
+     * @param server name of the server process, from {@link SentAttempt#server}
+     */
     public int confirmed(String server, long nowMillis) {
-        Map<SuspectId, Integer> requests = removeUnconfirmed(server);
-        if (!requests.isEmpty()) {
-            localObservations.ended(server, requests, nowMillis);
+        PendingEnd end = unconfirmed.remove(server);
+        if (end == null) {
+            return 0;
         }
-        return requests.size();
+        knownEnds.add(server, nowMillis);
+        localObservations.ended(server, end.attempts(), nowMillis);
+        return end.attempts().size();
     }
 
-    /** Records that a server has not ended; returns the number of requests that broke off there for another reason. */
+    /** Records that a server has not ended; returns the number of attempts that broke off there for another reason. */
     public int refuted(String server) {
-        Map<SuspectId, Integer> requests = removeUnconfirmed(server);
-        requests.keySet().forEach(request -> removeCrash(request, server));
-        requests.keySet().forEach(this::updateBlock);
-        return requests.size();
-    }
-
-    private Map<SuspectId, Integer> removeUnconfirmed(String server) {
-        Map<SuspectId, Integer> requests = unconfirmed.remove(server);
-        return requests == null ? Map.of() : requests;
+        PendingEnd end = unconfirmed.remove(server);
+        if (end == null) {
+            return 0;
+        }
+        if (!knownEnds.contains(server)) {
+            end.attempts().forEach(attempt -> attempt.rounds().keySet().forEach(suspect -> remove(suspect, server)));
+        }
+        return end.attempts().size();
     }
 
-    private void removeCrash(SuspectId request, String server) {
-        Evidence evidence = suspects.get(request);
+    private void remove(SuspectId suspect, String server) {
+        Evidence evidence = suspects.get(suspect);
         if (evidence != null) {
             evidence.remove(server);
+            updateBlock(suspect);
         }
     }
 
     /** Merges a report of another entry, or of the previous process on this box. */
     public void merge(SuspectReport report, long nowMillis) {
         Set<SuspectId> affected = new HashSet<>(report.cleared().keySet());
-        report.cleared()
-                .forEach((request, servers) -> evidence(request, nowMillis).clear(servers));
-        report.crashes()
-                .forEach((server, requests) -> requests.forEach((request, round) -> {
-                    boolean isNew = add(request, server, round, nowMillis);
-                    if (isNew && answers.protects(request, nowMillis)) {
-                        clear(request, evidence(request, nowMillis));
-                    }
-                    affected.add(request);
-                }));
+        report.cleared().forEach((suspect, servers) -> {
+            evidence(suspect, nowMillis).clear(servers);
+            localObservations.remove(suspect, servers);
+        });
+        report.crashes().forEach((server, attempts) -> {
+            knownEnds.add(server, nowMillis);
+            for (BrokenAttempt attempt : attempts) {
+                add(server, attempt, nowMillis);
+                affected.addAll(attempt.rounds().keySet());
+            }
+        });
         affected.forEach(this::updateBlock);
     }
 
@@ -150,9 +284,14 @@
         return localObservations.report();
     }
 
-    /** Returns whether {@link #report} contains changes that are to be sent to the other entries immediately. */
-    public boolean hasUrgentChanges() {
-        return localObservations.isUrgent();
+    /** Returns the observations of this entry since the last call, for the other entries that are connected. */
+    public SuspectReport takeUnsent() {
+        return localObservations.takeUnsent();
+    }
+
+    /** Returns whether {@link #takeUnsent} contains observations. */
+    public boolean hasUnsent() {
+        return localObservations.hasUnsent();
     }
 
     /** Returns whether {@link #report} has changed since it was last called. */
@@ -160,21 +299,60 @@
         return localObservations.hasChanged();
     }
 
+    /** Returns the crashes of all blocked suspects, whoever observed them, for an entry that has just connected. */
+    public SuspectReport blockedSuspects() {
+        Map<String, List<BrokenAttempt>> crashes = new HashMap<>();
+        for (SuspectId suspect : blocked) {
+            Evidence evidence = evidenceOf(suspect);
+            for (String server : evidence.uncleared()) {
+                crashes.computeIfAbsent(server, any -> new ArrayList<>())
+                        .add(attemptOf(suspect, server, evidence.companions(server)));
+            }
+        }
+        return new SuspectReport(crashes, Map.of());
+    }
+
+    private BrokenAttempt attemptOf(SuspectId suspect, String server, Set<SuspectId> companions) {
+        Map<SuspectId, Integer> rounds = new HashMap<>();
+        for (SuspectId companion : companions) {
+            Evidence evidence = suspects.get(companion);
+            if (evidence != null && evidence.hasUncleared(Set.of(server))) {
+                rounds.put(companion, evidence.round(server));
+            }
+        }
+        SuspectId request = first(companions, SuspectId.Kind.REQUEST).orElse(suspect);
+        SuspectId account = first(companions, SuspectId.Kind.ACCOUNT).orElse(SuspectId.account(""));
+        return new BrokenAttempt(request, account, rounds);
+    }
+
+    private static Optional<SuspectId> first(Collection<SuspectId> ids, SuspectId.Kind kind) {
+        return ids.stream().filter(id -> id.kind() == kind).findFirst();
+    }
+
     /** Restores the observations of the previous process on this box, so that they continue to be reported. */
     public void resume(SuspectReport earlier, long nowMillis) {
         localObservations.resume(earlier, nowMillis);
         merge(earlier, nowMillis);
     }
 
-    /** Removes crashes that are older than the retention period. */
+    /** Removes suspects whose retention period and block are over. */
     public void expire(long nowMillis) {
-        long oldest = nowMillis - limits.keptMillis();
-        localObservations.expire(oldest);
-        List<SuspectId> old = suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().lastCrashMillis() <= oldest)
-                .map(Map.Entry::getKey)
+        List<SuspectId> old = suspects.keySet().stream()
+                .filter(suspect -> isExpired(suspect, nowMillis))
                 .toList();
         old.forEach(this::forget);
+        long oldest = nowMillis - limits.keptMillis();
+        localObservations.expire(oldest, suspects::containsKey);
+        Set<String> used = new HashSet<>();
+        suspects.values().forEach(evidence -> used.addAll(evidence.allServers()));
+        knownEnds.expire(oldest, used);
+    }
+
+    private boolean isExpired(SuspectId suspect, long nowMillis) {
+        boolean isBlocked = blocked.contains(suspect);
+        long retention = limits.retentionMillis(suspect, isBlocked);
+        boolean blockOver = !isBlocked || remainingBlockMillis(suspect, nowMillis) <= 0;
+        return blockOver && evidenceOf(suspect).lastCrashMillis() <= nowMillis - retention;
     }
 
     /** Returns the number of suspects. */
@@ -182,65 +360,82 @@
         return suspects.size();
     }
 
-    /** Returns the number of blocked requests. */
-    public int blocked() {
-        return blocked.size();
+    /** Returns the number of blocked suspects of a kind. */
+    public int blocked(SuspectId.Kind kind) {
+        return (int) blocked.stream().filter(suspect -> suspect.kind() == kind).count();
     }
 
-    private boolean add(SuspectId request, String server, int round, long nowMillis) {
-        return evidence(request, nowMillis).add(server, round, nowMillis);
+    private void add(String server, BrokenAttempt attempt, long nowMillis) {
+        Set<SuspectId> companions = attempt.traits();
+        sequence++;
+        attempt.rounds().forEach((suspect, round) -> {
+            Evidence evidence = evidence(suspect, nowMillis);
+            boolean isNew = evidence.add(server, round, companions, sequence, nowMillis);
+            if (isNew && answeredRequests.protects(suspect, nowMillis)) {
+                clear(suspect, evidence, Set.of(server));
+            } else if (isNew && evidence.unclearedCount() == 1) {
+                evidence.setAnsweredBefore(answeredParts.protects(suspect, nowMillis));
+            }
+        });
     }
 
-    private Evidence evidence(SuspectId request, long nowMillis) {
-        Evidence known = suspects.get(request);
+    private Evidence evidence(SuspectId suspect, long nowMillis) {
+        Evidence known = suspects.get(suspect);
         if (known != null) {
             return known;
         }
-        if (suspects.size() >= limits.mostRequests()) {
+        if (suspects.size() >= limits.mostSuspects()) {
             forgetLeastSuspected();
         }
         Evidence created = new Evidence(nowMillis);
-        suspects.put(request, created);
+        suspects.put(suspect, created);
         return created;
     }
 
     private void forgetLeastSuspected() {
-        suspects.entrySet().stream()
-                .min(Comparator.comparingInt((Map.Entry<SuspectId, Evidence> entry) ->
-                                entry.getValue().unclearedCount())
-                        .thenComparingLong(entry -> entry.getValue().lastCrashMillis()))
-                .map(Map.Entry::getKey)
-                .ifPresent(this::forget);
+        List<SuspectId> least = suspects.keySet().stream()
+                .sorted(Comparator.comparingInt(
+                                (SuspectId suspect) -> evidenceOf(suspect).unclearedCount())
+                        .thenComparingLong(suspect -> evidenceOf(suspect).lastCrashMillis()))
+                .limit(Math.max(1, limits.mostSuspects() / REMOVED_SHARE))
+                .toList();
+        least.forEach(this::forget);
     }
 
-    private void clear(SuspectId request, Evidence evidence) {
-        evidence.clearAll();
-        localObservations.removeRequest(request);
+    private void clear(SuspectId suspect, Evidence evidence, Set<String> servers) {
+        Set<String> newlyCleared = evidence.uncleared();
+        newlyCleared.retainAll(servers);
+        if (newlyCleared.isEmpty()) {
+            return;
+        }
+        evidence.clear(newlyCleared);
+        localObservations.remove(suspect, newlyCleared);
         if (evidence.allServers().size() >= MIN_CRASHES_TO_REPORT_CLEARED) {
-            localObservations.cleared(request, evidence.allServers());
+            localObservations.cleared(suspect, evidence.cleared());
         }
+        updateBlock(suspect);
     }
 
-    private void forget(SuspectId request) {
-        suspects.remove(request);
-        localObservations.forgetCleared(request);
-        if (blocked.remove(request)) {
-            events.unblocked(request);
+    private void forget(SuspectId suspect) {
+        suspects.remove(suspect);
+        localObservations.forgetCleared(suspect);
+        if (blocked.remove(suspect)) {
+            events.unblocked(suspect);
         }
     }
 
-    private void updateBlock(SuspectId request) {
-        Evidence evidence = suspects.get(request);
-        if (evidence != null && reachesLimit(evidence)) {
-            if (blocked.add(request)) {
-                events.blocked(request, evidence.uncleared());
+    private void updateBlock(SuspectId suspect) {
+        Evidence evidence = suspects.get(suspect);
+        if (evidence != null && reachesLimit(suspect, evidence)) {
+            if (blocked.add(suspect)) {
+                events.blocked(suspect, evidence.uncleared(), evidence.companions());
             }
-        } else if (blocked.remove(request)) {
-            events.unblocked(request);
+        } else if (blocked.remove(suspect)) {
+            events.unblocked(suspect);
         }
     }
 
-    private boolean reachesLimit(Evidence evidence) {
-        return evidence.countedCrashes() >= limits.crashes();
+    private boolean reachesLimit(SuspectId suspect, Evidence evidence) {
+        return evidence.countedCrashes() >= limits.of(suspect).crashes();
     }
 }
--- a/core/src/test/java/org/streamring/kernel/suspect/SuspectSimulation.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/SuspectSimulation.java
@@ -1,17 +1,21 @@
 package org.streamring.kernel.suspect;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
- * Simulates a fleet whose servers crash under one request, and also for other reasons. Entries report to each other by
- * rows that are sometimes delayed; entries restart and are cut off from the store.
+ * Simulates a fleet whose servers crash under one request, or under parts of prompts, and also for other reasons.
+ * Entries report to each other by rows that are sometimes delayed; entries restart and are cut off from the store.
  */
 final class SuspectSimulation {
     private static final int ENTRIES = 6;
@@ -26,11 +30,26 @@
     private static final long REPORT_INTERVAL_MILLIS = 1_000;
     static final long NEVER = Long.MAX_VALUE / 2;
 
-    static final SuspectId CRASHING = SuspectId.request("crashing");
-    static final SuspectId POPULAR = SuspectId.request("popular");
+    private static final long CONTINUES_AFTER_MILLIS = 40;
+    private static final int ACCOUNTS = 4;
+    private static final int RARE_PARTS = 40;
+
+    private static final RequestTraits CRASHING = withoutPrompt("crashing");
+    private static final RequestTraits POPULAR = withoutPrompt("popular");
+
+    /** What crashes the servers. */
+    enum Cause {
+        /** One request that is repeated. */
+        REQUEST,
+        /** One part of prompts; no two requests are alike, and all of them share the first part with sound ones. */
+        PROMPT_PART,
+        /** The same, and in other prompts another part, which always comes together with a sound one. */
+        TWO_PROMPT_PARTS
+    }
 
     private final Random random;
     private final SuspectLimits limits;
+    private final Cause cause;
     private final List<Entry> entries = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
     private final Map<Integer, SuspectReport> rows = new TreeMap<>();
@@ -46,7 +65,21 @@
         int popularRefused;
         int otherRequestsRefused;
         int otherRequestsBrokenOff;
+        int soundPromptsSent;
+        int soundPromptsRefused;
         long thirdCrashMillis = NEVER;
+        private final Map<SuspectId, PartTally> parts = new TreeMap<>(Comparator.comparing(SuspectId::digest));
+
+        PartTally part(SuspectId part) {
+            return parts.computeIfAbsent(part, any -> new PartTally());
+        }
+    }
+
+    /** Counts for one part that crashes servers. */
+    static final class PartTally {
+        int crashes;
+        int sentAfterFifthCrash;
+        private long fifthCrashMillis = NEVER;
     }
 
     private record Event(long millis, int number, Runnable run) implements Comparable<Event> {
@@ -68,7 +101,7 @@
         }
 
         private SuspectTable create() {
-            return new SuspectTable(limits, request -> number == 0, new NoOpSuspectEvents());
+            return new SuspectTable(limits, suspect -> number == 0, new NoOpSuspectEvents());
         }
 
         boolean isConnected() {
@@ -82,12 +115,12 @@
 
     private static final class NoOpSuspectEvents implements SuspectEvents {
         @Override
-        public void blocked(SuspectId request, Set<String> servers) {
+        public void blocked(SuspectId suspect, Set<String> servers, Set<SuspectId> companions) {
             // the tally counts refusals
         }
 
         @Override
-        public void unblocked(SuspectId request) {
+        public void unblocked(SuspectId suspect) {
             // the tally counts refusals
         }
     }
@@ -109,27 +142,29 @@
 
     private static final class Attempt {
         private final Entry entry;
-        private final SuspectId request;
+        private final RequestTraits request;
         private final Server server;
         private final long durationMillis;
         private final int number;
-        private final int round;
+        private final SentAttempt sent;
         private final SuspectTable table;
+        private boolean continued;
 
-        Attempt(Entry entry, SuspectId request, Server server, long durationMillis, int number) {
+        Attempt(Entry entry, RequestTraits request, Server server, long durationMillis, int number, long nowMillis) {
             this.entry = entry;
             this.request = request;
             this.server = server;
             this.durationMillis = durationMillis;
             this.number = number;
             this.table = entry.table;
-            this.round = table.sent(request);
+            this.sent = table.sent(request, server.incarnation(), nowMillis);
         }
     }
 
-    SuspectSimulation(long seed, SuspectLimits limits) {
+    SuspectSimulation(long seed, SuspectLimits limits, Cause cause) {
         this.random = new Random(seed);
         this.limits = limits;
+        this.cause = cause;
         for (int i = 0; i < ENTRIES; i++) {
             entries.add(new Entry(i));
         }
@@ -140,7 +175,15 @@
 
     /** Runs the simulation. */
     Tally run() {
-        every(() -> 300 + random.nextInt(600), () -> sendFromRandomEntry(CRASHING, CRASH_AFTER_MILLIS));
+        if (cause == Cause.REQUEST) {
+            every(() -> 300 + random.nextInt(600), () -> sendFromRandomEntry(CRASHING, CRASH_AFTER_MILLIS));
+        } else {
+            every(() -> 300 + random.nextInt(600), () -> sendCrashingPrompt("c1", "r" + random.nextInt(RARE_PARTS)));
+            every(() -> 15 + random.nextInt(50), this::sendSoundPrompt);
+        }
+        if (cause == Cause.TWO_PROMPT_PARTS) {
+            every(() -> 300 + random.nextInt(600), () -> sendCrashingPrompt("c2", "companion"));
+        }
         every(() -> 20 + random.nextInt(60), () -> sendFromRandomEntry(POPULAR, 200 + random.nextInt(400)));
         every(() -> 10 + random.nextInt(40), this::sendSingleRequest);
         every(() -> 4_000 + random.nextInt(4_000), () -> end(randomServer()));
@@ -168,14 +211,40 @@
     }
 
     private void sendSingleRequest() {
-        sendFromRandomEntry(SuspectId.request("single-" + nextNumber), 200 + random.nextInt(4_000));
+        sendFromRandomEntry(withoutPrompt("single-" + nextNumber), 200 + random.nextInt(4_000));
+    }
+
+    private static RequestTraits withoutPrompt(String request) {
+        return new RequestTraits(SuspectId.request(request), List.of(), SuspectId.account("account-0"));
+    }
+
+    private void sendCrashingPrompt(String crashingPart, String otherPart) {
+        sendFromRandomEntry(prompt("first", otherPart, crashingPart), 200 + random.nextInt(4_000));
+    }
+
+    private void sendSoundPrompt() {
+        sendFromRandomEntry(prompt("first", "r" + random.nextInt(RARE_PARTS)), 200 + random.nextInt(4_000));
+    }
+
+    /** Returns a prompt that no other request repeats. */
+    private RequestTraits prompt(String... parts) {
+        return new RequestTraits(
+                SuspectId.request("prompt-" + nextNumber++),
+                Stream.of(parts).map(SuspectId::promptPart).toList(),
+                SuspectId.account("account-" + random.nextInt(ACCOUNTS)));
+    }
+
+    private static Optional<SuspectId> crashingPart(RequestTraits request) {
+        return request.parts().stream()
+                .filter(part -> part.digest().startsWith("c") && part.digest().length() == 2)
+                .findFirst();
     }
 
-    private void sendFromRandomEntry(SuspectId request, long durationMillis) {
+    private void sendFromRandomEntry(RequestTraits request, long durationMillis) {
         send(entries.get(random.nextInt(ENTRIES)), request, durationMillis, 1);
     }
 
-    private void send(Entry entry, SuspectId request, long durationMillis, int number) {
+    private void send(Entry entry, RequestTraits request, long durationMillis, int number) {
         if (!entry.table.decide(request, now).maySend()) {
             countRefusal(request);
             return;
@@ -187,19 +256,62 @@
         if (request.equals(CRASHING) && now > tally.thirdCrashMillis + PROPAGATION_MILLIS && entry.isConnected()) {
             tally.sentAfterThirdCrash++;
         }
-        Attempt attempt = new Attempt(entry, request, server, durationMillis, number);
+        countSend(entry, request);
+        Attempt attempt = new Attempt(entry, request, server, durationMillis, number, now);
         server.running.add(attempt);
+        if (!request.parts().isEmpty()) {
+            after(CRASH_AFTER_MILLIS, () -> begin(attempt));
+        }
         after(durationMillis, () -> finish(attempt));
     }
 
-    private void countRefusal(SuspectId request) {
-        if (request.equals(POPULAR)) {
+    private void countSend(Entry entry, RequestTraits request) {
+        Optional<SuspectId> crashing = crashingPart(request);
+        if (crashing.isEmpty()) {
+            tally.soundPromptsSent += request.parts().isEmpty() ? 0 : 1;
+            return;
+        }
+        PartTally part = tally.part(crashing.get());
+        if (now > part.fifthCrashMillis + PROPAGATION_MILLIS && entry.isConnected()) {
+            part.sentAfterFifthCrash++;
+        }
+    }
+
+    private void countRefusal(RequestTraits request) {
+        if (!request.parts().isEmpty()) {
+            tally.soundPromptsRefused += crashingPart(request).isPresent() ? 0 : 1;
+        } else if (request.equals(POPULAR)) {
             tally.popularRefused++;
         } else if (!request.equals(CRASHING)) {
             tally.otherRequestsRefused++;
         }
     }
 
+    /** Lets the answer to a prompt begin, which crashes the server under some parts. */
+    private void begin(Attempt attempt) {
+        if (!attempt.server.running.contains(attempt)) {
+            return;
+        }
+        Optional<SuspectId> crashing = crashingPart(attempt.request);
+        if (crashing.isPresent()) {
+            PartTally part = tally.part(crashing.get());
+            part.crashes++;
+            part.fifthCrashMillis = part.crashes == 5 ? now : part.fifthCrashMillis;
+            end(attempt.server);
+            return;
+        }
+        attempt.table.begun(attempt.sent);
+        after(CONTINUES_AFTER_MILLIS, () -> continueAnswer(attempt));
+    }
+
+    private void continueAnswer(Attempt attempt) {
+        if (attempt.server.running.contains(attempt)) {
+            attempt.continued = true;
+            attempt.table.continued(attempt.sent, now);
+            scheduleUrgentReport(attempt.entry);
+        }
+    }
+
     private void finish(Attempt attempt) {
         if (!attempt.server.running.contains(attempt)) {
             return;
@@ -211,8 +323,8 @@
             return;
         }
         attempt.server.running.remove(attempt);
-        attempt.table.ended(attempt.request);
-        attempt.table.answered(attempt.request, now);
+        attempt.table.ended(attempt.sent, true);
+        attempt.table.answered(attempt.sent, now);
         scheduleUrgentReport(attempt.entry);
     }
 
@@ -223,14 +335,15 @@
         server.alive = false;
         List<Attempt> broken = List.copyOf(server.running);
         server.running.clear();
-        String ended = server.incarnation();
-        Set<Entry> observers = new LinkedHashSet<>();
+        Map<Entry, Set<String>> endedByObserver = new LinkedHashMap<>();
         for (Attempt attempt : broken) {
-            attempt.table.ended(attempt.request);
-            attempt.table.brokeOff(attempt.request, ended, attempt.round, now);
-            observers.add(attempt.entry);
+            attempt.table.ended(attempt.sent, true);
+            attempt.table.brokeOff(attempt.sent, attempt.continued, now);
+            endedByObserver
+                    .computeIfAbsent(attempt.entry, any -> new LinkedHashSet<>())
+                    .add(attempt.sent.server());
         }
-        observers.forEach(entry -> confirm(entry, entry.table, ended));
+        endedByObserver.forEach((entry, names) -> names.forEach(ended -> confirm(entry, entry.table, ended)));
         broken.forEach(this::retry);
         after(1_000 + random.nextInt(2_000), () -> {
             server.startCount++;
@@ -256,7 +369,7 @@
     }
 
     private void scheduleUrgentReport(Entry entry) {
-        if (entry.table.hasUrgentChanges()) {
+        if (entry.table.hasUnsent()) {
             scheduleReport(entry);
         }
     }
@@ -279,6 +392,7 @@
             return;
         }
         SuspectReport report = entry.table.report();
+        entry.table.takeUnsent();
         after(4 + random.nextInt(60), () -> {
             rows.put(entry.number, report);
             entries.forEach(other -> scheduleReceipt(other, report));
--- a/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/SuspectTableTest.java
@@ -4,13 +4,25 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class SuspectTableTest {
-    private static final SuspectLimits LIMITS = new SuspectLimits(3, 60_000, 480_000, 600_000, 30_000, 4, 8);
-    private static final SuspectId REQUEST = SuspectId.request("request");
+    private static final SuspectLimits LIMITS = new SuspectLimits(
+            new BlockLimits(3, 5, 60_000, 60_000),
+            new BlockLimits(3, 7, 20_000, 2_000),
+            480_000,
+            86_400_000,
+            600_000,
+            30_000,
+            4,
+            8);
+    private static final SuspectId HOTEL = SuspectId.account("hotel");
+    private static final SuspectId ID = SuspectId.request("request");
+    private static final RequestTraits REQUEST = new RequestTraits(ID, List.of(), HOTEL);
 
     private final List<String> events = new ArrayList<>();
     private boolean triesHere;
@@ -21,8 +33,8 @@
     public void setUp() {
         events.clear();
         triesHere = true;
-        table = new SuspectTable(LIMITS, request -> triesHere, new EventRecorder());
-        otherEntry = new SuspectTable(LIMITS, request -> false, new EventRecorder());
+        table = new SuspectTable(LIMITS, suspect -> triesHere, new EventRecorder());
+        otherEntry = new SuspectTable(LIMITS, suspect -> false, new EventRecorder());
     }
 
     @Test
@@ -31,7 +43,7 @@
         crash(table, "s-2@1", 100);
         assertThat(table.decide(REQUEST, 200).maySend()).isTrue();
         crash(table, "s-1@2", 200);
-        assertThat(table.decide(REQUEST, 201)).isEqualTo(new SuspectDecision(false, 3, 59_999));
+        assertThat(table.decide(REQUEST, 201)).isEqualTo(new SuspectDecision(false, Optional.of(ID), 3, 59_999));
         assertThat(events).containsExactly("blocked request 3");
     }
 
@@ -39,7 +51,7 @@
     public void anUnconfirmedCrashCountsUntilItIsRefuted() {
         crash(table, "s-1@1", 0);
         crash(table, "s-2@1", 100);
-        table.brokeOff(REQUEST, "s-3@1", table.sent(REQUEST), 200);
+        table.brokeOff(table.sent(REQUEST, "s-3@1", 200), false, 200);
         assertThat(table.decide(REQUEST, 201).maySend()).isFalse();
         table.refuted("s-3@1");
         assertThat(table.decide(REQUEST, 202).maySend()).isTrue();
@@ -48,10 +60,10 @@
 
     @Test
     public void serversThatEndInTheSameRoundCountOnce() {
-        int round = table.sent(REQUEST);
-        for (int server = 0; server < 4; server++) {
-            table.brokeOff(REQUEST, "s-" + server + "@1", round, 0);
-        }
+        List<SentAttempt> attempts = IntStream.range(0, 4)
+                .mapToObj(server -> table.sent(REQUEST, "s-" + server + "@1", 0))
+                .toList();
+        attempts.forEach(attempt -> table.brokeOff(attempt, false, 0));
         assertThat(table.decide(REQUEST, 1).maySend()).isTrue();
         crash(table, "s-5@1", 1_000);
         assertThat(table.decide(REQUEST, 1_001).maySend())
@@ -63,7 +75,7 @@
     public void aCompleteAnswerClearsARequestAndProtectsItForALimitedTime() {
         crash(table, "s-1@1", 0);
         crash(table, "s-2@1", 100);
-        table.answered(REQUEST, 200);
+        answer(table, REQUEST, 200);
         for (int server = 3; server < 9; server++) {
             crash(table, "s-" + server + "@1", 300);
         }
@@ -95,8 +107,8 @@
             crash(table, "s-" + server + "@1", 0);
         }
         otherEntry.merge(table.report(), 10);
-        otherEntry.answered(REQUEST, 20);
-        assertThat(otherEntry.hasUrgentChanges()).isTrue();
+        answer(otherEntry, REQUEST, 20);
+        assertThat(otherEntry.hasUnsent()).isTrue();
         table.merge(otherEntry.report(), 30);
         assertThat(table.decide(REQUEST, 40).maySend()).isTrue();
         assertThat(events).contains("unblocked request");
@@ -112,17 +124,18 @@
                 .as("tried at another entry")
                 .isFalse();
         assertThat(table.decide(REQUEST, 60_000).maySend()).isTrue();
-        int round = table.sent(REQUEST);
+        SentAttempt trial = table.sent(REQUEST, "s-4@1", 60_000);
+        assertThat(trial.trial()).isTrue();
         assertThat(table.decide(REQUEST, 60_001).maySend()).as("one at a time").isFalse();
-        table.ended(REQUEST);
-        table.brokeOff(REQUEST, "s-4@1", round, 60_100);
+        table.ended(trial, true);
+        table.brokeOff(trial, false, 60_100);
         assertThat(table.decide(REQUEST, 60_200).retryAfterMillis()).isEqualTo(119_900);
     }
 
     @Test
     public void aRestartedEntryContinuesToReportTheObservationsOfItsBox() {
         crash(table, "s-1@1", 0);
-        SuspectTable restarted = new SuspectTable(LIMITS, request -> true, new EventRecorder());
+        SuspectTable restarted = new SuspectTable(LIMITS, suspect -> true, new EventRecorder());
         restarted.resume(table.report(), 0);
         assertThat(restarted.hasChanged()).isFalse();
         crash(restarted, "s-2@1", 100);
@@ -138,7 +151,7 @@
         assertThat(table.suspects()).isEqualTo(1);
         table.expire(LIMITS.keptMillis());
         assertThat(table.suspects()).isZero();
-        assertThat(table.blocked()).isZero();
+        assertThat(table.blocked(SuspectId.Kind.REQUEST)).isZero();
         assertThat(table.report().crashes()).isEmpty();
     }
 
@@ -148,16 +161,16 @@
             crash(table, "s-" + server + "@1", 0);
         }
         for (int number = 0; number < 20; number++) {
-            table.brokeOff(SuspectId.request("other-" + number), "s-9@1", 1, number);
+            table.brokeOff(table.sent(other(number), "s-9@1", number), false, number);
         }
-        assertThat(table.suspects()).isEqualTo(LIMITS.mostRequests());
+        assertThat(table.suspects()).isEqualTo(LIMITS.mostSuspects());
         assertThat(table.decide(REQUEST, 100).maySend()).isFalse();
     }
 
     @Test
     public void answeredRequestsAreNoLongerReportedAsSuspects() {
         crash(table, "s-1@1", 0);
-        table.answered(REQUEST, 10);
+        answer(table, REQUEST, 10);
         assertThat(table.report().crashes().get("s-1@1")).isEmpty();
     }
 
@@ -167,23 +180,35 @@
             crash(table, "s-" + server + "@1", 0);
         }
         for (int number = 0; number < 100; number++) {
-            String server = "t-" + number + "@1";
-            table.brokeOff(SuspectId.request("other-" + number), server, 1, number);
-            table.confirmed(server, number);
+            crash(table, other(number), "t-" + number + "@1", number);
         }
-        assertThat(table.report().crashes()).hasSize(18).containsKeys("s-2@1", "s-3@1", "t-99@1");
+        assertThat(table.report().crashes()).hasSize(48).containsKeys("s-1@1", "s-2@1", "s-3@1", "t-99@1");
+    }
+
+    private static RequestTraits other(int number) {
+        return new RequestTraits(SuspectId.request("other-" + number), List.of(), HOTEL);
     }
 
     private static void crash(SuspectTable entry, String server, long nowMillis) {
-        int round = entry.sent(REQUEST);
-        entry.ended(REQUEST);
-        entry.brokeOff(REQUEST, server, round, nowMillis);
-        entry.confirmed(server, nowMillis);
+        crash(entry, REQUEST, server, nowMillis);
+    }
+
+    private static void crash(SuspectTable entry, RequestTraits request, String server, long nowMillis) {
+        SentAttempt attempt = entry.sent(request, server, nowMillis);
+        entry.ended(attempt, true);
+        entry.brokeOff(attempt, false, nowMillis);
+        entry.confirmed(attempt.server(), nowMillis);
+    }
+
+    private static void answer(SuspectTable entry, RequestTraits request, long nowMillis) {
+        SentAttempt attempt = entry.sent(request, "sound@1", nowMillis);
+        entry.ended(attempt, true);
+        entry.answered(attempt, nowMillis);
     }
 
     private final class EventRecorder implements SuspectEvents {
         @Override
-        public void blocked(SuspectId request, Set<String> servers) {
+        public void blocked(SuspectId request, Set<String> servers, Set<SuspectId> companions) {
             events.add("blocked " + request.text() + " " + servers.size());
         }
 
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -285,7 +285,7 @@
                 fleet,
                 tokens,
                 streams,
-                new CrashSuspectGuard(digests, suspects, suspectExchange, registry, clock, log),
+                new CrashSuspectGuard(digests, suspects, suspectExchange, registry, clock, metrics, log),
                 this::accepts,
                 link,
                 metrics,
@@ -320,11 +320,11 @@
     }
 
     /**
-     * Returns whether this entry is the one in the fleet that sends a request again after its block has expired. No
+     * Returns whether this entry is the one in the fleet that sends a suspect again after its block has expired. No
      * entry does so before it has read the table of entries.
      */
-    private boolean sendsAfterBlock(SuspectId request) {
-        return RendezvousHash.order(request.text(), members.possiblyLive()).stream()
+    private boolean sendsAfterBlock(SuspectId suspect) {
+        return RendezvousHash.order(suspect.text(), members.possiblyLive()).stream()
                 .findFirst()
                 .filter(settings.nodeName()::equals)
                 .isPresent();
@@ -368,7 +368,9 @@
         metrics.gauge("backends.resting", () -> availability.backingOffCount(clock.getAsLong()));
         metrics.gauge("backends.limited", permits.coordinator().limits()::count);
         metrics.gauge("suspects", suspects::suspects);
-        metrics.gauge("suspects.blocked", suspects::blocked);
+        for (SuspectId.Kind kind : List.of(SuspectId.Kind.REQUEST, SuspectId.Kind.PROMPT_PART)) {
+            metrics.gauge("suspects.blocked", "kind", kind.name(), () -> suspects.blocked(kind));
+        }
         metrics.gauge("log.lines.dropped", log::dropped);
     }
 
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -63,6 +63,19 @@
                 .increment();
     }
 
+    /** Counts a request that was refused because it crashes servers, by the kind of the suspect. */
+    public void suspectRefused(String kind) {
+        Counter.builder("streamring.direct.suspects.refused")
+                .tag("kind", kind)
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts a server whose process had ended when attempts of this entry broke off there. */
+    public void serverEnded() {
+        Counter.builder("streamring.direct.servers.ended").register(registry).increment();
+    }
+
     /** Counts a request that was refused prepaid tokens, by reason. */
     public void tokensRefused(String reason) {
         Counter.builder("streamring.direct.tokens.refused")
--- a/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
@@ -2,31 +2,39 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.suspect.SuspectExchange;
 import org.streamring.kernel.registry.BackendInstance;
 import org.streamring.kernel.registry.BackendRegistry;
 import org.streamring.kernel.suspect.RequestTraits;
+import org.streamring.kernel.suspect.SentAttempt;
 import org.streamring.kernel.suspect.SuspectDecision;
 import org.streamring.kernel.suspect.SuspectId;
 import org.streamring.kernel.suspect.SuspectTable;
 
 /**
- * Blocks requests that crash the servers which run them. It is queried before each attempt and notified of the end of
+ * Blocks requests that crash the servers which run them, or whose prompts share a part with such requests. It is queried before each attempt and notified of the end of
  * each attempt. Confined to the event loop.
  */
 public final class CrashSuspectGuard {
+    /**
+     * Number of events after which an answer has gone on after its beginning. A server may crash when it begins an
+     * answer, even if it has sent the first event by then.
+     */
+    private static final int EVENTS_OF_CONTINUED_ANSWER = 2;
+
     private final RequestDigests digests;
     private final SuspectTable table;
     private final SuspectExchange exchange;
     private final BackendRegistry registry;
     private final LongSupplier clock;
+    private final EntryMetrics metrics;
     private final DecisionLog log;
     /** Attempts that broke off, by incarnation of the server, until it is known whether the server has ended. */
     private final Map<String, BrokenAttempts> brokenAttempts = new HashMap<>();
@@ -38,12 +46,14 @@
             SuspectExchange exchange,
             BackendRegistry registry,
             LongSupplier clock,
+            EntryMetrics metrics,
             DecisionLog log) {
         this.digests = digests;
         this.table = table;
         this.exchange = exchange;
         this.registry = registry;
         this.clock = clock;
+        this.metrics = metrics;
         this.log = log;
     }
 
@@ -58,6 +68,9 @@
         if (broken == null) {
             return;
         }
+        if (ended) {
+            metrics.serverEnded();
+        }
         log.line(
                 "server_end_checked",
                 "server",
@@ -89,14 +102,15 @@
     final class Watched {
         private final String id;
         private final Optional<RequestTraits> traits;
-        private final Optional<SuspectId> digest;
-        private int round;
+        /** The last attempt. */
+        private Optional<SentAttempt> attempt = Optional.empty();
+
         private boolean running;
+        private int events;
 
         private Watched(String id, Optional<RequestTraits> traits) {
             this.id = id;
             this.traits = traits;
-            this.digest = traits.map(RequestTraits::request);
         }
 
         /** Returns what the request has in common with others; empty while it can't be computed. */
@@ -106,19 +120,25 @@
 
         /** Returns the time until a retry if the request must not be sent; empty if it may be sent. */
         Optional<Duration> refusalRetryAfter() {
-            Optional<SuspectDecision> refusal =
-                    digest.map(each -> table.decide(each, clock.getAsLong())).filter(decision -> !decision.maySend());
-            refusal.ifPresent(this::log);
+            Optional<SuspectDecision> refusal = decide().filter(decision -> !decision.maySend());
+            refusal.ifPresent(this::logRefusal);
             return refusal.map(decision -> Duration.ofMillis(decision.retryAfterMillis()));
         }
 
-        private void log(SuspectDecision refusal) {
+        private Optional<SuspectDecision> decide() {
+            return traits.map(each -> table.decide(each, clock.getAsLong()));
+        }
+
+        private void logRefusal(SuspectDecision refusal) {
+            String kind =
+                    refusal.suspect().map(suspect -> suspect.kind().name()).orElse("");
+            metrics.suspectRefused(kind);
             log.line(
                     "suspect_refused",
                     "request",
                     id,
                     "digest",
-                    digest.map(SuspectId::text).orElse(""),
+                    refusal.suspect().map(SuspectId::text).orElse(""),
                     "crashes",
                     refusal.crashes(),
                     "retry_after_ms",
@@ -126,37 +146,65 @@
         }
 
         /** Called when an attempt begins. */
-        void sent() {
+        void sent(BackendInstance instance) {
             running = true;
-            digest.ifPresent(each -> round = table.sent(each));
+            events = 0;
+            attempt = traits.map(each -> table.sent(each, instance.incarnation(), clock.getAsLong()));
+        }
+
+        /** Whether the attempt may still be sent after it waited for a connection. */
+        boolean mayStillBeSent() {
+            boolean trial = attempt.filter(SentAttempt::trial).isPresent();
+            return trial || decide().map(SuspectDecision::maySend).orElse(true);
         }
 
-        /** Called when the attempt has ended, whatever its result. */
-        void ended() {
+        /** Called when events of the answer to the attempt were passed on. */
+        void eventsDelivered(int count) {
+            if (events == 0) {
+                attempt.ifPresent(table::begun);
+            }
+            boolean hadContinued = answerContinued();
+            events += count;
+            if (!hadContinued && answerContinued()) {
+                attempt.ifPresent(each -> table.continued(each, clock.getAsLong()));
+                exchange.scheduleReport();
+            }
+        }
+
+        private boolean answerContinued() {
+            return events >= EVENTS_OF_CONTINUED_ANSWER;
+        }
+
+        /**
+         * Called when the attempt has ended, whatever its result.
+         *
+         * @param wasSent whether the request may have reached the server
+         */
+        void ended(boolean wasSent) {
             if (running) {
                 running = false;
-                digest.ifPresent(table::ended);
+                attempt.ifPresent(each -> table.ended(each, wasSent));
             }
         }
 
         /** Called when the attempt returned the complete answer. */
         void answered() {
-            digest.ifPresent(each -> table.answered(each, clock.getAsLong()));
+            attempt.ifPresent(each -> table.answered(each, clock.getAsLong()));
             exchange.scheduleReport();
         }
 
         /** Called when the attempt broke off; checks whether the process of the server has ended. */
         void attemptBroken(BackendInstance instance, BackendPool pool, AttemptProgress progress) {
-            if (digest.isEmpty() || !mayHaveCrashed(instance)) {
+            if (attempt.isEmpty() || !mayHaveCrashed(instance)) {
                 return;
             }
-            String server = instance.incarnation();
+            SentAttempt broken = attempt.get();
+            String server = broken.server();
             brokenAttempts
                     .computeIfAbsent(server, any -> new BrokenAttempts())
-                    .add(progress, traits.map(RequestTraits::parts).orElse(List.of()));
-            if (table.brokeOff(digest.get(), server, round, clock.getAsLong())) {
-                pool.checkProcessExited(ended -> serverEndChecked(server, ended));
-            }
+                    .add(progress, broken.traits().parts());
+            table.brokeOff(broken, answerContinued(), clock.getAsLong());
+            pool.checkProcessExited(ended -> serverEndChecked(server, ended));
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -25,7 +25,10 @@
     /** Retry-After is at most the time that the caller has left, divided by this number. */
     private static final int TIME_LEFT_DIVISOR = 3;
 
-    /** Reason of a refusal: servers crashed while they ran this request, through this entry or others. */
+    /**
+     * Reason of a refusal: servers crashed while they ran this request or others with a part of its prompt, through
+     * this entry or others.
+     */
     private static final String CRASHES_SERVERS = "request_crashes_servers";
 
     /** Spreads the retries of callers refused during the same back-off, which would otherwise all arrive at its end. */
@@ -212,7 +215,7 @@
     /** Sends the request to a replica. The attempt may have ended, and another one may be in progress, on return. */
     private void send(BackendInstance instance, PlacementQuery query) {
         attempts.chosen(instance);
-        suspect.sent();
+        suspect.sent(instance);
         linkUsage.acquire();
         AttemptRun attempt = new AttemptRun(services, plan, instance, relay, this);
         currentAttempt = attempt;
@@ -228,7 +231,7 @@
 
     @Override
     public boolean isStillLive() {
-        return liveness.at(now()) == RequestLiveness.Verdict.WANTED;
+        return liveness.at(now()) == RequestLiveness.Verdict.WANTED && suspect.mayStillBeSent();
     }
 
     @Override
@@ -239,6 +242,7 @@
 
     @Override
     public void eventsDelivered(int events) {
+        suspect.eventsDelivered(events);
         reservation.ifPresent(
                 each -> each.addAnswerTokens((long) events * plan.service().tokensPerEvent()));
     }
@@ -253,7 +257,7 @@
         if (end.unsent()) {
             linkUsage.release();
         }
-        suspect.ended();
+        suspect.ended(!end.unsent());
         slots.slotReleased();
         logFailedAttempt(end);
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
@@ -359,8 +363,9 @@
         if (!attempt.sent()) {
             linkUsage.release();
         }
+        boolean wasSent = attempt.sent();
         attempt.cancel();
-        suspect.ended();
+        suspect.ended(wasSent);
         slots.slotReleased();
         reservation.ifPresent(each ->
                 each.addCancelledEvents(MAX_EVENTS_AFTER_CANCEL, plan.service().tokensPerEvent()));
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -22,9 +22,10 @@
 /**
  * Exchanges reports with the other entries about requests that were running on a server when its process ended.
  *
- * <p>Reports are sent over the connections between entries, which works during a store outage as well. Each entry also
- * writes its report to its own row in the store. The row reaches entries that are not connected, and restores what the
- * entry observed on its box before its last restart. Confined to the event loop.
+ * <p>New observations are sent over the connections between entries, which works during a store outage as well. Each
+ * entry also writes all of its observations to its own row in the store. The row reaches entries that are not
+ * connected, and restores what the entry observed on its box before its last restart. An entry that connects is sent
+ * the crashes of all blocked suspects, as it may have restarted during a store outage. Confined to the event loop.
  */
 public final class SuspectExchange implements TableWatch.Listener {
     /** Table that holds one row per entry; the key of a row is the name of the entry. */
@@ -72,13 +73,26 @@
 
     /** Starts to send and receive reports. */
     public void start() {
-        peers.listen(this::received);
+        peers.listen(new EntryPeers.FrameListener() {
+            @Override
+            public void received(PeerConnection connection, Frame frame) {
+                SuspectExchange.this.received(connection, frame);
+            }
+
+            @Override
+            public void connected(PeerConnection connection) {
+                SuspectReport blocked = table.blockedSuspects();
+                if (!blocked.isEmpty()) {
+                    connection.send(frameOf(blocked));
+                }
+            }
+        });
         loop.scheduleAtFixedRate(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Schedules a report to the other entries if there are changes that have to be sent at once. */
     public void scheduleReport() {
-        if (table.hasUrgentChanges() && !reportScheduled) {
+        if (table.hasUnsent() && !reportScheduled) {
             reportScheduled = true;
             loop.schedule(this::sendReport, REPORT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -86,14 +100,17 @@
 
     private void sendReport() {
         reportScheduled = false;
-        String report = codec.write(table.report());
-        peers.sendToAll(Frame.newBuilder()
-                .setSuspectNews(SuspectNews.newBuilder().setReport(report))
-                .build());
+        peers.sendToAll(frameOf(table.takeUnsent()));
         writePending = true;
         write();
     }
 
+    private Frame frameOf(SuspectReport report) {
+        return Frame.newBuilder()
+                .setSuspectNews(SuspectNews.newBuilder().setReport(codec.write(report)))
+                .build();
+    }
+
     private void received(PeerConnection connection, Frame frame) {
         if (!frame.hasSuspectNews()) {
             return;
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -227,6 +227,7 @@
                 new SuspectExchange(loop, store, peers, ENTRY, suspects, () -> nowMillis, log),
                 registry,
                 () -> nowMillis,
+                metrics,
                 log);
         RouteTable routes = new RouteTable(configuration());
         StreamOrigins streams = new StreamOrigins(
