Take a stream without events that ends with its connection for broken off

What callers saw: an answer with status 200, a stream without any event, complete, when a server ended between the head and the first event of an answer that has neither a length nor chunks. Such an end also counted as an answer, which clears parts of prompts of their crashes.

Cause: the end of the connection was the end of the answer whenever it fell between events, and before the first event it always does.

Change: such a stream ends as broken; it is repeated where the route allows that, and its parts are suspects.

--- a/direct/src/main/java/org/streamring/direct/backend/AnswerHead.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.streamring.direct.backend;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
@@ -8,4 +10,13 @@
  * @param status HTTP status
  * @param headers headers as received
  */
-public record AnswerHead(int status, HttpHeaders headers) {}
+public record AnswerHead(int status, HttpHeaders headers) {
+    /**
+     * Returns whether the answer has neither a length nor chunks, so that only the end of its connection shows where it
+     * ends. The process of a server that crashes ends its connections in the same way.
+     */
+    public boolean endsWithConnection() {
+        return !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                && !headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -204,6 +204,10 @@
             endBroken("stream_cut_in_event");
             return;
         }
+        if (eventsDelivered == 0 && Objects.requireNonNull(head).endsWithConnection()) {
+            endBroken("stream_without_events");
+            return;
+        }
         state.succeeded();
         endAfterSending(AttemptEnd.whole());
     }
