Continue a bound stream at an ejected replica if no other one of its version is left

What callers saw: streams ended in the middle although the other replica of the software version that began them went on with every stream that it was asked for.

Cause: an ejected replica is no candidate. Where both replicas of a version break off what they begin, each is ejected about half of the time, and a stream that may go on at its version only found none.

Change: PlacementTable chooses among ejected replicas for a query that is bound to a software version, if it finds no other one; new requests never do. bound_stream_not_placed tells for each replica of the version, 12 at most, why it wasn't chosen.

Waiting for a known time was not compared, and records in batches are open.

--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -64,7 +64,8 @@
     }
 
     /**
-     * Chooses a replica.
+     * Chooses a replica. An ejected one is chosen only for a stream that has to go on at a software version, if no other
+     * replica of that version is left: the stream is lost otherwise.
      *
      * @param ready replicas of the service that accept new requests
      * @param entries number of live entries that share the replicas
@@ -72,14 +73,33 @@
      */
     public Optional<BackendInstance> choose(
             PlacementQuery query, ServiceTraits service, List<BackendInstance> ready, int entries, long nowMillis) {
-        List<BackendInstance> candidates = ready.stream()
+        List<BackendInstance> untried = ready.stream()
                 .filter(instance -> !query.excluded().contains(instance.id()))
-                .filter(instance -> state(instance.id()).usable(nowMillis))
                 .filter(instance -> hasFreeSlot(instance, query.rank(), entries))
                 .toList();
+        List<BackendInstance> usable = untried.stream()
+                .filter(instance -> state(instance.id()).usable(nowMillis))
+                .toList();
+        boolean lastResort = usable.isEmpty() && query.softwareVersion().isPresent();
+        List<BackendInstance> candidates = lastResort ? untried : usable;
         return service.isEngine() ? cheapest(query, service, candidates, nowMillis) : leastLoaded(query, candidates);
     }
 
+    /**
+     * Returns why a replica isn't chosen for a query, or {@code chosen_otherwise} if none of the reasons applies.
+     *
+     * @param entries number of live entries that share the replicas
+     */
+    public String obstacle(PlacementQuery query, BackendInstance instance, int entries, long nowMillis) {
+        if (query.excluded().contains(instance.id())) {
+            return "tried";
+        }
+        if (!hasFreeSlot(instance, query.rank(), entries)) {
+            return "no_free_slot";
+        }
+        return state(instance.id()).usable(nowMillis) ? "chosen_otherwise" : "ejected";
+    }
+
     /** Records that a request starts at a replica. */
     public PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance, long nowMillis) {
         ReplicaState replica = state(instance.id());
--- a/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/PlacementTableTest.java
@@ -73,6 +73,18 @@
         assertThat(table.state("i-3").usable(10_001)).isTrue();
     }
 
+    @Test
+    public void anEjectedReplicaIsChosenOnlyForAStreamThatFindsNoOtherOneOfItsVersion() {
+        replicas.forEach(replica -> table.state(replica.id()).unreachable(1_000));
+        PlacementQuery fresh = engineQuery(shared("part-7", 800, 200));
+        PlacementQuery bound = new PlacementQuery(
+                fresh.prompt(), 1, 800, 400, "hall", Set.of("i-0", "i-1", "i-2", "i-3"), Optional.of("v1"));
+        assertThat(table.choose(fresh, ENGINE, replicas, 1, 1_001)).isEmpty();
+        assertThat(table.choose(bound, ENGINE, replicas, 1, 1_001)).contains(replicas.get(4));
+        assertThat(table.obstacle(bound, replicas.get(0), 1, 1_001)).isEqualTo("tried");
+        assertThat(table.obstacle(bound, replicas.get(4), 1, 1_001)).isEqualTo("ejected");
+    }
+
     @Test
     public void listingTheSameProcessAgainKeepsItsState() {
         table.listed(replicas.get(3));
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -12,6 +12,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.kernel.admission.OwnLateness;
 import org.streamring.kernel.admission.WaitQuery;
@@ -36,6 +37,7 @@
 
 /** Backend servers from the view of this entry: connections, load, health and retries. Confined to the event loop. */
 public final class BackendFleet {
+    private static final int MAX_LOGGED_REPLICAS = 12;
     /** Statuses by which a replica rejects a request; they are no evidence of whether it serves requests properly. */
     private static final Set<Integer> REJECTION_STATUSES = Set.of(421, 429, 503);
 
@@ -125,6 +127,25 @@
                 .or(() -> placement.choose(query, service, ready, entries.getAsInt(), now));
     }
 
+    /** Returns why each replica that matches a query isn't chosen, for the log; of many replicas only some. */
+    String obstacles(String service, PlacementQuery query) {
+        long now = clock.getAsLong();
+        List<BackendInstance> instances = candidates(service, query);
+        List<BackendInstance> accepting = acceptingInstances(instances, now);
+        return instances.stream()
+                .limit(MAX_LOGGED_REPLICAS)
+                .map(instance -> instance.id() + "="
+                        + (accepting.contains(instance) ? obstacle(query, instance, now) : "backs_off_or_leaves"))
+                .collect(Collectors.joining(","));
+    }
+
+    private String obstacle(PlacementQuery query, BackendInstance instance, long now) {
+        if (!limits.mayBePlaced(instance.incarnation(), now)) {
+            return "limited";
+        }
+        return placement.obstacle(query, instance, entries.getAsInt(), now);
+    }
+
     private List<BackendInstance> candidates(String service, PlacementQuery query) {
         return registry.inService(service).stream().filter(query::matches).toList();
     }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -182,6 +182,12 @@
         if (decision.waits()) {
             return false;
         }
+        if (binding.softwareVersion().isPresent()) {
+            log.boundStreamNotPlaced(
+                    binding.softwareVersion().get(),
+                    services.fleet().obstacles(plan.service().name(), query),
+                    elapsed());
+        }
         retryAfter = unavailableMillis == 0
                 ? decision.retryAfter()
                 : capToTimeLeft(decision.retryAfter().plus(retryJitter()));
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -94,6 +94,26 @@
                 + parts.stream().skip(skipped).map(SuspectId::text).collect(Collectors.joining(","));
     }
 
+    /**
+     * Logs that a stream found no replica of the software version that began it.
+     *
+     * @param replicas replicas of that version and why each was not chosen
+     */
+    void boundStreamNotPlaced(String software, String replicas, long millis) {
+        log.line(
+                "bound_stream_not_placed",
+                "request",
+                plan.id(),
+                "service",
+                plan.service().name(),
+                "software",
+                software,
+                "replicas",
+                replicas,
+                "ms",
+                millis);
+    }
+
     void ended(String outcome, int status, Summary summary) {
         Optional<PlacementForecast> forecast = summary.forecast();
         log.line(
