--- a/core/src/main/java/org/streamring/kernel/suspect/BrokenAttempt.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/BrokenAttempt.java
@@ -1,7 +1,9 @@
 package org.streamring.kernel.suspect;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -14,9 +16,9 @@
  *     recorded crash occurred under the suspect
  */
 public record BrokenAttempt(SuspectId request, SuspectId account, Map<SuspectId, Integer> rounds) {
-    /** Copies the map. */
+    /** Copies the map, in its order. */
     public BrokenAttempt {
-        rounds = Map.copyOf(rounds);
+        rounds = Collections.unmodifiableMap(new LinkedHashMap<>(rounds));
     }
 
     /** Returns what the attempt held: its suspects and its account, if that is known. */
--- a/core/src/main/java/org/streamring/kernel/suspect/Evidence.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/Evidence.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Crashes recorded for one suspect: servers that ended while they processed it, and those for which it is cleared. */
 final class Evidence {
@@ -64,7 +65,7 @@
 
     /** Returns the servers whose crashes don't count against the suspect. */
     Set<String> cleared() {
-        return Set.copyOf(cleared);
+        return new TreeSet<>(cleared);
     }
 
     /** Returns the servers whose crashes were recorded up to the given sequence number. */
@@ -138,7 +139,7 @@
 
     /** Returns all servers that ended while processing the suspect, including those for which it was cleared. */
     Set<String> allServers() {
-        return Set.copyOf(crashes.keySet());
+        return new TreeSet<>(crashes.keySet());
     }
 
     long lastCrashMillis() {
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectReport.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectReport.java
@@ -1,9 +1,12 @@
 package org.streamring.kernel.suspect;
 
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Crashes observed by one entry, for all other entries. Reports are merged by union, so they may arrive in any order
@@ -13,14 +16,15 @@
  * @param cleared incarnations whose crashes don't count against a suspect, as it was answered elsewhere
  */
 public record SuspectReport(Map<String, List<BrokenAttempt>> crashes, Map<SuspectId, Set<String>> cleared) {
-    /** Copies the maps, so that the report is immutable. */
+    /** Copies the maps, so that the report is immutable; the order of the copies is the same in every run. */
     public SuspectReport {
-        Map<String, List<BrokenAttempt>> crashesCopy = new HashMap<>();
+        Map<String, List<BrokenAttempt>> crashesCopy = new TreeMap<>();
         crashes.forEach((server, attempts) -> crashesCopy.put(server, List.copyOf(attempts)));
-        Map<SuspectId, Set<String>> clearedCopy = new HashMap<>();
-        cleared.forEach((suspect, servers) -> clearedCopy.put(suspect, Set.copyOf(servers)));
-        crashes = Map.copyOf(crashesCopy);
-        cleared = Map.copyOf(clearedCopy);
+        Map<SuspectId, Set<String>> clearedCopy = new LinkedHashMap<>();
+        cleared.forEach(
+                (suspect, servers) -> clearedCopy.put(suspect, Collections.unmodifiableSet(new TreeSet<>(servers))));
+        crashes = Collections.unmodifiableMap(crashesCopy);
+        cleared = Collections.unmodifiableMap(clearedCopy);
     }
 
     /** Returns a report without crashes. */
