--- a/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementTable.java
@@ -64,8 +64,8 @@
     }
 
     /**
-     * Chooses a replica. An ejected one is chosen only for a stream that has to go on at a software version, if no other
-     * replica of that version is left: the stream is lost otherwise.
+     * Chooses a replica. An ejected one is chosen only for a stream that has to go on at a software version, if no
+     * other replica of that version is left: the stream is lost otherwise.
      *
      * @param ready replicas of the service that accept new requests
      * @param entries number of live entries that share the replicas
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectId.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectId.java
@@ -53,6 +53,11 @@
         return kind.prefix + digest;
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SuspectId that && kind == that.kind && digest.equals(that.digest);
+    }
+
     /** Differs from the generated one in being the same in every run, so that simulations can be repeated. */
     @Override
     public int hashCode() {
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -385,8 +385,8 @@
     }
 
     /**
-     * Removes suspects with few crashes; among these first the ones that came with many others, each of which may be the
-     * cause instead.
+     * Removes suspects with few crashes; among these first the ones that came with many others, each of which may be
+     * the cause instead.
      */
     private void forgetLeastSuspected() {
         List<SuspectId> least = suspects.keySet().stream()
--- a/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
@@ -19,8 +19,8 @@
 import org.streamring.kernel.suspect.SuspectTable;
 
 /**
- * Blocks requests that crash the servers which run them, or whose prompts share a part with such requests. It is queried before each attempt and notified of the end of
- * each attempt. Confined to the event loop.
+ * Blocks requests that crash the servers which run them, or whose prompts share a part with such requests. It is
+ * queried before each attempt and notified of the progress and the end of each attempt. Confined to the event loop.
  */
 public final class CrashSuspectGuard {
     /**
--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectLog.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectLog.java
@@ -7,7 +7,7 @@
 import org.streamring.kernel.suspect.SuspectEvents;
 import org.streamring.kernel.suspect.SuspectId;
 
-/** Logs when requests and parts of prompts are blocked from being sent to backend servers, and when they are unblocked. */
+/** Logs when requests and parts of prompts are blocked from being sent, and when they are unblocked. */
 public final class SuspectLog implements SuspectEvents {
     private static final int MAX_LOGGED_COMPANIONS = 12;
 
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -220,15 +220,6 @@
                 () -> 1,
                 () -> new NodeSettings.RetryLimit(0.2, 10, Duration.ofSeconds(10)),
                 () -> new NodeSettings.ColdMargin(1, 1));
-        SuspectTable suspects = new SuspectTable(SuspectLimits.DEFAULT, digest -> true, new SuspectLog(log));
-        CrashSuspectGuard guard = new CrashSuspectGuard(
-                new RequestDigests(Optional::empty),
-                suspects,
-                new SuspectExchange(loop, store, peers, ENTRY, suspects, () -> nowMillis, log),
-                registry,
-                () -> nowMillis,
-                metrics,
-                log);
         RouteTable routes = new RouteTable(configuration());
         StreamOrigins streams = new StreamOrigins(
                 new StreamOriginExchange(loop, peers, new HomeEntries(ENTRY), () -> nowMillis, metrics),
@@ -247,13 +238,26 @@
                 fleet,
                 tokens,
                 streams,
-                guard,
+                crashSuspectGuard(loop, store, peers, metrics),
                 route -> true,
                 new LinkBacklog(() -> linkBytesPerSecond),
                 metrics,
                 log);
     }
 
+    private CrashSuspectGuard crashSuspectGuard(
+            EventLoop loop, RowStore store, EntryPeers peers, EntryMetrics metrics) {
+        SuspectTable suspects = new SuspectTable(SuspectLimits.DEFAULT, digest -> true, new SuspectLog(log));
+        return new CrashSuspectGuard(
+                new RequestDigests(Optional::empty),
+                suspects,
+                new SuspectExchange(loop, store, peers, ENTRY, suspects, () -> nowMillis, log),
+                registry,
+                () -> nowMillis,
+                metrics,
+                log);
+    }
+
     private static RoutingConfiguration configuration() {
         Route route = new Route(
                 "r",
