Write the row again when a cleared part is taken out of it

Cause: traced in its logs. Three servers ended under sound requests with that part; an answer cleared it at all entries, and each took it out of its own observations, but only an attempt that became empty marked the row as changed. Entries that were killed and started read the crashes from the rows and blocked the part again, as the entry that reported the clearance had been killed as well.

Change: any suspect that is taken out marks the row as changed.

Conclusion: a clearance survives the entry that reported it, unless the store loses the last seconds of rows whose entries have ended.

--- a/core/src/main/java/org/streamring/kernel/suspect/LocalObservations.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/LocalObservations.java
@@ -121,11 +121,11 @@
     /** Removes a suspect from reported crashes; entries that received them already keep them. */
     void remove(SuspectId suspect, Collection<String> servers) {
         for (String server : servers) {
-            Map<SuspectId, BrokenAttempt> attempts = crashes.get(server);
-            if (attempts != null) {
+            Map<SuspectId, BrokenAttempt> attempts = crashes.getOrDefault(server, Map.of());
+            if (attempts.values().stream().anyMatch(attempt -> attempt.rounds().containsKey(suspect))) {
                 attempts.replaceAll((request, attempt) -> attempt.without(suspect));
-                changedSinceReport |=
-                        attempts.values().removeIf(attempt -> attempt.rounds().isEmpty());
+                attempts.values().removeIf(attempt -> attempt.rounds().isEmpty());
+                changedSinceReport = true;
             }
         }
     }
--- a/core/src/test/java/org/streamring/kernel/suspect/PromptPartSuspectsTest.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/PromptPartSuspectsTest.java
@@ -200,6 +200,22 @@
         assertThat(table.decide(prompt(HOTEL, CRASHING), 400).maySend()).isFalse();
     }
 
+    /** The row that was written before would block the part again at all entries that start. */
+    @Test
+    public void aPartThatWasClearedHereOrElsewhereIsTakenOutOfTheReport() {
+        crashThrice(table, FIRST, CRASHING);
+        otherEntry.merge(table.takeUnsent(), 300);
+        table.report();
+        answer(otherEntry, prompt(HOTEL, FIRST), 400);
+        table.merge(otherEntry.takeUnsent(), 410);
+        assertThat(table.hasChanged()).isTrue();
+        SuspectTable started = new SuspectTable(SuspectLimits.DEFAULT, suspect -> true, NO_EVENTS);
+        started.resume(table.report(), 500);
+        assertThat(started.decide(prompt(HOTEL, FIRST), 500).maySend()).isTrue();
+        assertThat(started.decide(prompt(HOTEL, FIRST, CRASHING), 500).maySend())
+                .isFalse();
+    }
+
     @Test
     public void onlyNewObservationsAreSentAndABlockedPartIsToldToAnEntryThatConnects() {
         crashThrice(table, CRASHING);
