Log on what ground the tokens of each request are settled, and when its retries are granted and sent

Cause: the logs told one sum of tokens per request, and nothing of retries, so that neither break of the incident could be told from others.

No decision changes.

--- a/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
@@ -18,6 +18,14 @@
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
 
+    /**
+     * Use of a budget.
+     *
+     * @param requests requests within the window
+     * @param retries retries within the window
+     */
+    public record Use(int requests, int retries) {}
+
     /**
      * Creates a budget.
      *
@@ -53,6 +61,11 @@
         return true;
     }
 
+    /** Returns the requests and retries counted at the last decision. */
+    public Use use() {
+        return new Use(requests.size(), retries.size());
+    }
+
     private void expire(long nowMillis) {
         dropBefore(requests, nowMillis - windowMillis);
         dropBefore(retries, nowMillis - windowMillis);
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -84,6 +84,30 @@
                 .increment();
     }
 
+    /** Counts the answer tokens by which a request was settled, by account and by what is known of them. */
+    public void tokensSettled(String account, long delivered, long estimated, long unknown) {
+        countSettled(account, "delivered", delivered);
+        countSettled(account, "estimated", estimated);
+        countSettled(account, "unknown", unknown);
+    }
+
+    private void countSettled(String account, String ground, long tokens) {
+        Counter.builder("streamring.direct.answer.tokens.settled")
+                .tag("account", account)
+                .tag("ground", ground)
+                .register(registry)
+                .increment((double) tokens);
+    }
+
+    /** Counts a decision whether a request may be sent again. */
+    public void retryDecided(String service, boolean granted) {
+        Counter.builder("streamring.direct.retries")
+                .tag("service", service)
+                .tag("granted", String.valueOf(granted))
+                .register(registry)
+                .increment();
+    }
+
     /** Counts a lost connection to another entry, by reason. */
     public void peerConnectionLost(String reason) {
         Counter.builder("streamring.direct.peer.lost")
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -49,6 +49,7 @@
     private long beganMillis;
     private int eventsDelivered;
     private boolean streaming;
+    private boolean written;
     private boolean finished;
 
     /** Callbacks of the request that the attempt belongs to. */
@@ -56,6 +57,9 @@
         /** Whether the request is still worth sending; called when the connection is established. */
         boolean isStillLive();
 
+        /** Called when the request is about to be written to a connection, or was just written. */
+        void attemptWritten(BackendInstance instance);
+
         /** Called when the request was sent and may run. */
         void attemptSent();
 
@@ -80,7 +84,13 @@
         placedPrompt = services.fleet().started(query, plan.service(), instance);
         SendCheck check = services.fleet().sendCheck(instance);
         sendCheck = check;
-        attempt = services.fleet().pool(instance).begin(request, () -> owner.isStillLive() && check.passes(), this);
+        BackendAttempt begun = services.fleet()
+                .pool(instance)
+                .begin(request, () -> owner.isStillLive() && check.passes() && noteWritten(), this);
+        attempt = begun;
+        if (begun.sent()) {
+            noteWritten();
+        }
         silenceTimer = services.loop()
                 .scheduleAtFixedRate(
                         this::checkSilence,
@@ -89,6 +99,14 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    private boolean noteWritten() {
+        if (!written) {
+            written = true;
+            owner.attemptWritten(instance);
+        }
+        return true;
+    }
+
     /** Returns the forecast for the attempt; empty before it began. */
     Optional<PlacementForecast> forecast() {
         return Optional.ofNullable(placedPrompt).map(PlacedPrompt::forecast);
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -263,6 +263,11 @@
                         retryLimit.get().window().toMillis()));
     }
 
+    /** Returns the number of live entries, among which limits are divided. */
+    int entries() {
+        return entries.getAsInt();
+    }
+
     /** Takes one retry from the budget of a service; returns false if the budget allows none. */
     boolean tryRetry(String service) {
         return retries(service).tryRetry(clock.getAsLong(), entries.getAsInt());
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -11,6 +11,7 @@
 import org.streamring.direct.caller.RequestSink;
 import org.streamring.kernel.admission.RequestLiveness;
 import org.streamring.kernel.admission.WaitDecision;
+import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
@@ -61,6 +62,7 @@
     private @Nullable Future<?> deadlineTimer;
     private Optional<PlacementForecast> forecast = Optional.empty();
     private Duration retryAfter = DEFAULT_RETRY_AFTER;
+    private OptionalLong retryGrantedMillis = OptionalLong.empty();
     private boolean finished;
 
     DirectRequest(
@@ -240,6 +242,12 @@
         return liveness.at(now()) == RequestLiveness.Verdict.WANTED && suspect.mayStillBeSent();
     }
 
+    @Override
+    public void attemptWritten(BackendInstance instance) {
+        retryGrantedMillis.ifPresent(granted -> log.retrySent(instance.id(), now() - granted, elapsed()));
+        retryGrantedMillis = OptionalLong.empty();
+    }
+
     @Override
     public void attemptSent() {
         attempts.sent();
@@ -302,10 +310,8 @@
         if (allowed && refusedAsSuspect()) {
             return;
         }
-        boolean retry = allowed
-                && attempts.attempts() < plan.route().maxAttempts()
-                && liveness.hasTime(now())
-                && services.fleet().tryRetry(plan.service().name());
+        boolean retry =
+                allowed && attempts.attempts() < plan.route().maxAttempts() && liveness.hasTime(now()) && takeRetry();
         if (retry) {
             placeOrQueue();
         } else {
@@ -313,6 +319,16 @@
         }
     }
 
+    private boolean takeRetry() {
+        boolean granted = services.fleet().tryRetry(plan.service().name());
+        retryGrantedMillis = granted ? OptionalLong.of(now()) : OptionalLong.empty();
+        FleetRetryBudget.Use use =
+                services.fleet().retries(plan.service().name()).use();
+        log.retryDecided(granted, use, services.fleet().entries(), elapsed());
+        services.metrics().retryDecided(plan.service().name(), granted);
+        return granted;
+    }
+
     /** Ends the request without success. */
     private void endWithoutSuccess(AttemptEnd end) {
         if (relay.started()) {
@@ -395,7 +411,12 @@
     }
 
     private void settle() {
-        reservation.ifPresent(Reservation::settle);
+        reservation.filter(Reservation::settle).ifPresent(each -> {
+            log.tokensSettled(each.used(), each.answerTokens(), attempts.attempts());
+            Reservation.AnswerTokens answer = each.answerTokens();
+            services.metrics()
+                    .tokensSettled(plan.accountName(), answer.delivered(), answer.estimated(), answer.unknown());
+        });
     }
 
     /**
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.suspect.RequestTraits;
 import org.streamring.kernel.suspect.SuspectId;
@@ -114,6 +115,75 @@
                 millis);
     }
 
+    /**
+     * Logs how the tokens of a request were settled.
+     *
+     * @param used prompt and answer tokens
+     * @param answer answer tokens by what is known of them
+     * @param attempts number of attempts that may have reached a replica
+     */
+    void tokensSettled(long used, Reservation.AnswerTokens answer, int attempts) {
+        log.line(
+                "tokens_settled",
+                "request",
+                plan.id(),
+                "account",
+                plan.accountName(),
+                "prompt",
+                plan.tokens().map(DeclaredTokens::prompt).orElse(0L),
+                "max_answer",
+                plan.tokens().map(DeclaredTokens::maxAnswer).orElse(0L),
+                "used",
+                used,
+                "delivered",
+                answer.delivered(),
+                "estimated",
+                answer.estimated(),
+                "unknown",
+                answer.unknown(),
+                "attempts",
+                attempts);
+    }
+
+    /**
+     * Logs whether the request may be sent again.
+     *
+     * @param use requests and retries by which this entry decided
+     * @param entries entries among which the limit is divided
+     */
+    void retryDecided(boolean granted, FleetRetryBudget.Use use, int entries, long millis) {
+        log.line(
+                granted ? "retry_granted" : "retry_refused",
+                "request",
+                plan.id(),
+                "service",
+                plan.service().name(),
+                "requests",
+                use.requests(),
+                "retries",
+                use.retries(),
+                "entries",
+                entries,
+                "ms",
+                millis);
+    }
+
+    /** Logs that a retry is written to a connection, and how long ago it was granted. */
+    void retrySent(String replica, long grantedMillisAgo, long millis) {
+        log.line(
+                "retry_sent",
+                "request",
+                plan.id(),
+                "service",
+                plan.service().name(),
+                "replica",
+                replica,
+                "granted_ms_ago",
+                grantedMillisAgo,
+                "ms",
+                millis);
+    }
+
     void ended(String outcome, int status, Summary summary) {
         Optional<PlacementForecast> forecast = summary.forecast();
         log.line(
@@ -122,6 +192,8 @@
                 plan.id(),
                 "route",
                 plan.route().name(),
+                "service",
+                plan.service().name(),
                 "account",
                 plan.prepaidAccount().orElse(""),
                 "rank",
