Keep retries of all entries within the limit through restarts, cuts and waits

Callers saw nothing; a service received more arrivals beyond the first of each request than its limit allows.

Cause: each process started with its whole share of the slack, though retries of its predecessor were within the window; an entry that had read no list, or one without unreachable entries, divided the slack among too few; a retry counted when it was granted, not when it was sent. Class: a bound over all entries whose parts are forgotten by a restart, divided by a view that forgets the unreachable, and counted before it is used.

Change: FleetShare answers who shares and from when: equal parts of the entries that may be live (unreachable ones keep theirs for two minutes), none before they are known, none for one window after the start of a process. FleetRetryBudget grants retries that count until they are given back, or for a window after they are written to a connection.

--- a/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
@@ -2,29 +2,65 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
- * This entry's share of a limit on retries that applies to all entries together.
+ * This entry's part of a limit on retries that applies to all entries together.
  *
  * <p>The limit holds in every window: retries &le; ratio × requests + slack. An entry uses the part of the first term
- * that its own requests contribute, and an equal share of the second. Confined to one thread.
+ * that its own requests contribute, and its share of the second. A granted retry counts until it is given back, or for
+ * one window after it was sent. Confined to one thread.
  */
 public final class FleetRetryBudget {
     private static final double USED_SHARE = 0.8;
 
+    /** Retries take different times to arrive, so that those of more than one window may arrive within one. */
+    private static final long MAX_TRANSIT_MILLIS = 500;
+
     private final double ratio;
     private final double slack;
     private final long windowMillis;
+    private final FleetShare share;
     private final Deque<Long> requests = new ArrayDeque<>();
-    private final Deque<Long> retries = new ArrayDeque<>();
+    private final Deque<Long> sent = new ArrayDeque<>();
+    private int granted;
 
     /**
      * Use of a budget.
      *
      * @param requests requests within the window
-     * @param retries retries within the window
+     * @param sent retries sent within the window
+     * @param granted retries granted that were neither sent nor given back
+     * @param allowed retries allowed within the window
+     * @param fleet entries that may be live, as last read
      */
-    public record Use(int requests, int retries) {}
+    public record Use(int requests, int sent, int granted, double allowed, FleetShare.View fleet) {}
+
+    /** A granted retry, which is either sent or given back. */
+    public final class Grant {
+        private boolean open = true;
+
+        private Grant() {}
+
+        /** Records that the retry is written to a connection now. Has no effect on a closed grant. */
+        public void sent(long nowMillis) {
+            if (close()) {
+                sent.addLast(nowMillis);
+            }
+        }
+
+        /** Gives the retry back unsent. Has no effect on a closed grant. */
+        public void giveBack() {
+            close();
+        }
+
+        private boolean close() {
+            boolean wasOpen = open;
+            open = false;
+            granted -= wasOpen ? 1 : 0;
+            return wasOpen;
+        }
+    }
 
     /**
      * Creates a budget.
@@ -32,11 +68,13 @@
      * @param ratio retries allowed per request
      * @param slack additional retries allowed to all entries together
      * @param windowMillis length of the sliding window, in milliseconds
+     * @param share this entry's part of the slack
      */
-    public FleetRetryBudget(double ratio, double slack, long windowMillis) {
+    public FleetRetryBudget(double ratio, double slack, long windowMillis, FleetShare share) {
         this.ratio = ratio;
         this.slack = slack;
         this.windowMillis = windowMillis;
+        this.share = share;
     }
 
     /** Records a request. */
@@ -45,33 +83,31 @@
         expire(nowMillis);
     }
 
-    /**
-     * Takes one retry from the budget if it allows one.
-     *
-     * @param entries number of entries that share the limit
-     * @return whether the retry is allowed
-     */
-    public boolean tryRetry(long nowMillis, int entries) {
+    /** Takes one retry from the budget; empty if the budget allows none. */
+    public Optional<Grant> tryRetry(long nowMillis) {
         expire(nowMillis);
-        double allowed = USED_SHARE * (ratio * requests.size() + slack / Math.max(1, entries));
-        if (retries.size() + 1 > allowed) {
-            return false;
+        if (sent.size() + granted + 1 > allowed()) {
+            return Optional.empty();
         }
-        retries.addLast(nowMillis);
-        return true;
+        granted++;
+        return Optional.of(new Grant());
+    }
+
+    private double allowed() {
+        return USED_SHARE * (ratio * requests.size() + share.of(slack, windowMillis + MAX_TRANSIT_MILLIS));
     }
 
-    /** Returns the requests and retries counted at the last decision. */
+    /** Returns the use of this budget at the last decision. */
     public Use use() {
-        return new Use(requests.size(), retries.size());
+        return new Use(requests.size(), sent.size(), granted, allowed(), share.view());
     }
 
     private void expire(long nowMillis) {
-        dropBefore(requests, nowMillis - windowMillis);
-        dropBefore(retries, nowMillis - windowMillis);
+        dropUntil(requests, nowMillis - windowMillis);
+        dropUntil(sent, nowMillis - windowMillis - MAX_TRANSIT_MILLIS);
     }
 
-    private static void dropBefore(Deque<Long> times, long limit) {
+    private static void dropUntil(Deque<Long> times, long limit) {
         while (!times.isEmpty() && times.peekFirst() <= limit) {
             times.removeFirst();
         }
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -46,6 +46,7 @@
 import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.admission.LinkBacklog;
 import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.permit.PermitCoordinator;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.ReportPace;
@@ -255,6 +256,7 @@
                 platform.headers(),
                 clock,
                 members::live,
+                new FleetShare(members::view, clock),
                 () -> this.settings.retries(),
                 () -> this.settings.cold());
     }
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowKey;
 import org.streamring.kernel.store.RowPage;
@@ -48,6 +49,7 @@
     private final Map<String, ObservedRow> observed = new HashMap<>();
     private long ownVersion;
     private long oldestLiveMillis = Long.MIN_VALUE;
+    private long readMillis;
     private int live = 1;
     private Set<String> possiblyLive = Set.of();
     private boolean stopping;
@@ -127,6 +129,11 @@
         return possiblyLive;
     }
 
+    /** Returns the number of entries that may be live, and when it was determined. */
+    public FleetShare.View view() {
+        return new FleetShare.View(possiblyLive.size(), clock.getAsLong() - readMillis);
+    }
+
     private Set<String> namesOfPossiblyLive() {
         Set<String> names = new HashSet<>(Set.of(ownKey.key()));
         observed.forEach((name, row) -> {
@@ -160,6 +167,7 @@
     }
 
     private void handlePage(RowPage page) {
+        readMillis = clock.getAsLong();
         ownVersion = 0;
         for (StoredRow row : page.rows()) {
             if (row.key().equals(ownKey)) {
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -19,6 +19,7 @@
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.availability.BackendNotice;
 import org.streamring.kernel.limit.FleetRetryBudget;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.permit.LimitWord;
 import org.streamring.kernel.permit.LimitedBackends;
 import org.streamring.kernel.permit.PermitCoordinator;
@@ -55,6 +56,7 @@
     private final ForwardingHeaders headers;
     private final LongSupplier clock;
     private final IntSupplier entries;
+    private final FleetShare share;
     private final Supplier<NodeSettings.RetryLimit> retryLimit;
     private final Supplier<NodeSettings.ColdMargin> coldMargin;
     private final Map<Destination, BackendPool> pools = new HashMap<>();
@@ -78,6 +80,7 @@
      * @param permits permits of this entry for replicas that announce a limit for all entries together
      * @param cold which replicas are cold
      * @param entries number of live entries
+     * @param share this entry's part of what all entries together may do
      * @param coldMargin requests that a cold replica tolerates above its rate
      */
     public BackendFleet(
@@ -90,6 +93,7 @@
             ForwardingHeaders headers,
             LongSupplier clock,
             IntSupplier entries,
+            FleetShare share,
             Supplier<NodeSettings.RetryLimit> retryLimit,
             Supplier<NodeSettings.ColdMargin> coldMargin) {
         this.loop = loop;
@@ -103,6 +107,7 @@
         this.headers = headers;
         this.clock = clock;
         this.entries = entries;
+        this.share = share;
         this.retryLimit = retryLimit;
     }
 
@@ -260,17 +265,8 @@
                 name -> new FleetRetryBudget(
                         retryLimit.get().ratio(),
                         retryLimit.get().slack(),
-                        retryLimit.get().window().toMillis()));
-    }
-
-    /** Returns the number of live entries, among which limits are divided. */
-    int entries() {
-        return entries.getAsInt();
-    }
-
-    /** Takes one retry from the budget of a service; returns false if the budget allows none. */
-    boolean tryRetry(String service) {
-        return retries(service).tryRetry(clock.getAsLong(), entries.getAsInt());
+                        retryLimit.get().window().toMillis(),
+                        share));
     }
 
     /**
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -11,7 +11,6 @@
 import org.streamring.direct.caller.RequestSink;
 import org.streamring.kernel.admission.RequestLiveness;
 import org.streamring.kernel.admission.WaitDecision;
-import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.PlacementForecast;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.registry.BackendInstance;
@@ -52,6 +51,7 @@
     private final StreamBinding binding;
     private final StreamTiming timing;
     private final Optional<Reservation> reservation;
+    private final RequestRetries retries;
     private final CrashSuspectGuard.Watched suspect;
     private final RequestLiveness liveness;
     private final LinkUsage linkUsage;
@@ -62,7 +62,6 @@
     private @Nullable Future<?> deadlineTimer;
     private Optional<PlacementForecast> forecast = Optional.empty();
     private Duration retryAfter = DEFAULT_RETRY_AFTER;
-    private OptionalLong retryGrantedMillis = OptionalLong.empty();
     private boolean finished;
 
     DirectRequest(
@@ -93,6 +92,7 @@
                 Optional.ofNullable(request.headers().get(services.names().lastEventId())),
                 timing);
         this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
+        this.retries = new RequestRetries(services, plan.service().name(), log, this::elapsed);
         this.suspect = services.suspects().watch(request, plan);
         this.liveness = new RequestLiveness(writer::callerPresent, plan.deadlineMillis());
         this.linkUsage = new LinkUsage(services.link(), services.clock(), request.body().length);
@@ -100,7 +100,7 @@
     }
 
     void start() {
-        services.fleet().retries(plan.service().name()).request(now());
+        retries.requestArrived();
         long left = Math.max(0, plan.deadlineMillis() - now() - DEADLINE_MARGIN_MILLIS);
         deadlineTimer = services.loop().schedule(this::onDeadline, left, TimeUnit.MILLISECONDS);
         if (refusedAsSuspect() || endedAsNotLive()) {
@@ -244,8 +244,7 @@
 
     @Override
     public void attemptWritten(BackendInstance instance) {
-        retryGrantedMillis.ifPresent(granted -> log.retrySent(instance.id(), now() - granted, elapsed()));
-        retryGrantedMillis = OptionalLong.empty();
+        retries.written(instance.id());
     }
 
     @Override
@@ -310,8 +309,10 @@
         if (allowed && refusedAsSuspect()) {
             return;
         }
-        boolean retry =
-                allowed && attempts.attempts() < plan.route().maxAttempts() && liveness.hasTime(now()) && takeRetry();
+        boolean retry = allowed
+                && attempts.attempts() < plan.route().maxAttempts()
+                && liveness.hasTime(now())
+                && retries.tryTake();
         if (retry) {
             placeOrQueue();
         } else {
@@ -319,16 +320,6 @@
         }
     }
 
-    private boolean takeRetry() {
-        boolean granted = services.fleet().tryRetry(plan.service().name());
-        retryGrantedMillis = granted ? OptionalLong.of(now()) : OptionalLong.empty();
-        FleetRetryBudget.Use use =
-                services.fleet().retries(plan.service().name()).use();
-        log.retryDecided(granted, use, services.fleet().entries(), elapsed());
-        services.metrics().retryDecided(plan.service().name(), granted);
-        return granted;
-    }
-
     /** Ends the request without success. */
     private void endWithoutSuccess(AttemptEnd end) {
         if (relay.started()) {
@@ -434,6 +425,7 @@
             deadlineTimer.cancel(false);
         }
         settle();
+        retries.giveBack();
         services.metrics().requestEnded(outcome, plan.rank(), elapsed());
         log.ended(outcome, status, summary());
         slots.retryWaiting();
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -149,9 +149,8 @@
      * Logs whether the request may be sent again.
      *
      * @param use requests and retries by which this entry decided
-     * @param entries entries among which the limit is divided
      */
-    void retryDecided(boolean granted, FleetRetryBudget.Use use, int entries, long millis) {
+    void retryDecided(boolean granted, FleetRetryBudget.Use use, long millis) {
         log.line(
                 granted ? "retry_granted" : "retry_refused",
                 "request",
@@ -160,10 +159,16 @@
                 plan.service().name(),
                 "requests",
                 use.requests(),
-                "retries",
-                use.retries(),
+                "sent",
+                use.sent(),
+                "granted",
+                use.granted(),
+                "allowed",
+                use.allowed(),
                 "entries",
-                entries,
+                use.fleet().entries(),
+                "entries_age_ms",
+                use.fleet().ageMillis(),
                 "ms",
                 millis);
     }
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -33,6 +33,7 @@
 import org.streamring.direct.suspect.SuspectLog;
 import org.streamring.kernel.admission.LinkBacklog;
 import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.HomeEntries;
 import org.streamring.kernel.registry.BackendInstance;
@@ -218,6 +219,7 @@
                 TestHeaders.NAMES,
                 () -> nowMillis,
                 () -> 1,
+                new FleetShare(() -> new FleetShare.View(1, 0), () -> nowMillis),
                 () -> new NodeSettings.RetryLimit(0.2, 10, Duration.ofSeconds(10)),
                 () -> new NodeSettings.ColdMargin(1, 1));
         RouteTable routes = new RouteTable(configuration());
