Give the first process of a fleet its share of retries at once, and wait longer where others share

Cause: with no slack for a window after each start, a lone new process retried nothing until seven requests had come: six tests of DirectEntryTest and ConnectionEndedAnswersTest failed, rightly. And a process that joins others used its part while they still divided by their former number.

Change: a process is the first of its fleet if the table held no row of its box before and no other row after its own was written; of processes that start together at most one finds that. It has its share at once. All others wait five seconds more than a window, in which the others divide anew.

--- a/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
@@ -6,11 +6,15 @@
 /**
  * This entry's part of an amount that all entries together may use within a sliding window.
  *
- * <p>All entries that may be live have equal parts; one that is unreachable keeps its part. A process has none for the
- * length of the window after its start, because its predecessor on this box may have used the part of the box until
- * then. Confined to one thread.
+ * <p>All entries that may be live have equal parts; one that is unreachable keeps its part. A process has none for a
+ * window after its start, because its predecessor on this box may have used the part of the box until then, and other
+ * entries may not have divided the amount anew. The first process of a fleet has its part at once. Confined to one
+ * thread.
  */
 public final class FleetShare {
+    /** Longer than it takes other entries to learn of a new one. */
+    private static final long DIVIDED_ANEW_MILLIS = 5_000;
+
     /** Much shorter than the time after which other entries divide the part of an unreachable one among themselves. */
     private static final long MAX_VIEW_AGE_MILLIS = 30_000;
 
@@ -22,8 +26,9 @@
      *
      * @param entries number of entries including this one; 0 before the first reading
      * @param ageMillis milliseconds since the reading
+     * @param first whether no process was listed before this one
      */
-    public record View(int entries, long ageMillis) {}
+    public record View(int entries, long ageMillis, boolean first) {}
 
     /**
      * Creates a share.
@@ -47,8 +52,8 @@
      */
     public double of(double amount, long windowMillis) {
         View current = view.get();
-        boolean predecessorMayCount = sinceStart.getAsLong() < windowMillis;
-        if (predecessorMayCount || current.entries() == 0 || current.ageMillis() > MAX_VIEW_AGE_MILLIS) {
+        boolean starting = sinceStart.getAsLong() < windowMillis + DIVIDED_ANEW_MILLIS;
+        if ((starting && !current.first()) || current.entries() == 0 || current.ageMillis() > MAX_VIEW_AGE_MILLIS) {
             return 0;
         }
         return amount / current.entries();
--- a/core/src/test/java/org/streamring/kernel/limit/RetrySimulation.java
+++ b/core/src/test/java/org/streamring/kernel/limit/RetrySimulation.java
@@ -71,7 +71,7 @@
         private boolean running = true;
         private long cutUntilMillis;
         private long unseenSinceMillis = Long.MAX_VALUE;
-        private FleetShare.View seen = new FleetShare.View(0, 0);
+        private FleetShare.View seen = new FleetShare.View(0, 0, false);
         private long seenMillis;
         private final Deque<Long> grantedHere = new ArrayDeque<>();
         private final Deque<Long> requestsHere = new ArrayDeque<>();
@@ -80,7 +80,8 @@
 
         private FleetRetryBudget newBudget() {
             FleetShare share = new FleetShare(
-                    () -> new FleetShare.View(seen.entries(), nowMillis - seenMillis), () -> nowMillis - startMillis);
+                    () -> new FleetShare.View(seen.entries(), nowMillis - seenMillis, false),
+                    () -> nowMillis - startMillis);
             return new FleetRetryBudget(RATIO, SLACK, WINDOW_MILLIS, share);
         }
 
@@ -96,7 +97,7 @@
                                 || each.reachable()
                                 || nowMillis - each.unseenSinceMillis < LIVE_MILLIS)
                         .count();
-                seen = new FleetShare.View(live, 0);
+                seen = new FleetShare.View(live, 0, false);
                 seenMillis = nowMillis;
             }
             at(VIEW_INTERVAL_MILLIS, this::readEntries);
@@ -119,7 +120,7 @@
                 return;
             }
             startMillis = nowMillis;
-            seen = new FleetShare.View(way != Way.SHARE_OF_EACH_PROCESS ? 0 : 1, 0);
+            seen = new FleetShare.View(way != Way.SHARE_OF_EACH_PROCESS ? 0 : 1, 0, false);
             grantedHere.clear();
             requestsHere.clear();
             budget = newBudget();
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -50,6 +50,9 @@
     private long ownVersion;
     private long oldestLiveMillis = Long.MIN_VALUE;
     private long readMillis;
+    private boolean ownRowListedBefore;
+    private boolean ownRowWritten;
+    private boolean first;
     private int live = 1;
     private Set<String> possiblyLive = Set.of();
     private boolean stopping;
@@ -131,7 +134,7 @@
 
     /** Returns the number of entries that may be live, and when it was determined. */
     public FleetShare.View view() {
-        return new FleetShare.View(possiblyLive.size(), clock.getAsLong() - readMillis);
+        return new FleetShare.View(possiblyLive.size(), clock.getAsLong() - readMillis, first);
     }
 
     private Set<String> namesOfPossiblyLive() {
@@ -172,6 +175,7 @@
         for (StoredRow row : page.rows()) {
             if (row.key().equals(ownKey)) {
                 ownVersion = row.version();
+                ownRowListedBefore |= !ownRowWritten;
             } else {
                 observe(row, new StorePosition(page.position().era(), row.version()));
             }
@@ -222,6 +226,23 @@
         store.commit(List.of(new RowChange(ownKey, ownVersion, value))).whenComplete((result, failure) -> {
             if (failure == null && result.committed()) {
                 ownVersion = result.position().version();
+                if (!ownRowWritten) {
+                    ownRowWritten = true;
+                    checkWhetherFirst();
+                }
+            }
+        });
+    }
+
+    /**
+     * Reads the table after the first write of the own row. Of processes that start at the same time, at most one finds
+     * no other row then.
+     */
+    private void checkWhetherFirst() {
+        store.list(TABLE, "").whenComplete((page, failure) -> {
+            if (failure == null) {
+                handlePage(page);
+                first = !ownRowListedBefore && observed.isEmpty();
             }
         });
     }
--- a/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
 import org.streamring.kernel.store.CommitResult;
 import org.streamring.kernel.store.RowChange;
 import org.streamring.kernel.store.RowKey;
@@ -107,6 +108,22 @@
         assertThat(rows.expectedVersions.poll(5, TimeUnit.SECONDS)).isZero();
     }
 
+    @Test
+    public void theFirstProcessOfAFleetIsAloneInTheTableThatHoldsItsRow() {
+        loop.execute(register::start);
+        Awaitility.await().until(() -> register.view().first());
+        assertThat(register.view().entries()).isEqualTo(1);
+    }
+
+    @Test
+    public void aProcessWithAPredecessorOrOtherEntriesIsNotTheFirst() throws InterruptedException {
+        rows.addRow("entry-1", "entry-1.old 127.0.0.1:7340");
+        loop.execute(register::start);
+        received.poll(5, TimeUnit.SECONDS);
+        received.poll(5, TimeUnit.SECONDS);
+        assertThat(register.view().first()).isFalse();
+    }
+
     private static final class FakeRowStore implements RowStore {
         private final List<StoredRow> rows = new CopyOnWriteArrayList<>();
         private final BlockingQueue<String> written = new LinkedBlockingQueue<>();
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -219,7 +219,7 @@
                 TestHeaders.NAMES,
                 () -> nowMillis,
                 () -> 1,
-                new FleetShare(() -> new FleetShare.View(1, 0), () -> nowMillis),
+                new FleetShare(() -> new FleetShare.View(1, 0, true), () -> nowMillis),
                 () -> new NodeSettings.RetryLimit(0.2, 10, Duration.ofSeconds(10)),
                 () -> new NodeSettings.ColdMargin(1, 1));
         RouteTable routes = new RouteTable(configuration());
