Reserve the tokens of each run, and follow cancelled runs to their end

Callers saw nothing; a client account received more than it had paid for.

Cause: a request reserved its maximum once for all of its runs, and settled at most that; a cancelled run counted 30 events more than were delivered, while its replica may generate for longer, or an entry may stand still; an answer that is no stream counted as its prompt. Class: a bound kept by what this entry saw, where its replicas decide what is used.

Change: RequestUsage bounds what all runs of a request may have used: the prompt once, what was received of each run, and the maximum of each run whose end was not received. Before each run the tokens that it lacks are reserved; if there are none, the request ends as if no retry were left. A cancelled run is told by closing the sending side of its connection; what still arrives within 250 ms is counted, and a normal close by the replica ends it with a known usage. Otherwise the connection is reset, as before, and the run counts its maximum.

--- a/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
@@ -6,6 +6,11 @@
     NOT_SENT,
     /** No byte of the request was sent, because it was no longer allowed to be sent once the connection was open. */
     WITHDRAWN,
+    /**
+     * The backend server closed the connection normally before the answer was complete. It may have run the request,
+     * and everything that it sent was received.
+     */
+    CLOSED,
     /** The attempt failed after the request was sent, so the backend server may have run the request. */
     BROKEN
 }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
@@ -23,6 +23,16 @@
         }
     }
 
+    /**
+     * Cancels the attempt by closing only the sending side of its connection. The listener receives what the backend
+     * server still sends, until the server ends its answer or closes the connection.
+     */
+    public void drain() {
+        if (connection != null) {
+            connection.drain();
+        }
+    }
+
     /** Pauses or resumes reading the answer. */
     public void pauseReading(boolean paused) {
         if (connection != null) {
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -38,6 +40,7 @@
     private long startedMillis;
     private long lastReadMillis;
     private boolean paused;
+    private boolean draining;
     private int requests;
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
@@ -113,10 +116,38 @@
      */
     void cancel() {
         listener = null;
+        discardUnsentBytes();
+        close();
+    }
+
+    private void discardUnsentBytes() {
         if (channel != null && channel.isOpen()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
-        close();
+    }
+
+    /**
+     * Cancels the request by closing the sending side of the connection. If a part of the request is not written yet,
+     * the connection is reset, as the part would be sent first.
+     */
+    void drain() {
+        draining = true;
+        pauseReading(false);
+        if (channel instanceof DuplexChannel duplex && hasWrittenAll(duplex)) {
+            duplex.shutdownOutput().addListener(done -> {
+                if (!done.isSuccess()) {
+                    fail(AttemptFailure.BROKEN, "the sending side of the connection could not be closed");
+                }
+            });
+        } else {
+            discardUnsentBytes();
+            fail(AttemptFailure.BROKEN, "the request was not written completely");
+        }
+    }
+
+    private static boolean hasWrittenAll(Channel open) {
+        ChannelOutboundBuffer buffer = open.unsafe().outboundBuffer();
+        return buffer != null && buffer.isEmpty();
     }
 
     void close() {
@@ -219,7 +250,7 @@
         request = null;
         lastUseMillis = pool.nowMillis();
         pauseReading(false);
-        if (reusable && answerHasLength) {
+        if (reusable && answerHasLength && !draining) {
             pool.returnIdle(this);
         } else {
             close();
@@ -228,11 +259,15 @@
     }
 
     private void fail(String reason) {
+        fail(AttemptFailure.BROKEN, reason);
+    }
+
+    private void fail(AttemptFailure failure, String reason) {
         AttemptListener failed = listener;
         listener = null;
         close();
         if (failed != null) {
-            failed.onFailure(AttemptFailure.BROKEN, reason);
+            failed.onFailure(failure, reason);
         }
     }
 
@@ -248,6 +283,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.removeClosed(this);
-        fail("the connection was closed before the answer was complete");
+        fail(AttemptFailure.CLOSED, "the connection was closed before the answer was complete");
     }
 }
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -85,9 +85,8 @@
     }
 
     /** Counts the answer tokens by which a request was settled, by account and by what is known of them. */
-    public void tokensSettled(String account, long delivered, long estimated, long unknown) {
-        countSettled(account, "delivered", delivered);
-        countSettled(account, "estimated", estimated);
+    public void tokensSettled(String account, long received, long unknown) {
+        countSettled(account, "received", received);
         countSettled(account, "unknown", unknown);
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -31,6 +31,8 @@
      * another replica after this time may still be answered in time.
      */
     private static final long SILENCE_TIMEOUT_MILLIS = 1_000;
+    /** Shorter than the half second after which a replica should no longer work for a caller that left. */
+    private static final long MAX_DRAIN_MILLIS = 250;
     /** A healthy replica sends its first event within this multiple of the forecast time. */
     private static final int FORECAST_TOLERANCE_FACTOR = 3;
 
@@ -50,6 +52,9 @@
     private int eventsDelivered;
     private boolean streaming;
     private boolean written;
+    private boolean draining;
+    private int drainedEvents;
+    private @Nullable Future<?> drainTimer;
     private boolean finished;
 
     /** Callbacks of the request that the attempt belongs to. */
@@ -68,6 +73,14 @@
 
         /** Called once when the attempt has ended, unless it was cancelled. */
         void attemptEnded(AttemptEnd end);
+
+        /**
+         * Called once after {@link AttemptRun#cancelAndDrain}.
+         *
+         * @param events events that arrived after the cancellation
+         * @param toItsEnd whether the answer was received up to the point where the replica ended it
+         */
+        void attemptDrained(int events, boolean toItsEnd);
     }
 
     AttemptRun(RequestServices services, RequestPlan plan, BackendInstance instance, AnswerRelay relay, Owner owner) {
@@ -140,6 +153,34 @@
         }
     }
 
+    /**
+     * Cancels the attempt and counts the events that arrive until the replica closes the connection, for a short time.
+     * {@link Owner#attemptDrained} is called at the end instead of {@link Owner#attemptEnded}.
+     */
+    void cancelAndDrain() {
+        owner.attemptSent();
+        release();
+        draining = true;
+        drainTimer = services.loop().schedule(this::drainTimedOut, MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+        Objects.requireNonNull(attempt).drain();
+    }
+
+    private void drainTimedOut() {
+        Objects.requireNonNull(attempt).cancel();
+        endDraining(false);
+    }
+
+    private void endDraining(boolean toItsEnd) {
+        if (!draining) {
+            return;
+        }
+        draining = false;
+        Objects.requireNonNull(drainTimer).cancel(false);
+        AnswerHead answered = head;
+        boolean countable = streaming || answered == null || answered.status() >= FIRST_NON_SUCCESS_STATUS;
+        owner.attemptDrained(drainedEvents, toItsEnd && countable);
+    }
+
     private void checkSilence() {
         BackendAttempt waiting = attempt;
         if (finished || waiting == null || mayStillReadPrompt()) {
@@ -185,6 +226,10 @@
             body.writeBytes(data);
             return;
         }
+        if (draining) {
+            drainedEvents += relay.skipData(data);
+            return;
+        }
         int events = relay.streamData(data);
         if (events > 0) {
             ifPlaced(each -> each.answered(services.clock().getAsLong()));
@@ -195,6 +240,10 @@
 
     @Override
     public void onEnd() {
+        if (draining) {
+            endDraining(true);
+            return;
+        }
         AnswerHead answeredHead = Objects.requireNonNull(head);
         if (streaming) {
             endStream();
@@ -259,6 +308,10 @@
 
     @Override
     public void onFailure(AttemptFailure failure, String reason) {
+        if (draining) {
+            endDraining(failure == AttemptFailure.CLOSED);
+            return;
+        }
         if (failure == AttemptFailure.WITHDRAWN) {
             returnPermit();
             release();
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -36,8 +36,6 @@
 
     private static final int MAX_UNSENT_ATTEMPTS = 8;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
-    /** More events than a replica generates in the half second within which it must notice a cancellation. */
-    private static final int MAX_EVENTS_AFTER_CANCEL = 30;
 
     private final RequestServices services;
     private final SlotQueue slots;
@@ -50,7 +48,7 @@
     private final AnswerRelay relay;
     private final StreamBinding binding;
     private final StreamTiming timing;
-    private final Optional<Reservation> reservation;
+    private final RequestTokens tokens;
     private final RequestRetries retries;
     private final CrashSuspectGuard.Watched suspect;
     private final RequestLiveness liveness;
@@ -91,7 +89,7 @@
                 this::bindToOrigin,
                 Optional.ofNullable(request.headers().get(services.names().lastEventId())),
                 timing);
-        this.reservation = Reservation.of(services.tokens(), plan.prepaidAccount(), plan.tokens());
+        this.tokens = new RequestTokens(services, plan, log, attempts);
         this.retries = new RequestRetries(services, plan.service().name(), log, this::elapsed);
         this.suspect = services.suspects().watch(request, plan);
         this.liveness = new RequestLiveness(writer::callerPresent, plan.deadlineMillis());
@@ -106,16 +104,11 @@
         if (refusedAsSuspect() || endedAsNotLive()) {
             return;
         }
-        if (reservation.isPresent()) {
-            pendingTokens = reservation.get().reserve(this::onTokens);
-        } else {
-            placeOrQueue();
-        }
+        pendingTokens = tokens.reserveForNextRun(this::onTokens);
     }
 
     private void onTokens(TokenSource.Outcome outcome) {
         if (finished) {
-            settle();
             return;
         }
         if (outcome == TokenSource.Outcome.RESERVED) {
@@ -250,14 +243,12 @@
     @Override
     public void attemptSent() {
         attempts.sent();
-        reservation.ifPresent(Reservation::markMayHaveRun);
     }
 
     @Override
     public void eventsDelivered(int events) {
         suspect.eventsDelivered(events);
-        reservation.ifPresent(
-                each -> each.addAnswerTokens((long) events * plan.service().tokensPerEvent()));
+        tokens.eventsReceived(events);
     }
 
     @Override
@@ -273,6 +264,7 @@
         suspect.ended(!end.unsent());
         slots.slotReleased();
         logFailedAttempt(end);
+        tokens.attemptEnded(end, relay.started());
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
             suspect.answered();
             complete("answered", 200);
@@ -294,9 +286,6 @@
     }
 
     private void afterPossibleRun(AttemptEnd end) {
-        if (end.kind() != AttemptEnd.Kind.FAILED) {
-            reservation.ifPresent(Reservation::markUsageUnknown);
-        }
         if (end.kind() == AttemptEnd.Kind.BROKEN) {
             attempts.lastReplica()
                     .ifPresent(server ->
@@ -314,6 +303,17 @@
                 && liveness.hasTime(now())
                 && retries.tryTake();
         if (retry) {
+            pendingTokens = tokens.reserveForNextRun(outcome -> onTokensForRetry(outcome, end));
+        } else {
+            endWithoutSuccess(end);
+        }
+    }
+
+    private void onTokensForRetry(TokenSource.Outcome outcome, AttemptEnd end) {
+        if (finished) {
+            return;
+        }
+        if (outcome == TokenSource.Outcome.RESERVED) {
             placeOrQueue();
         } else {
             endWithoutSuccess(end);
@@ -377,11 +377,19 @@
             linkUsage.release();
         }
         boolean wasSent = attempt.sent();
-        attempt.cancel();
+        if (wasSent && tokens.needed()) {
+            tokens.awaitEndOfRun();
+            attempt.cancelAndDrain();
+        } else {
+            attempt.cancel();
+        }
         suspect.ended(wasSent);
         slots.slotReleased();
-        reservation.ifPresent(each ->
-                each.addCancelledEvents(MAX_EVENTS_AFTER_CANCEL, plan.service().tokensPerEvent()));
+    }
+
+    @Override
+    public void attemptDrained(int events, boolean toItsEnd) {
+        tokens.attemptDrained(events, toItsEnd);
     }
 
     @Override
@@ -401,15 +409,6 @@
         answer.write(writer, services.names(), plan.id());
     }
 
-    private void settle() {
-        reservation.filter(Reservation::settle).ifPresent(each -> {
-            log.tokensSettled(each.used(), each.answerTokens(), attempts.attempts());
-            Reservation.AnswerTokens answer = each.answerTokens();
-            services.metrics()
-                    .tokensSettled(plan.accountName(), answer.delivered(), answer.estimated(), answer.unknown());
-        });
-    }
-
     /**
      * Marks the request as finished before it releases its tokens and its slot. Releasing them resumes other requests
      * synchronously, and what those release may call back into this request, which would then be answered twice.
@@ -424,8 +423,8 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        settle();
         retries.giveBack();
+        tokens.close();
         services.metrics().requestEnded(outcome, plan.rank(), elapsed());
         log.ended(outcome, status, summary());
         slots.retryWaiting();
@@ -440,11 +439,10 @@
     }
 
     private RequestLog.Summary summary() {
-        long tokens = reservation.map(Reservation::used).orElse(0L);
         return new RequestLog.Summary(
                 attempts.attempts(),
                 attempts.unsent(),
-                tokens,
+                tokens.used(),
                 attempts.lastReplicaId(),
                 attempts.lastSoftwareVersion(),
                 forecast,
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -7,6 +7,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.kernel.limit.FleetRetryBudget;
 import org.streamring.kernel.placement.PlacementForecast;
+import org.streamring.kernel.prepaid.RequestUsage;
 import org.streamring.kernel.suspect.RequestTraits;
 import org.streamring.kernel.suspect.SuspectId;
 
@@ -122,7 +123,7 @@
      * @param answer answer tokens by what is known of them
      * @param attempts number of attempts that may have reached a replica
      */
-    void tokensSettled(long used, Reservation.AnswerTokens answer, int attempts) {
+    void tokensSettled(long used, RequestUsage.AnswerTokens answer, int attempts) {
         log.line(
                 "tokens_settled",
                 "request",
@@ -135,10 +136,8 @@
                 plan.tokens().map(DeclaredTokens::maxAnswer).orElse(0L),
                 "used",
                 used,
-                "delivered",
-                answer.delivered(),
-                "estimated",
-                answer.estimated(),
+                "received",
+                answer.received(),
                 "unknown",
                 answer.unknown(),
                 "attempts",
