Send nothing to cold replicas while requests of a predecessor count

Change: ColdReplicas asks FleetShare whether the predecessor may still count.

Figures: ColdReplicasTest fails before (a starting process may place at once) and passes now; the load model's entries don't restart and are the first of their fleet.

--- a/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
@@ -45,6 +45,15 @@
         return view.get();
     }
 
+    /**
+     * Returns whether what a predecessor of this process did may still count.
+     *
+     * @param windowMillis milliseconds for which it counts
+     */
+    public boolean predecessorMayCount(long windowMillis) {
+        return !view.get().first() && sinceStart.getAsLong() < windowMillis;
+    }
+
     /**
      * Returns this entry's part of an amount.
      *
@@ -52,8 +61,8 @@
      */
     public double of(double amount, long windowMillis) {
         View current = view.get();
-        boolean starting = sinceStart.getAsLong() < windowMillis + DIVIDED_ANEW_MILLIS;
-        if ((starting && !current.first()) || current.entries() == 0 || current.ageMillis() > MAX_VIEW_AGE_MILLIS) {
+        boolean starting = predecessorMayCount(windowMillis + DIVIDED_ANEW_MILLIS);
+        if (starting || current.entries() == 0 || current.ageMillis() > MAX_VIEW_AGE_MILLIS) {
             return 0;
         }
         return amount / current.entries();
--- a/core/src/main/java/org/streamring/kernel/placement/ColdReplicas.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ColdReplicas.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.routing.RendezvousHash;
 
 /**
@@ -29,6 +30,7 @@
 
     private final String own;
     private final Supplier<Set<String>> entries;
+    private final FleetShare share;
     private final Map<String, Long> coldUntil = new HashMap<>();
     private final Map<String, Deque<Long>> placed = new HashMap<>();
     private final Map<String, Boolean> owned = new HashMap<>();
@@ -39,8 +41,10 @@
      *
      * @param own name of this entry
      * @param entries names of all entries that may be alive, including this one; empty while they are unknown
+     * @param share whether requests of a predecessor may still count
      */
-    public ColdReplicas(String own, Supplier<Set<String>> entries) {
+    public ColdReplicas(String own, Supplier<Set<String>> entries, FleetShare share) {
+        this.share = share;
         this.own = own;
         this.entries = entries;
     }
@@ -66,7 +70,9 @@
         if (!limit.isLimited() || !isCold(replica, nowMillis)) {
             return true;
         }
-        return owns(replica) && placedSince(replica, nowMillis - WINDOW_MILLIS) < requestsPerOwner(limit);
+        return !share.predecessorMayCount(WINDOW_MILLIS)
+                && owns(replica)
+                && placedSince(replica, nowMillis - WINDOW_MILLIS) < requestsPerOwner(limit);
     }
 
     /** Records a request that is placed at a replica. */
--- a/core/src/test/java/org/streamring/kernel/placement/ColdReplicasTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/ColdReplicasTest.java
@@ -12,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
+import org.streamring.kernel.limit.FleetShare;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -21,6 +22,7 @@
 
     private static final int ENTRIES = 30;
     private static final int REPLICAS = 12;
+    private static final FleetShare FIRST = new FleetShare(() -> new FleetShare.View(ENTRIES, 0, true), () -> 0);
 
     private Set<String> all;
 
@@ -31,21 +33,21 @@
 
     @Test
     public void aWarmReplicaAcceptsAnyNumberOfRequests() {
-        ColdReplicas cold = new ColdReplicas("entry-1", () -> all);
+        ColdReplicas cold = new ColdReplicas("entry-1", () -> all, FIRST);
         IntStream.range(0, 1_000).forEach(each -> cold.placed("i-1", 0));
         assertThat(cold.mayPlace("i-1", LIMIT, 0)).isTrue();
     }
 
     @Test
     public void aServiceWithoutColdRateIsNotLimited() {
-        ColdReplicas cold = new ColdReplicas("entry-1", Set::of);
+        ColdReplicas cold = new ColdReplicas("entry-1", Set::of, FIRST);
         cold.recordCold("i-1", 3_000, 0);
         assertThat(cold.mayPlace("i-1", ColdLimit.NONE, 0)).isTrue();
     }
 
     @Test
     public void theLatestEndOfTheColdPeriodAppliesAndAReportOfZeroDoesNotEndIt() {
-        ColdReplicas cold = new ColdReplicas("entry-1", () -> all);
+        ColdReplicas cold = new ColdReplicas("entry-1", () -> all, FIRST);
         cold.recordCold("i-1", 3_000, 1_000);
         cold.recordCold("i-1", 500, 2_000);
         cold.recordCold("i-1", 0, 2_500);
@@ -55,11 +57,23 @@
 
     @Test
     public void anEntryWithoutViewOfTheFleetSendsNothingToAColdReplica() {
-        ColdReplicas cold = new ColdReplicas("entry-1", Set::of);
+        ColdReplicas cold = new ColdReplicas("entry-1", Set::of, FIRST);
         cold.recordCold("i-1", 3_000, 0);
         assertThat(cold.mayPlace("i-1", LIMIT, 100)).isFalse();
     }
 
+    @Test
+    public void aStartingProcessSendsNothingWhileRequestsOfItsPredecessorCount() {
+        long[] sinceStart = {0};
+        FleetShare share = new FleetShare(() -> new FleetShare.View(1, 0, false), () -> sinceStart[0]);
+        ColdReplicas cold = new ColdReplicas("entry-1", () -> Set.of("entry-1"), share);
+        cold.recordCold("i-1", 10_000, 0);
+        sinceStart[0] = ColdReplicas.WINDOW_MILLIS - 1;
+        assertThat(cold.mayPlace("i-1", LIMIT, sinceStart[0])).isFalse();
+        sinceStart[0]++;
+        assertThat(cold.mayPlace("i-1", LIMIT, sinceStart[0])).isTrue();
+    }
+
     @Test
     public void aRateThatIsTooSmallForItsOwnersAllowsNoRequests() {
         assertThat(ColdReplicas.requestsPerOwner(new ColdLimit(0.5, 5.75))).isZero();
@@ -102,10 +116,10 @@
         List<ColdReplicas> fleet = new ArrayList<>();
         for (int number = 0; number < ENTRIES; number++) {
             Set<String> entriesInView = view.apply(number);
-            fleet.add(new ColdReplicas("entry-" + number, () -> entriesInView));
+            fleet.add(new ColdReplicas("entry-" + number, () -> entriesInView, FIRST));
             if (addNewEntries) {
                 Set<String> others = view.apply(number + 1);
-                fleet.add(new ColdReplicas("new-" + number, () -> others));
+                fleet.add(new ColdReplicas("new-" + number, () -> others, FIRST));
             }
         }
         fleet.forEach(each -> each.recordCold(replica, 10_000, 0));
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -155,7 +155,6 @@
                 new BackendAvailability(() -> this.settings.drainTime().toMillis(), new AvailabilityLog(log));
         this.registry = new BackendRegistry(settings.lapsedRetention().toMillis(), availability);
         this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
-        ColdReplicas cold = new ColdReplicas(settings.nodeName(), this::possiblyLiveEntries);
         EntryMetrics metrics = new EntryMetrics();
         this.viewAges = new ViewAgeLog(clock, metrics, log);
         this.store = new EraCheckedStore(platform.store());
@@ -167,11 +166,13 @@
         this.grants = new GrantExchange(loop, peers, settings.nodeName(), store, knowledge, log);
         this.lending = new TokenLending(loop, peers, homeEntries, random, metrics, log);
         this.members = createMemberRegister(incarnation);
+        FleetShare share = new FleetShare(members::view, clock);
+        ColdReplicas cold = new ColdReplicas(settings.nodeName(), members::possiblyLive, share);
         this.tokens = createTokenAllocator(
                 new PrepaidLedger(incarnation, PrepaidSettings.DEFAULT), homeEntries, random, metrics);
         this.permits = new PermitExchange(
                 loop, peers, settings.nodeName(), this::permitOwners, clock, metrics, log, new LimitLog(log, metrics));
-        this.fleet = createFleet(permits.coordinator(), cold, random);
+        this.fleet = createFleet(permits.coordinator(), cold, share, random);
         this.backends = new BackendFeed(platform.operatorRows(), registry, cold, fleet.placement(), clock, log);
         this.link = new LinkBacklog(() -> this.settings.linkBytesPerSecond());
         ReportPace reportPace = new ReportPace(() -> this.settings.linkBytesPerSecond());
@@ -245,7 +246,8 @@
                 backends);
     }
 
-    private BackendFleet createFleet(PermitCoordinator permitCoordinator, ColdReplicas cold, Random random) {
+    private BackendFleet createFleet(
+            PermitCoordinator permitCoordinator, ColdReplicas cold, FleetShare share, Random random) {
         return new BackendFleet(
                 loop,
                 registry,
@@ -256,7 +258,7 @@
                 platform.headers(),
                 clock,
                 members::live,
-                new FleetShare(members::view, clock),
+                share,
                 () -> this.settings.retries(),
                 () -> this.settings.cold());
     }
@@ -332,10 +334,6 @@
                 .isPresent();
     }
 
-    private Set<String> possiblyLiveEntries() {
-        return members.possiblyLive();
-    }
-
     /**
      * Returns the entries that all other entries can reach. In a small fleet, these are all live entries, including
      * connected ones that the store does not list yet.
--- a/direct/src/test/java/org/streamring/direct/feed/BackendFeedTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/BackendFeedTest.java
@@ -10,6 +10,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.request.AvailabilityLog;
 import org.streamring.kernel.availability.BackendAvailability;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.PlacementTable;
 import org.streamring.kernel.registry.BackendInstance;
@@ -34,7 +35,7 @@
         feed = new BackendFeed(
                 new StartTimes(),
                 registry,
-                new ColdReplicas("entry", Set::of),
+                new ColdReplicas("entry", Set::of, new FleetShare(() -> new FleetShare.View(1, 0, true), () -> 0)),
                 new PlacementTable(new Random(1)),
                 () -> 0,
                 log);
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -214,7 +214,7 @@
                 registry,
                 availability,
                 permits.coordinator(),
-                new ColdReplicas(ENTRY, Set::of),
+                new ColdReplicas(ENTRY, Set::of, new FleetShare(() -> new FleetShare.View(1, 0, true), () -> 0)),
                 new Random(1),
                 TestHeaders.NAMES,
                 () -> nowMillis,
--- a/standin/src/main/java/org/streamring/standin/model/ModelEntry.java
+++ b/standin/src/main/java/org/streamring/standin/model/ModelEntry.java
@@ -9,6 +9,7 @@
 import org.streamring.kernel.admission.WaitDecision;
 import org.streamring.kernel.admission.WaitPolicy;
 import org.streamring.kernel.admission.WaitQuery;
+import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.PlacementQuery;
 import org.streamring.kernel.placement.PlacementReport;
@@ -55,7 +56,9 @@
         this.processor =
                 new Backlog(settings.cores().get(number % settings.cores().size()));
         this.placement = new PlacementTable(random);
-        this.coldReplicas = new ColdReplicas(name(), fleet::names);
+        FleetShare share =
+                new FleetShare(() -> new FleetShare.View(fleet.names().size(), 0, true), time::millis);
+        this.coldReplicas = new ColdReplicas(name(), fleet::names, share);
         this.waitPolicy = choice.policyFactory().get();
     }
 
