Ask other entries again if the era changes before the first rows are read

Cause: an entry that started while the store was silent saw the era change before it had read its first rows. It asked the others at once (none was connected yet), read the rows, found them older than the era and stopped all writes of leases until it had asked again, which it did only if it had never asked. Class: a wait whose end is another event than the one that began it.

Change: it asks again unless it has asked since the wait began.

Figures: RowRecoveryTest fails before (still waiting after 1 s) and passes now.

--- a/direct/src/main/java/org/streamring/direct/ledger/RowRecovery.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/RowRecovery.java
@@ -92,9 +92,10 @@
 
     private void collectOnceConnected() {
         collecting = true;
+        int before = collections;
         loop.schedule(
                 () -> {
-                    if (collections == 0) {
+                    if (collections == before) {
                         collect();
                     }
                 },
