Wait for a window only after a restart, and count events that complete after a cancellation

Cause: every process that is not the first of its fleet waited as long as one that joins others, five seconds, which is too long for a restart and too short for a fleet whose entries read each other every eight seconds. And an event that had begun before a cancellation and was completed after it was not counted.

Change: FleetShare knows what the process found at its start: nothing, a row of its box, or others only (ten seconds more). An incomplete event counts at the end of a cancelled run.

--- a/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
@@ -6,14 +6,14 @@
 /**
  * This entry's part of an amount that all entries together may use within a sliding window.
  *
- * <p>All entries that may be live have equal parts; one that is unreachable keeps its part. A process has none for a
- * window after its start, because its predecessor on this box may have used the part of the box until then, and other
- * entries may not have divided the amount anew. The first process of a fleet has its part at once. Confined to one
+ * <p>All entries that may be live have equal parts; one that is unreachable keeps its part. A restarted process has
+ * none for the length of the window, because its predecessor may have used the part of the box until its start. One
+ * that joins others has none until the uses from before they divided the amount anew no longer count. Confined to one
  * thread.
  */
 public final class FleetShare {
-    /** Longer than it takes other entries to learn of a new one. */
-    private static final long DIVIDED_ANEW_MILLIS = 5_000;
+    /** Time after which all entries know of a new one; they read the entries every two to eight seconds. */
+    private static final long VIEW_PROPAGATION_MILLIS = 10_000;
 
     /** Much shorter than the time after which other entries divide the part of an unreachable one among themselves. */
     private static final long MAX_VIEW_AGE_MILLIS = 30_000;
@@ -21,14 +21,24 @@
     private final Supplier<View> view;
     private final LongSupplier sinceStart;
 
+    /** What a process found when it started. */
+    public enum Start {
+        /** No entry. */
+        FIRST,
+        /** An earlier process of its box. */
+        RESTARTED,
+        /** Other entries only, or what it found is not known yet. */
+        JOINED
+    }
+
     /**
      * The entries that may be live, as last read.
      *
      * @param entries number of entries including this one; 0 before the first reading
      * @param ageMillis milliseconds since the reading
-     * @param first whether no process was listed before this one
+     * @param start what this process found when it started
      */
-    public record View(int entries, long ageMillis, boolean first) {}
+    public record View(int entries, long ageMillis, Start start) {}
 
     /**
      * Creates a share.
@@ -51,7 +61,7 @@
      * @param windowMillis milliseconds for which it counts
      */
     public boolean predecessorMayCount(long windowMillis) {
-        return !view.get().first() && sinceStart.getAsLong() < windowMillis;
+        return view.get().start() != Start.FIRST && sinceStart.getAsLong() < windowMillis;
     }
 
     /**
@@ -61,8 +71,10 @@
      */
     public double of(double amount, long windowMillis) {
         View current = view.get();
-        boolean starting = predecessorMayCount(windowMillis + DIVIDED_ANEW_MILLIS);
-        if (starting || current.entries() == 0 || current.ageMillis() > MAX_VIEW_AGE_MILLIS) {
+        boolean known = current.entries() > 0 && current.ageMillis() <= MAX_VIEW_AGE_MILLIS;
+        boolean joining =
+                current.start() == Start.JOINED && sinceStart.getAsLong() < windowMillis + VIEW_PROPAGATION_MILLIS;
+        if (!known || joining || predecessorMayCount(windowMillis)) {
             return 0;
         }
         return amount / current.entries();
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -50,9 +50,8 @@
     private long ownVersion;
     private long oldestLiveMillis = Long.MIN_VALUE;
     private long readMillis;
-    private boolean ownRowListedBefore;
     private boolean ownRowWritten;
-    private boolean first;
+    private FleetShare.Start start = FleetShare.Start.JOINED;
     private int live = 1;
     private Set<String> possiblyLive = Set.of();
     private boolean stopping;
@@ -134,7 +133,7 @@
 
     /** Returns the number of entries that may be live, and when it was determined. */
     public FleetShare.View view() {
-        return new FleetShare.View(possiblyLive.size(), clock.getAsLong() - readMillis, first);
+        return new FleetShare.View(possiblyLive.size(), clock.getAsLong() - readMillis, start);
     }
 
     private Set<String> namesOfPossiblyLive() {
@@ -175,7 +174,7 @@
         for (StoredRow row : page.rows()) {
             if (row.key().equals(ownKey)) {
                 ownVersion = row.version();
-                ownRowListedBefore |= !ownRowWritten;
+                start = ownRowWritten ? start : FleetShare.Start.RESTARTED;
             } else {
                 observe(row, new StorePosition(page.position().era(), row.version()));
             }
@@ -242,7 +241,8 @@
         store.list(TABLE, "").whenComplete((page, failure) -> {
             if (failure == null) {
                 handlePage(page);
-                first = !ownRowListedBefore && observed.isEmpty();
+                boolean alone = observed.isEmpty() && start == FleetShare.Start.JOINED;
+                start = alone ? FleetShare.Start.FIRST : start;
             }
         });
     }
--- a/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
+++ b/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
@@ -81,12 +81,9 @@
         return events.size();
     }
 
-    /** Returns the number of events that begin in data that is not passed on. */
+    /** Returns the number of events that are complete with this data, which is not passed on. */
     int skipData(byte[] data) {
-        int continued = splitter.hasPartial() ? 1 : 0;
-        int complete = splitter.add(data).size();
-        int begun = splitter.hasPartial() ? 1 : 0;
-        return complete + begun - continued;
+        return splitter.add(data).size();
     }
 
     /** Whether the stream received so far ends at an event boundary. */
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -77,7 +77,7 @@
         /**
          * Called once after {@link AttemptRun#cancelAndDrain}.
          *
-         * @param events events that arrived after the cancellation
+         * @param events events that arrived after the cancellation, also an incomplete one
          * @param toItsEnd whether the answer was received up to the point where the replica ended it
          */
         void attemptDrained(int events, boolean toItsEnd);
@@ -178,7 +178,8 @@
         Objects.requireNonNull(drainTimer).cancel(false);
         AnswerHead answered = head;
         boolean countable = streaming || answered == null || answered.status() >= FIRST_NON_SUCCESS_STATUS;
-        owner.attemptDrained(drainedEvents, toItsEnd && countable);
+        int incompleteEvents = relay.endsBetweenEvents() ? 0 : 1;
+        owner.attemptDrained(drainedEvents + incompleteEvents, toItsEnd && countable);
     }
 
     private void checkSilence() {
--- a/direct/src/main/java/org/streamring/direct/request/RequestTokens.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestTokens.java
@@ -65,7 +65,7 @@
     /**
      * Adds the usage of an attempt that was cancelled.
      *
-     * @param events events that arrived after the cancellation
+     * @param events events that arrived after the cancellation, also an incomplete one
      * @param toItsEnd whether the answer was received up to the point where the replica ended it
      */
     void attemptDrained(int events, boolean toItsEnd) {
--- a/standin/src/main/java/org/streamring/standin/model/ModelEntry.java
+++ b/standin/src/main/java/org/streamring/standin/model/ModelEntry.java
@@ -56,8 +56,8 @@
         this.processor =
                 new Backlog(settings.cores().get(number % settings.cores().size()));
         this.placement = new PlacementTable(random);
-        FleetShare share =
-                new FleetShare(() -> new FleetShare.View(fleet.names().size(), 0, true), time::millis);
+        FleetShare share = new FleetShare(
+                () -> new FleetShare.View(fleet.names().size(), 0, FleetShare.Start.FIRST), time::millis);
         this.coldReplicas = new ColdReplicas(name(), fleet::names, share);
         this.waitPolicy = choice.policyFactory().get();
     }
