Let an entry that joins others use the retries that they leave

Change: established entries use four fifths of the slack; an entry that joins uses the rest, and no more than its part, until all have divided it anew.

--- a/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
@@ -12,8 +12,6 @@
  * one window after it was sent. Confined to one thread.
  */
 public final class FleetRetryBudget {
-    private static final double USED_SHARE = 0.8;
-
     /** Retries take different times to arrive, so that those of more than one window may arrive within one. */
     private static final long MAX_TRANSIT_MILLIS = 500;
 
@@ -94,7 +92,8 @@
     }
 
     private double allowed() {
-        return USED_SHARE * (ratio * requests.size() + share.of(slack, windowMillis + MAX_TRANSIT_MILLIS));
+        double fromRequests = FleetShare.USED_SHARE * ratio * requests.size();
+        return fromRequests + share.of(slack, windowMillis + MAX_TRANSIT_MILLIS);
     }
 
     /** Returns the use of this budget at the last decision. */
--- a/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetShare.java
@@ -6,12 +6,18 @@
 /**
  * This entry's part of an amount that all entries together may use within a sliding window.
  *
- * <p>All entries that may be live have equal parts; one that is unreachable keeps its part. A restarted process has
- * none for the length of the window, because its predecessor may have used the part of the box until its start. One
- * that joins others has none until the uses from before they divided the amount anew no longer count. Confined to one
- * thread.
+ * <p>All entries that may be live have equal parts of most of the amount; one that is unreachable keeps its part. A
+ * restarted process has none for the length of the window, because its predecessor may have used the part of the box
+ * until its start. A process that joins others uses what they leave, until the uses from before they divided the amount
+ * anew no longer count. Confined to one thread.
  */
 public final class FleetShare {
+    /** Part of the amount that established entries use together. */
+    static final double USED_SHARE = 0.8;
+
+    /** Part of the amount that a joining entry uses while the others don't know of it. */
+    private static final double JOINING_SHARE = 0.2;
+
     /** Time after which all entries know of a new one; they read the entries every two to eight seconds. */
     private static final long VIEW_PROPAGATION_MILLIS = 10_000;
 
@@ -61,7 +67,7 @@
      * @param windowMillis milliseconds for which it counts
      */
     public boolean predecessorMayCount(long windowMillis) {
-        return view.get().start() != Start.FIRST && sinceStart.getAsLong() < windowMillis;
+        return view.get().start() == Start.RESTARTED && sinceStart.getAsLong() < windowMillis;
     }
 
     /**
@@ -72,11 +78,12 @@
     public double of(double amount, long windowMillis) {
         View current = view.get();
         boolean known = current.entries() > 0 && current.ageMillis() <= MAX_VIEW_AGE_MILLIS;
-        boolean joining =
-                current.start() == Start.JOINED && sinceStart.getAsLong() < windowMillis + VIEW_PROPAGATION_MILLIS;
-        if (!known || joining || predecessorMayCount(windowMillis)) {
+        if (!known || predecessorMayCount(windowMillis)) {
             return 0;
         }
-        return amount / current.entries();
+        double part = USED_SHARE * amount / current.entries();
+        boolean joining =
+                current.start() == Start.JOINED && sinceStart.getAsLong() < windowMillis + VIEW_PROPAGATION_MILLIS;
+        return joining ? Math.min(part, JOINING_SHARE * amount) : part;
     }
 }
