--- a/core/src/test/java/org/streamring/kernel/limit/RetrySimulation.java
+++ b/core/src/test/java/org/streamring/kernel/limit/RetrySimulation.java
@@ -10,9 +10,9 @@
 import java.util.Random;
 
 /**
- * Simulates entries that share a limit on retries, while replicas reject most requests, entries join, restart in series, and
- * some are cut off from the store and from each other. Retries wait before they are sent, and take different times to
- * arrive; they are counted where they arrive.
+ * Simulates entries that share a limit on retries, while replicas reject most requests. Entries join, restart in
+ * series, and are cut off from the store and from each other. Retries wait before they are sent, and take different
+ * times to arrive; they are counted where they arrive.
  */
 final class RetrySimulation {
     static final double RATIO = 0.2;
