Let usage caps of idle leases rise during a store outage

Callers saw 503 no_tokens_leased for sound requests from some two seconds of a silent store on, although their entry held the tokens.

Cause: in small fleets the usage cap of an account without demand allowed 15 in 100 of its lease and did not rise until the silence timeout of 3.2 s. Ruled out: witnesses that answer late (they are asked after the timeout only).

Change: the cap of a lease rises to three tenths of it by the silence timeout.

--- a/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
@@ -19,8 +19,11 @@
  */
 public record LeaseShape(
         double idleShare, double capGrowthFactor, double minCapShare, double largestRequestShare, Duration release) {
-    /** Sizing where all entries hold leases: other entries cannot use a remainder unless they borrow it. */
-    public static final LeaseShape ALL_HOLD = new LeaseShape(0.25, 1.3, 0, 0, Duration.ofSeconds(10));
+    /**
+     * Sizing where all entries hold leases: other entries cannot use a remainder unless they borrow it. Usage caps of an
+     * idle lease rise during an outage, because an account may become active just then.
+     */
+    public static final LeaseShape ALL_HOLD = new LeaseShape(0.25, 1.3, 0.3, 0, Duration.ofSeconds(10));
 
     /**
      * Sizing where few entries hold leases. Demand at a holder is bursty, as one long prompt equals seconds of the mean
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidLedgerTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidLedgerTest.java
@@ -375,6 +375,23 @@
         assertThat(proposal.cap().atSilenceTimeout()).isLessThanOrEqualTo(proposal.granted());
     }
 
+    /** Guards against refusing the requests of an account that was idle when the store fell silent. */
+    @Test
+    public void aBurstOnAnIdleLeaseIsServedUntilTheSilenceTimeout() {
+        Proposal proposal = ledger.plan(ACCOUNT, row, 2);
+        ledger.proposed(proposal);
+        ledger.confirmed(proposal);
+
+        long stepMillis = SILENCE_TIMEOUT_MILLIS / 100;
+        long tokensPerStep = proposal.granted() / 4 / 100;
+        for (long millis = 0; millis < SILENCE_TIMEOUT_MILLIS; millis += stepMillis) {
+            ledger.setTimeSinceConfirmedWrite(millis);
+            assertThat(ledger.reserve(ACCOUNT, tokensPerStep))
+                    .as("after %d ms", millis)
+                    .isEqualTo(Outcome.RESERVED);
+        }
+    }
+
     @Test
     public void anAccountWithoutAUsageCapCountsAsFullyUsed() {
         PrepaidRow held = row.withHolding("entry-1.old", new Holding(30_000, 2_000));
--- a/core/src/test/java/org/streamring/kernel/prepaid/TokensThroughOutagesTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/TokensThroughOutagesTest.java
@@ -65,6 +65,18 @@
         assertThat(mean(FleetSimulation::unreclaimableAtSample)).isLessThan(0.05);
     }
 
+    /** Usage caps of idle leases rise during an outage, so that more tokens count as used. */
+    @Test
+    public void aLossOfAllEntriesOfASmallFleetBeforeTheSilenceTimeoutLeavesFewTokensUnreclaimable() {
+        List<FleetSimulation.Outage> outages = List.of(new FleetSimulation.Outage(5_800, 8_800));
+        double unreclaimable = IntStream.range(0, SEEDS)
+                .mapToObj(seed -> new FleetSimulation(seed, 4, 10, 10_000, 1.3, outages, 8_800).simulate())
+                .mapToDouble(FleetSimulation::unreclaimableAtSample)
+                .average()
+                .orElseThrow();
+        assertThat(unreclaimable).isLessThan(0.05);
+    }
+
     /** The recent demand of an account predicts its next seconds poorly. */
     @Test
     public void fewTokensAreRefusedDuringAnOutageWithBurstyAccounts() {
