Excuse a suspect whose crashes several suspects account for together

Cause: a sound part had been with a crashing request on two servers that ended and with a crashing part on a third one. A request that lacks both was blocked, as neither accounts for all three crashes. Restarts lengthened it: a process that learns of a block does not know its age.

Change: blocked suspects that a request does not hold excuse it together.

Figures: the new test of PromptPartSuspectsTest failed and passes.

The age of a block is still not told.

--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -19,10 +19,10 @@
  * have ended under it one after the other; servers that end together count once, since a popular suspect is processed
  * by many servers, which may end together for another reason. An answer clears a suspect of the crashes before it.
  *
- * <p>A request is not sent if it holds a blocked suspect, unless another blocked suspect, which the request does not
- * hold, accounts for the same crashes: sending it tells which of the two crashes the servers. Likewise, a suspect that
- * only requests of one account held is blocked for this account only. When a block expires, one entry sends one request
- * as a trial. Confined to one thread.
+ * <p>A request is not sent if it holds a blocked suspect, unless other blocked suspects, which the request does not
+ * hold, account for the same crashes: sending it tells which of them crash the servers. Likewise, a suspect that only
+ * requests of one account held is blocked for this account only. When a block expires, one entry sends one request as a
+ * trial. Confined to one thread.
  */
 public final class SuspectTable {
     /** Time after which to decide again on a request that waits for a trial, here or at another entry. */
@@ -89,17 +89,20 @@
     }
 
     /**
-     * Returns whether a blocked suspect that the request doesn't hold accounts for these crashes.
+     * Returns whether blocked suspects that the request doesn't hold together account for these crashes.
      *
-     * @param mustDecide whether one that accounts for no further crashes is enough, so that the request is sent to tell
-     *     which of the two crashes servers
+     * @param mustDecide whether suspects with no more crashes than these are enough, so that the request is sent to tell
+     *     which of them crash servers
      */
     private boolean isExplained(Set<String> servers, Set<SuspectId> held, boolean mustDecide) {
         int minCrashes = mustDecide ? servers.size() : servers.size() + 1;
-        return blocked.stream()
+        Set<String> unexplained = new HashSet<>(servers);
+        blocked.stream()
                 .filter(other -> !held.contains(other))
                 .map(this::evidenceOf)
-                .anyMatch(other -> other.unclearedCount() >= minCrashes && other.hasUncleared(servers));
+                .filter(other -> other.unclearedCount() >= minCrashes)
+                .forEach(other -> unexplained.removeAll(other.uncleared()));
+        return unexplained.isEmpty();
     }
 
     private SuspectDecision decide(SuspectId suspect, long nowMillis) {
--- a/core/src/test/java/org/streamring/kernel/suspect/PromptPartSuspectsTest.java
+++ b/core/src/test/java/org/streamring/kernel/suspect/PromptPartSuspectsTest.java
@@ -107,6 +107,21 @@
         assertThat(table.decide(prompt(HOTEL, FIRST, CRASHING), 30).maySend()).isFalse();
     }
 
+    /** Guards against refusing sound requests for crashes that two other suspects together account for. */
+    @Test
+    public void aPartOfWhichTwoCrashingPartsAccountForTheCrashesIsSent() {
+        crash(table, prompt(HOTEL, SECOND), "s-0@1", 0);
+        crash(table, prompt(HOTEL, FIRST, SECOND), "s-1@1", 100);
+        crash(table, prompt(HOTEL, FIRST, SECOND), "s-2@1", 200);
+        crash(table, prompt(HOTEL, FIRST, CRASHING), "s-3@1", 300);
+        crash(table, prompt(HOTEL, CRASHING), "s-4@1", 400);
+        crash(table, prompt(HOTEL, CRASHING), "s-5@1", 500);
+
+        assertThat(table.decide(prompt(HOTEL, FIRST), 600).maySend()).isTrue();
+        assertThat(table.decide(prompt(HOTEL, FIRST, SECOND), 600).maySend()).isFalse();
+        assertThat(table.decide(prompt(HOTEL, FIRST, CRASHING), 600).maySend()).isFalse();
+    }
+
     @Test
     public void aCrashUnderOneOfTwoPartsTellsWhichOfThemIsToBeBlocked() {
         crashThrice(table, FIRST, CRASHING);
