Let a restarted home entry wait for its first lender as other entries do

Callers of an entry that had just restarted saw 503 no_tokens_leased where another entry held the tokens and was about to be connected (lenders_asked 0).

Cause: only entries that are no home of an account waited for their first connection; in small fleets every entry is a home of every account.

Change: every entry that has not been connected for long enough waits, within the time that a request waits for tokens anyway.

--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -334,7 +334,7 @@
             if (!isWaiting()) {
                 return;
             }
-            if (answers.asked() == 0 && !homeEntries.isHome(account) && mayStillConnect()) {
+            if (answers.asked() == 0 && mayStillConnect()) {
                 loop.schedule(this::askAgain, ASK_AGAIN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             } else if (leasing) {
                 giveUp(renewer.storeUnreachable() ? "store_away" : "lease_not_in_time");
--- a/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
@@ -182,6 +182,20 @@
         assertThat(outcomes).containsExactly(Outcome.RESERVED);
     }
 
+    /** Guards against refusing at once where this entry is a home entry of the account, as in all small fleets. */
+    @Test
+    public void aRestartedHomeEntryWaitsForItsFirstLenderOnceItNeedsOne() {
+        startEntry(true);
+        rows.answers = false;
+        List<Outcome> outcomes = new ArrayList<>();
+        tokenAllocator.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(REFUSAL_WITHOUT_LENDER_MILLIS - 50);
+        assertThat(outcomes).isEmpty();
+        lenders.connected = true;
+        advance(30);
+        assertThat(outcomes).containsExactly(Outcome.RESERVED);
+    }
+
     @Test
     public void aRestartedEntryWithoutConnectionsRefusesSoon() {
         startEntry(false);
