End a wait for a lease in time while a lender promises more tokens

A request that asks a lender again waited for it 200 ms beyond its own time, as if the lender had been late.

Change: a request that may also be served by a lease ends its wait in time.

--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -348,9 +348,10 @@
             }
         }
 
+        /** Asks other entries again. A request that may also be served by a lease does not wait longer for loans. */
         private void askAgain() {
             if (isWaiting()) {
-                allLendersAsked = false;
+                allLendersAsked = leasing;
                 lenders.ask(account, this::lacking, this::lent, this::continueAfterLoans);
             }
         }
--- a/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
@@ -58,8 +58,9 @@
     private static final long MAX_WRITE_PAUSE_MILLIS = 2_000;
 
     private static final long LENDER_PAUSE_MILLIS = 300;
+    private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 20;
     /** Wait for the first lease of a process, one final try and the check interval that ends them. */
-    private static final long REFUSAL_WITHOUT_LENDER_MILLIS = 200 + ANSWER_MILLIS + 20;
+    private static final long REFUSAL_WITHOUT_LENDER_MILLIS = 200 + ANSWER_MILLIS + EXPIRY_CHECK_INTERVAL_MILLIS;
 
     private EmbeddedChannel time;
     private EventLoop loop;
@@ -213,6 +214,20 @@
         assertThat(outcomes).containsExactly(Outcome.RESERVED);
     }
 
+    @Test
+    public void aHomeEntryRefusesInTimeWhileALenderPromisesMoreTokens() {
+        startEntry(true);
+        rows.answers = false;
+        lenders.connected = true;
+        lenders.tokens = 0;
+        lenders.moreSoon = true;
+        lenders.answerMillis = 50;
+        List<Outcome> outcomes = new ArrayList<>();
+        tokenAllocator.reserve(ACCOUNT, LARGE, outcomes::add);
+        advance(REFUSAL_WITHOUT_LENDER_MILLIS + EXPIRY_CHECK_INTERVAL_MILLIS);
+        assertThat(outcomes).containsExactly(Outcome.UNAVAILABLE);
+    }
+
     @Test
     public void aRestartedEntryWithoutConnectionsRefusesSoon() {
         startEntry(false);
@@ -388,6 +403,7 @@
         private boolean connected;
         private long tokens = Long.MAX_VALUE;
         private boolean moreSoon;
+        private long answerMillis;
         private boolean paused;
         private OptionalLong answersAfterMillis = OptionalLong.empty();
 
@@ -404,7 +420,12 @@
                 lent.accept(Math.min(tokens, lacking.getAsLong()));
             }
             int asked = connected ? 1 : 0;
-            atEnd.accept(new Answers(asked, asked, connected, connected && moreSoon));
+            Answers answers = new Answers(asked, asked, connected, connected && moreSoon);
+            if (answerMillis > 0) {
+                loop.schedule(() -> atEnd.accept(answers), answerMillis, TimeUnit.MILLISECONDS);
+            } else {
+                atEnd.accept(answers);
+            }
         }
 
         @Override
