--- a/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/LeaseShape.java
@@ -20,8 +20,8 @@
 public record LeaseShape(
         double idleShare, double capGrowthFactor, double minCapShare, double largestRequestShare, Duration release) {
     /**
-     * Sizing where all entries hold leases: other entries cannot use a remainder unless they borrow it. Usage caps of an
-     * idle lease rise during an outage, because an account may become active just then.
+     * Sizing where all entries hold leases: other entries cannot use a remainder unless they borrow it. Usage caps of
+     * an idle lease rise during an outage, because an account may become active just then.
      */
     public static final LeaseShape ALL_HOLD = new LeaseShape(0.25, 1.3, 0.3, 0, Duration.ofSeconds(10));
 
--- a/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
+++ b/core/src/main/java/org/streamring/kernel/suspect/SuspectTable.java
@@ -91,8 +91,8 @@
     /**
      * Returns whether blocked suspects that the request doesn't hold together account for these crashes.
      *
-     * @param mustDecide whether suspects with no more crashes than these are enough, so that the request is sent to tell
-     *     which of them crash servers
+     * @param mustDecide whether suspects with no more crashes than these are enough, so that the request is sent to
+     *     tell which of them crash servers
      */
     private boolean isExplained(Set<String> servers, Set<SuspectId> held, boolean mustDecide) {
         int minCrashes = mustDecide ? servers.size() : servers.size() + 1;
