--- a/cli/src/main/java/org/streamring/cli/OperatorMain.java
+++ b/cli/src/main/java/org/streamring/cli/OperatorMain.java
@@ -3,16 +3,10 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.help.Help;
-import com.github.rvesse.airline.parser.errors.ParseException;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.Callable;
+import org.streamring.net.process.CommandLine;
 
 /** Entry point of the command-line program for operators. */
 public final class OperatorMain {
-    private static final String HELP_COMMAND = "help";
-    private static final String HELP_OPTION = "--help";
-
     private OperatorMain() {}
 
     /** Runs a command and exits the JVM with its exit code. */
@@ -26,35 +20,7 @@
      * @return the exit code
      */
     public static int run(String... arguments) {
-        List<String> words = List.of(arguments);
-        if (words.contains(HELP_OPTION)) {
-            return help(words.subList(0, words.indexOf(HELP_OPTION)));
-        }
-        try {
-            Object command = commandLine().parse(arguments);
-            if (command instanceof Help && !words.isEmpty() && !words.get(0).equals(HELP_COMMAND)) {
-                System.err.println("unknown command: " + String.join(" ", words) + "; see 'streamring help'");
-                return ExitCode.BAD_INPUT;
-            }
-            if (command instanceof Callable<?> callable) {
-                Object code = callable.call();
-                return code instanceof Integer number ? number : ExitCode.OK;
-            }
-            ((Runnable) command).run();
-            return ExitCode.OK;
-        } catch (ParseException e) {
-            System.err.println(e.getMessage());
-            return ExitCode.BAD_INPUT;
-        } catch (Exception e) {
-            System.err.println("command failed: " + e);
-            return 1;
-        }
-    }
-
-    private static int help(List<String> command) {
-        List<String> words = new ArrayList<>(List.of(HELP_COMMAND));
-        command.stream().filter(word -> !word.startsWith("-")).forEach(words::add);
-        return run(words.toArray(String[]::new));
+        return CommandLine.run(commandLine(), arguments);
     }
 
     private static Cli<Object> commandLine() {
--- a/core/src/main/java/org/streamring/kernel/availability/BackendAvailability.java
+++ b/core/src/main/java/org/streamring/kernel/availability/BackendAvailability.java
@@ -11,9 +11,10 @@
  * answers.
  *
  * <p>State is kept per incarnation, so the notices of an earlier process don't apply to a new process with the same
- * identifier. A shutdown notice is final, because older rows of the list may be read after it. Availability is checked
- * when a server is chosen and again just before the request is sent, since the request may wait for a connection in
- * between. Confined to one thread.
+ * identifier. Back-offs are an exception: a new process answers before its row is listed, and its back-off is recorded
+ * for the incarnation that is listed then. A shutdown notice is final, because older rows of the list may be read after
+ * it. Availability is checked when a server is chosen and again just before the request is sent, since the request may
+ * wait for a connection in between. Confined to one thread.
  */
 public final class BackendAvailability {
     /**
@@ -38,9 +39,19 @@
     /** Retention of servers that are not listed; expired rows may be listed again some seconds after a list outage. */
     static final long RETENTION_MILLIS = 60_000;
 
+    /**
+     * Time for which the row of a new process may be late. A back-off that was requested earlier than that before the
+     * row was listed is one of the process before.
+     */
+    static final long MAX_ROW_DELAY_MILLIS = 10_000;
+
     private final LongSupplier drainMillis;
     private final AvailabilityEvents events;
     private final Map<String, ReportedState> statesByIncarnation = new HashMap<>();
+    private final Map<Server, String> listedIncarnations = new HashMap<>();
+
+    /** Server whose processes follow each other. */
+    private record Server(String id, String host, int port) {}
 
     /** Phase of the return to normal load after a back-off. */
     private enum RampUp {
@@ -56,6 +67,8 @@
     private static final class ReportedState {
         private @Nullable NoticeSource shuttingDown;
         private long leavingSinceMillis;
+        private @Nullable String successor;
+        private long backOffRequestedMillis = Long.MIN_VALUE / 2;
         private long backOffUntilMillis = Long.MIN_VALUE;
         private RampUp rampUp = RampUp.OPEN;
         private long growingSinceMillis;
@@ -89,6 +102,23 @@
         this.events = events;
     }
 
+    /**
+     * Records that an incarnation is listed as the current process of a server. It takes over a recent back-off of the
+     * incarnation listed before, and also back-offs that are recorded for that one from now on.
+     */
+    public void listed(String id, String host, int port, String incarnation, long nowMillis) {
+        String before = listedIncarnations.put(new Server(id, host, port), incarnation);
+        if (before == null || before.equals(incarnation)) {
+            return;
+        }
+        ReportedState replaced = recordNotice(before, nowMillis);
+        replaced.successor = incarnation;
+        boolean mayBeOfSuccessor = nowMillis - replaced.backOffRequestedMillis <= MAX_ROW_DELAY_MILLIS;
+        if (mayBeOfSuccessor && replaced.isBackingOff(nowMillis)) {
+            startBackOff(incarnation, replaced.backOffUntilMillis - nowMillis, nowMillis);
+        }
+    }
+
     /** Records that an incarnation is shutting down. */
     public void leaving(String incarnation, NoticeSource source, long nowMillis) {
         ReportedState reported = recordNotice(incarnation, nowMillis);
@@ -119,16 +149,25 @@
         }
     }
 
-    /** Records a back-off; of several back-offs, the one that ends last applies. */
     private void recordBackOff(String incarnation, long backOffMillis, long nowMillis) {
+        ReportedState reported = startBackOff(incarnation, backOffMillis, nowMillis);
+        if (reported.successor != null) {
+            startBackOff(reported.successor, backOffMillis, nowMillis);
+        }
+    }
+
+    /** Starts a back-off; of several back-offs, the one that ends last applies. */
+    private ReportedState startBackOff(String incarnation, long backOffMillis, long nowMillis) {
         ReportedState reported = recordNotice(incarnation, nowMillis);
         if (!reported.isBackingOff(nowMillis)) {
             events.backOffStarted(incarnation, backOffMillis);
         }
+        reported.backOffRequestedMillis = nowMillis;
         reported.backOffUntilMillis = Math.max(reported.backOffUntilMillis, nowMillis + backOffMillis);
         reported.rampUp = RampUp.PROBING;
         reported.placed = 0;
         reported.lastPlacedMillis = Long.MIN_VALUE / 2;
+        return reported;
     }
 
     private void recordServed(String incarnation, long nowMillis) {
@@ -201,6 +240,21 @@
         }
     }
 
+    /**
+     * Takes back the record of a request that was placed at the given time and was not sent. A back-off that was
+     * requested since then has started the count anew.
+     */
+    public void notSent(String incarnation, long placedMillis) {
+        ReportedState reported = statesByIncarnation.get(incarnation);
+        if (reported == null || reported.backOffRequestedMillis >= placedMillis) {
+            return;
+        }
+        reported.placed--;
+        if (reported.lastPlacedMillis == placedMillis) {
+            reported.lastPlacedMillis = Long.MIN_VALUE / 2;
+        }
+    }
+
     /** Returns the remaining back-off of an incarnation in milliseconds; 0 if it is not backing off. */
     public long remainingBackOffMillis(String incarnation, long nowMillis) {
         ReportedState reported = statesByIncarnation.get(incarnation);
@@ -231,5 +285,6 @@
                 .entrySet()
                 .removeIf(each -> !known.contains(each.getKey())
                         && nowMillis - each.getValue().lastNoticeMillis > RETENTION_MILLIS);
+        listedIncarnations.values().removeIf(each -> !known.contains(each) && !statesByIncarnation.containsKey(each));
     }
 }
--- a/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
+++ b/core/src/main/java/org/streamring/kernel/limit/FleetRetryBudget.java
@@ -81,10 +81,15 @@
         expire(nowMillis);
     }
 
+    /** Returns whether the budget allows one more retry. */
+    public boolean allows(long nowMillis) {
+        expire(nowMillis);
+        return sent.size() + granted + 1 <= allowed();
+    }
+
     /** Takes one retry from the budget; empty if the budget allows none. */
     public Optional<Grant> tryRetry(long nowMillis) {
-        expire(nowMillis);
-        if (sent.size() + granted + 1 > allowed()) {
+        if (!allows(nowMillis)) {
             return Optional.empty();
         }
         granted++;
--- a/core/src/main/java/org/streamring/kernel/permit/PermitCoordinator.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitCoordinator.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -97,9 +98,20 @@
         return entry.equals(ownName) || (connected.contains(entry) && !skipped);
     }
 
+    /**
+     * Issues permits, or assigns a turn. No entry is told to wait beyond the time from which this one may issue the
+     * whole limit, as turns are due earlier from then on.
+     */
     private PermitGrant issue(PermitAsk ask) {
         double share = owners.shareOf(ask.incarnation());
-        return share == 0 ? PermitGrant.none(LimitedBackends.RETRY_MILLIS) : issuer.answer(ask, share, nowMillis);
+        if (share == 0) {
+            return PermitGrant.none(LimitedBackends.RETRY_MILLIS);
+        }
+        PermitGrant grant = issuer.answer(ask, share, nowMillis);
+        OptionalLong untilWholeLimit = owners.millisUntilWholeLimit(ask.incarnation(), nowMillis);
+        return untilWholeLimit.isEmpty()
+                ? grant
+                : grant.waitingAtMost(Math.max(LimitedBackends.RETRY_MILLIS, untilWholeLimit.getAsLong()));
     }
 
     /** Records that a request could be sent to a server, and requests a permit if none is available. */
--- a/core/src/main/java/org/streamring/kernel/permit/PermitGrant.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitGrant.java
@@ -11,4 +11,9 @@
     static PermitGrant none(long waitMillis) {
         return new PermitGrant(0, waitMillis);
     }
+
+    /** Returns this answer with the wait reduced to a maximum. */
+    PermitGrant waitingAtMost(long maxMillis) {
+        return new PermitGrant(count, Math.min(waitMillis, maxMillis));
+    }
 }
--- a/core/src/main/java/org/streamring/kernel/permit/PermitIssuer.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitIssuer.java
@@ -21,6 +21,13 @@
     /** Time whose permits may be issued at once, where permits become due faster than permit requests arrive. */
     static final long BATCH_MILLIS = 100;
 
+    /**
+     * Time before a turn in which an entry is told to wait for it. An entry that uses its turn late delays the next
+     * turn by as much, and the entry that comes for that one would otherwise be told to wait for a turn behind those of
+     * all others, so that the delayed turn is not used.
+     */
+    static final long TURN_TOLERANCE_MILLIS = 100;
+
     /**
      * Minimum initial rate after a limit was raised or ended. The rate doubles with each answer to a later request that
      * confirms the change: the update may have been delayed, and a smaller limit announced since.
@@ -37,6 +44,7 @@
         private AnnouncedLimit announced;
         private double allowedPerSecond;
         private long changedMillis;
+        private double share;
         private double nextMillis;
         private double queueEndMillis;
         private long lastRequestMillis;
@@ -75,6 +83,22 @@
             }
         }
 
+        /** Delays the next turn, and those to be assigned behind the ones that entries wait for. */
+        private void delayTurns(double millis, long nowMillis) {
+            if (millis > 0) {
+                nextMillis += millis;
+                queueEndMillis += queueEndMillis > nowMillis ? Math.min(millis, TURN_TOLERANCE_MILLIS) : 0;
+            }
+        }
+
+        /** Assigns turns anew once the share rises, since those of the smaller share are further apart. */
+        private void applyShare(double newShare) {
+            if (newShare > share) {
+                queueEndMillis = 0;
+            }
+            share = newShare;
+        }
+
         private double perSecond() {
             return Math.max(MIN_PER_SECOND, Math.min(announced.perSecond(), allowedPerSecond));
         }
@@ -100,15 +124,22 @@
      */
     public PermitGrant answer(PermitAsk ask, double share, long nowMillis) {
         IssueRate rate = rate(ask.update(), nowMillis);
+        rate.applyShare(share);
         double interval = MILLIS_PER_SECOND / (rate.perSecond() * share);
         rate.nextMillis = Math.min(rate.nextMillis, nowMillis + interval);
-        return nowMillis < rate.nextMillis ? queue(rate, interval, nowMillis) : issue(rate, ask, interval, nowMillis);
+        if (nowMillis >= rate.nextMillis) {
+            return issue(rate, ask, interval, nowMillis);
+        }
+        double untilTurn = rate.nextMillis - nowMillis;
+        return untilTurn <= Math.min(TURN_TOLERANCE_MILLIS, interval / 2)
+                ? PermitGrant.none((long) Math.ceil(untilTurn))
+                : queue(rate, interval, nowMillis);
     }
 
     private static PermitGrant issue(IssueRate rate, PermitAsk ask, double interval, long nowMillis) {
         int batch = (int) Math.max(1, BATCH_MILLIS / interval);
         double earliest = nowMillis - (batch - 1) * interval;
-        rate.nextMillis = Math.max(rate.nextMillis, earliest);
+        rate.delayTurns(earliest - rate.nextMillis, nowMillis);
         int due = 1 + (int) ((nowMillis - rate.nextMillis) / interval);
         int count = Math.max(1, Math.min(ask.wanted(), due));
         rate.nextMillis += count * interval;
--- a/core/src/main/java/org/streamring/kernel/permit/PermitOwners.java
+++ b/core/src/main/java/org/streamring/kernel/permit/PermitOwners.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.streamring.kernel.routing.RendezvousHash;
 
@@ -73,6 +74,20 @@
         return firstInAllViews && !isolated ? 1 : SMALL_SHARE;
     }
 
+    /**
+     * Returns the time until this entry may issue the whole limit of a server, in milliseconds; empty if it may
+     * already, or if no time is known from which it may.
+     */
+    public OptionalLong millisUntilWholeLimit(String incarnation, long nowMillis) {
+        if (isolated || !isFirst(ownersOf(incarnation))) {
+            return OptionalLong.empty();
+        }
+        return earlierViews.stream()
+                .filter(view -> !isFirst(owners(incarnation, view.entries())))
+                .mapToLong(view -> Math.max(0, view.untilMillis() + VIEW_PROPAGATION_MILLIS - nowMillis))
+                .max();
+    }
+
     private boolean isFirst(List<String> owners) {
         return !owners.isEmpty() && owners.get(0).equals(ownName);
     }
--- a/core/src/main/java/org/streamring/kernel/placement/ColdReplicas.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ColdReplicas.java
@@ -82,6 +82,14 @@
         placedSince(replica, nowMillis - WINDOW_MILLIS);
     }
 
+    /** Takes back the record of a request that was placed at the given time and was not sent. */
+    public void notSent(String replica, long placedMillis) {
+        Deque<Long> times = placed.get(replica);
+        if (times != null) {
+            times.removeLastOccurrence(placedMillis);
+        }
+    }
+
     /** Removes all replicas except the given ones. */
     public void keepOnly(Set<String> replicas) {
         coldUntil.keySet().retainAll(replicas);
--- a/core/src/main/java/org/streamring/kernel/placement/PlacementQuery.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementQuery.java
@@ -39,6 +39,12 @@
         this(prompt, rank, firstEventMillis, pauseMillis, failureDomain, excluded, Optional.empty());
     }
 
+    /** Returns a query that excludes these replicas instead. */
+    public PlacementQuery excluding(Set<String> replicas) {
+        return new PlacementQuery(
+                prompt, rank, firstEventMillis, pauseMillis, failureDomain, replicas, softwareVersion);
+    }
+
     /** Whether a replica has the required software version. */
     public boolean matches(BackendInstance instance) {
         return softwareVersion.isEmpty() || softwareVersion.get().equals(instance.softwareVersion());
--- a/core/src/main/java/org/streamring/kernel/placement/ReplicaHealth.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ReplicaHealth.java
@@ -1,5 +1,7 @@
 package org.streamring.kernel.placement;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Health of one replica, derived from the results of the attempts of this entry: failures lead to an ejection, and a
  * success after it makes the replica fully usable again. Confined to one thread.
@@ -16,6 +18,9 @@
     private int ejections;
     private long ejectedUntilMillis;
     private boolean probing;
+    private @Nullable Standing beforeSilence;
+
+    private record Standing(int consecutiveFailures, int ejections, long ejectedUntilMillis, boolean probing) {}
 
     /** Records a successful answer. */
     void succeeded() {
@@ -34,7 +39,28 @@
         }
     }
 
-    /** Records that the replica cannot be reached or has stopped responding. */
+    /** Records that an attempt found the replica silent, until it is {@link #heard} again. */
+    void silent(long nowMillis) {
+        if (beforeSilence == null) {
+            beforeSilence = new Standing(consecutiveFailures, ejections, ejectedUntilMillis, probing);
+            consecutiveFailures++;
+        }
+        eject(nowMillis);
+    }
+
+    /** Records that something arrived from the replica: its silence no longer counts. */
+    void heard() {
+        Standing before = beforeSilence;
+        if (before != null) {
+            beforeSilence = null;
+            consecutiveFailures = before.consecutiveFailures();
+            ejections = before.ejections();
+            ejectedUntilMillis = before.ejectedUntilMillis();
+            probing = before.probing();
+        }
+    }
+
+    /** Records that the replica cannot be reached. */
     void unreachable(long nowMillis) {
         consecutiveFailures++;
         eject(nowMillis);
--- a/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
+++ b/core/src/main/java/org/streamring/kernel/placement/ReplicaState.java
@@ -22,6 +22,7 @@
     private final RunningMedian eventGap = new RunningMedian(INITIAL_GAP_MILLIS, EVENT_GAP_STEP);
     private final PeerLoad peers = new PeerLoad();
     private int running;
+    private int silentAttempts;
     private long unreadTokens;
     private double weightOfStreams;
     private double recentPauses;
@@ -129,14 +130,37 @@
         health.failed(nowMillis);
     }
 
-    /** Records that the replica cannot be reached or has stopped responding. */
+    /** Records that an attempt in progress is silent. */
+    public void attemptSilent() {
+        silentAttempts++;
+    }
+
+    /** Records that a silent attempt was heard again or has ended. */
+    public void attemptNoLongerSilent() {
+        silentAttempts--;
+    }
+
+    /** Records that the replica is silent on all connections. Called once for each attempt that finds it so. */
+    public void silent(long nowMillis) {
+        health.silent(nowMillis);
+    }
+
+    /** Records that something arrived from the replica. */
+    public void heard() {
+        health.heard();
+    }
+
+    /** Records that the replica cannot be reached. */
     public void unreachable(long nowMillis) {
         health.unreachable(nowMillis);
     }
 
-    /** Returns whether the replica may receive a request now; after an ejection, one at a time until one succeeds. */
+    /**
+     * Returns whether the replica may receive a request now; after an ejection, one at a time until one succeeds.
+     * Attempts that are silent do not count: their connections may have failed while the replica serves others.
+     */
     public boolean usable(long nowMillis) {
-        return health.usable(nowMillis, running == 0);
+        return health.usable(nowMillis, running <= silentAttempts);
     }
 
     /** Returns the number of attempts of all entries in progress, according to their latest reports. */
--- a/core/src/main/java/org/streamring/kernel/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/PrepaidLedger.java
@@ -108,8 +108,15 @@
     }
 
     private StoreSilence sinceConfirmedWrite() {
+        return sinceConfirmedWrite(0);
+    }
+
+    private StoreSilence sinceConfirmedWrite(long laterMillis) {
         return new StoreSilence(
-                newestMillis, confirmedMillis, settings.silenceTimeout().toMillis(), release.releaseMillis());
+                newestMillis + laterMillis,
+                confirmedMillis + laterMillis,
+                settings.silenceTimeout().toMillis(),
+                release.releaseMillis());
     }
 
     /** Returns the time over which leases are released while the store does not confirm writes. */
@@ -151,18 +158,22 @@
     }
 
     private long usable(String account, AccountLease lease) {
-        if (!sinceConfirmedWrite().silenceTimeoutElapsed()) {
-            return lease.usableWithinCap(sinceConfirmedWrite());
+        return usable(account, lease, sinceConfirmedWrite());
+    }
+
+    private long usable(String account, AccountLease lease, StoreSilence silence) {
+        if (!silence.silenceTimeoutElapsed()) {
+            return lease.usableWithinCap(silence);
         }
         if (witnesses.noneNamed()) {
-            return lease.usableAfterTimeout(sinceConfirmedWrite());
+            return lease.usableAfterTimeout(silence);
         }
         long recorded = witnesses.usable().stream()
                 .map(witness -> recordedByWitness.getOrDefault(witness, Map.of()))
                 .mapToLong(notes -> notes.getOrDefault(account, 0L))
                 .max()
                 .orElse(0);
-        return lease.usableWithRecord(recorded, sinceConfirmedWrite());
+        return lease.usableWithRecord(recorded, silence);
     }
 
     /**
@@ -251,6 +262,14 @@
         return lease(account).available(usable(account, lease(account)));
     }
 
+    /**
+     * Returns the tokens of an account that can be reserved after some time if the store confirms nothing and nothing
+     * else happens: the usable part of a lease grows with the silence of the store.
+     */
+    public long availableAfter(String account, long millis) {
+        return lease(account).available(usable(account, lease(account), sinceConfirmedWrite(millis)));
+    }
+
     /** Returns a snapshot of the lease of an account, for the log. */
     public LeaseState state(String account) {
         AccountLease lease = lease(account);
--- a/core/src/main/java/org/streamring/kernel/prepaid/RequestUsage.java
+++ b/core/src/main/java/org/streamring/kernel/prepaid/RequestUsage.java
@@ -39,6 +39,14 @@
         return promptTokens + endedTokens + unknownTokens + maxAnswerTokens;
     }
 
+    /**
+     * Returns the tokens that have to be reserved before a run that begins when the one in progress is given up. What
+     * that one generated is not known then, so its maximum is included.
+     */
+    public long neededForRunAfterCurrent() {
+        return neededForNextRun() + maxAnswerTokens;
+    }
+
     /** Adds tokens received from the run in progress. */
     public void received(long tokens) {
         runTokens = Math.min(maxAnswerTokens, runTokens + tokens);
--- a/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
+++ b/core/src/main/java/org/streamring/kernel/registry/BackendRegistry.java
@@ -53,6 +53,7 @@
     /** Adds or replaces a row. */
     public void put(BackendInstance instance, long nowMillis) {
         lapsedUntil.remove(instance.id());
+        availability.listed(instance.id(), instance.host(), instance.port(), instance.incarnation(), nowMillis);
         if (!instance.ready()) {
             availability.leaving(instance.incarnation(), NoticeSource.ROW, nowMillis);
         }
--- a/core/src/main/java/org/streamring/model/request/RefusalReason.java
+++ b/core/src/main/java/org/streamring/model/request/RefusalReason.java
@@ -10,6 +10,7 @@
     KEY_REUSED(409, "once", false),
     CALL_TOO_SLOW(408, "parse", true),
     TOO_LARGE(413, "parse", false),
+    UNSUPPORTED_EXPECTATION(417, "parse", false),
     HEADERS_TOO_LARGE(431, "parse", false),
     ACCOUNT_LIMIT(429, "limit", true),
     OVERLOAD(429, "route", true),
--- a/core/src/test/java/org/streamring/kernel/availability/BackendAvailabilityTest.java
+++ b/core/src/test/java/org/streamring/kernel/availability/BackendAvailabilityTest.java
@@ -13,6 +13,7 @@
     private static final BackendNotice SHUTTING_DOWN = new BackendNotice(true, 0);
     private static final int MAX_PLACED = 5_000;
     private static final String INCARNATION = "i-1@7";
+    private static final String RESTARTED = "i-1@8";
 
     private final List<String> events = new ArrayList<>();
     private BackendAvailability availability;
@@ -131,6 +132,38 @@
                 .isTrue();
     }
 
+    @Test
+    public void aProbeThatWasNotSentIsFollowedByAnotherOneAtOnce() {
+        receiveBackOff(3_000, 0);
+        availability.placed(INCARNATION, 3_000);
+        availability.notSent(INCARNATION, 3_000);
+        assertThat(availability.isAvailable(INCARNATION, 3_001)).isTrue();
+        availability.placed(INCARNATION, 3_001);
+        assertThat(availability.isAvailable(INCARNATION, 3_002)).isFalse();
+    }
+
+    @Test
+    public void aRequestThatWasNotSentDoesNotCountWhileTheLoadGrows() {
+        receiveBackOff(3_000, 0);
+        availability.placed(INCARNATION, 3_000);
+        receiveAnswer(BackendNotice.NONE, 3_200);
+        assertThat(placeUntilFull(3_200)).isEqualTo(1);
+        availability.notSent(INCARNATION, 3_200);
+        assertThat(placeUntilFull(3_200)).isEqualTo(1);
+    }
+
+    @Test
+    public void aRequestOfBeforeABackOffThatWasNotSentDoesNotMakeRoomAfterIt() {
+        receiveBackOff(3_000, 0);
+        availability.placed(INCARNATION, 3_000);
+        receiveBackOff(1_000, 3_000);
+        availability.placed(INCARNATION, 4_000);
+        availability.notSent(INCARNATION, 3_000);
+        assertThat(availability.isAvailable(INCARNATION, 4_001)).isFalse();
+        receiveAnswer(BackendNotice.NONE, 4_200);
+        assertThat(placeUntilFull(4_200)).isEqualTo(1);
+    }
+
     @Test
     public void aRejectionWithoutABackOffDoesNotStartTheRampUp() {
         receiveBackOff(3_000, 0);
@@ -161,6 +194,46 @@
         assertThat(events).containsExactly("rests 3000", "rested", "leaves ANSWER", "leaves ROW");
     }
 
+    @Test
+    public void aBackOffRequestedBeforeTheRowOfANewProcessIsListedAppliesToTheNewProcess() {
+        list(INCARNATION, 0);
+        receiveBackOff(1_500, 1_000);
+        list(RESTARTED, 1_200);
+        assertThat(availability.remainingBackOffMillis(RESTARTED, 1_200)).isEqualTo(1_300);
+        assertThat(availability.isAvailable(RESTARTED, 2_499)).isFalse();
+        assertThat(availability.mayBeSent(RESTARTED, false, 2_499)).isFalse();
+        assertThat(availability.isAvailable(RESTARTED, 2_500)).isTrue();
+    }
+
+    @Test
+    public void aBackOffInAnAnswerToARequestPlacedAtTheProcessBeforeAppliesToTheNewProcess() {
+        list(INCARNATION, 0);
+        list(RESTARTED, 1_000);
+        receiveBackOff(1_500, 1_100);
+        assertThat(availability.remainingBackOffMillis(RESTARTED, 1_100)).isEqualTo(1_500);
+    }
+
+    @Test
+    public void aBackOffThatANewProcessCannotHaveRequestedDoesNotApplyToIt() {
+        list(INCARNATION, 0);
+        receiveBackOff(600_000, 1_000);
+        list(RESTARTED, 1_001 + BackendAvailability.MAX_ROW_DELAY_MILLIS);
+        assertThat(availability.isAvailable(RESTARTED, 1_001 + BackendAvailability.MAX_ROW_DELAY_MILLIS))
+                .isTrue();
+    }
+
+    @Test
+    public void aBackOffDoesNotApplyToAProcessAtAnotherAddress() {
+        list(INCARNATION, 0);
+        receiveBackOff(1_500, 1_000);
+        availability.listed("i-1", "10.0.0.2", 8_080, RESTARTED, 1_200);
+        assertThat(availability.isAvailable(RESTARTED, 1_200)).isTrue();
+    }
+
+    private void list(String incarnation, long nowMillis) {
+        availability.listed("i-1", "10.0.0.1", 8_080, incarnation, nowMillis);
+    }
+
     @Test
     public void aServerThatIsNoLongerListedIsRemovedAfterTheRetentionPeriod() {
         receiveAnswer(SHUTTING_DOWN, 1_000);
--- a/core/src/test/java/org/streamring/kernel/permit/PermitIssuerTest.java
+++ b/core/src/test/java/org/streamring/kernel/permit/PermitIssuerTest.java
@@ -2,12 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class PermitIssuerTest {
     private static final String INCARNATION = "i-1@1";
+    private static final int MAX_LATE_MILLIS = 50;
 
     private PermitIssuer issuer;
 
@@ -53,6 +55,44 @@
         assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 1_000)).isEqualTo(new PermitGrant(1, 0));
     }
 
+    /** Guards against turns that nobody uses, because the entry that came for one was put behind all others. */
+    @Test
+    public void anEntryUsesItsTurnAlthoughTheOneBeforeItCameLate() {
+        issuer.answer(ask(1, 0, 0, 1), 1, 0);
+        issuer.answer(ask(1, 0, 0, 1), 1, 0);
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 1_020)).isEqualTo(new PermitGrant(1, 0));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 1_050)).isEqualTo(PermitGrant.none(1_970));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 2_000)).isEqualTo(PermitGrant.none(20));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 2_020)).isEqualTo(new PermitGrant(1, 0));
+    }
+
+    @Test
+    public void entriesThatComeLateByTurnsUseMostOfTheLimit() {
+        long[] nextAskMillis = {0, 0, 0};
+        int issued = 0;
+        Random random = new Random(1);
+        for (int now = 0; now < 60_000; now++) {
+            for (int entry = 0; entry < nextAskMillis.length; entry++) {
+                if (now >= nextAskMillis[entry]) {
+                    PermitGrant grant = issuer.answer(ask(1, 0, 0, 1), 1, now);
+                    issued += grant.count();
+                    nextAskMillis[entry] = now + grant.waitMillis() + random.nextInt(MAX_LATE_MILLIS);
+                }
+            }
+        }
+        assertThat(issued).isBetween(54, 60);
+    }
+
+    @Test
+    public void turnsAreAssignedAnewOnceTheShareRises() {
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 0.25, 0)).isEqualTo(PermitGrant.none(1_000));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 0.25, 0)).isEqualTo(PermitGrant.none(5_000));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 0.25, 1_000)).isEqualTo(new PermitGrant(1, 0));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 2_000)).isEqualTo(PermitGrant.none(1_000));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 2_000)).isEqualTo(PermitGrant.none(2_000));
+        assertThat(issuer.answer(ask(1, 0, 0, 1), 1, 3_000)).isEqualTo(new PermitGrant(1, 0));
+    }
+
     @Test
     public void aSmallerLimitAppliesAtOnce() {
         issuer.answer(ask(8, 0, 0, 1), 1, 0);
--- a/core/src/test/java/org/streamring/kernel/permit/PermitOwnersTest.java
+++ b/core/src/test/java/org/streamring/kernel/permit/PermitOwnersTest.java
@@ -60,6 +60,21 @@
         assertThat(owners.shareOf(INCARNATION)).isEqualTo(1);
     }
 
+    @Test
+    public void theTimeUntilTheWholeLimitIsKnownToTheFirstOwnerAlone() {
+        long propagation = PermitOwners.VIEW_PROPAGATION_MILLIS;
+        PermitOwners first = new PermitOwners(ENTRIES_BY_RANK.get(0));
+        first.setEntries(ENTRIES, false, 100);
+        assertThat(first.millisUntilWholeLimit(INCARNATION, 300)).hasValue(propagation - 200);
+        first.setEntries(ENTRIES, true, 400);
+        assertThat(first.millisUntilWholeLimit(INCARNATION, 400)).isEmpty();
+        first.setEntries(ENTRIES, false, 101 + propagation);
+        assertThat(first.millisUntilWholeLimit(INCARNATION, 101 + propagation)).isEmpty();
+        PermitOwners second = new PermitOwners(ENTRIES_BY_RANK.get(1));
+        second.setEntries(ENTRIES, false, 100);
+        assertThat(second.millisUntilWholeLimit(INCARNATION, 300)).isEmpty();
+    }
+
     private static PermitOwners ownersAfterViewPropagation(String own) {
         PermitOwners owners = new PermitOwners(own);
         owners.setEntries(ENTRIES, false, 0);
--- a/core/src/test/java/org/streamring/kernel/placement/ColdReplicasTest.java
+++ b/core/src/test/java/org/streamring/kernel/placement/ColdReplicasTest.java
@@ -76,6 +76,20 @@
         assertThat(cold.mayPlace("i-1", LIMIT, sinceStart[0])).isTrue();
     }
 
+    @Test
+    public void aRequestThatWasNotSentDoesNotCount() {
+        ColdReplicas cold = new ColdReplicas("entry-1", () -> Set.of("entry-1"), FIRST);
+        cold.recordCold("i-1", 10_000, 0);
+        IntStream.range(0, ColdReplicas.requestsPerOwner(LIMIT)).forEach(each -> cold.placed("i-1", 100 + each));
+        cold.notSent("i-2", 100);
+        cold.notSent("i-1", 99);
+        assertThat(cold.mayPlace("i-1", LIMIT, 200)).isFalse();
+        cold.notSent("i-1", 101);
+        assertThat(cold.mayPlace("i-1", LIMIT, 200)).isTrue();
+        cold.placed("i-1", 200);
+        assertThat(cold.mayPlace("i-1", LIMIT, 200)).isFalse();
+    }
+
     @Test
     public void aRateThatIsTooSmallForItsOwnersAllowsNoRequests() {
         assertThat(ColdReplicas.requestsPerOwner(new ColdLimit(0.5, 5.75))).isZero();
--- a/core/src/test/java/org/streamring/kernel/prepaid/PrepaidLedgerTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/PrepaidLedgerTest.java
@@ -244,6 +244,17 @@
         assertThat(ledger.plan(ACCOUNT, row, 4).row()).isEmpty();
     }
 
+    @Test
+    public void theTokensThatBecomeAvailableLaterAreThoseThatAreAvailableThen() {
+        ledger.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, new Mark(0, 1_000, 6_000)));
+        for (long now = 0; now < FULL_RELEASE_MILLIS; now += 700) {
+            ledger.setTimeSinceConfirmedWrite(now);
+            long expected = ledger.availableAfter(ACCOUNT, 130);
+            ledger.setTimeSinceConfirmedWrite(now + 130);
+            assertThat(ledger.available(ACCOUNT)).as("after %d ms", now).isEqualTo(expected);
+        }
+    }
+
     @Test
     public void theUsageCapRisesWhileTheStoreIsSilent() {
         ledger.confirmed(new Proposal(ACCOUNT, Optional.of(row), 10_000, new Mark(0, 1_000, 6_000)));
--- a/core/src/test/java/org/streamring/kernel/prepaid/RequestUsageTest.java
+++ b/core/src/test/java/org/streamring/kernel/prepaid/RequestUsageTest.java
@@ -49,4 +49,13 @@
         retried.runReceived();
         assertThat(retried.used()).isEqualTo(180);
     }
+
+    @Test
+    public void aRunThatFollowsTheOneInProgressNeedsTheMaximumOfBoth() {
+        RequestUsage running = new RequestUsage(100, 50);
+        running.received(20);
+        long reserved = running.neededForRunAfterCurrent();
+        running.runUnknown();
+        assertThat(reserved).isEqualTo(running.neededForNextRun());
+    }
 }
--- a/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
+++ b/core/src/test/java/org/streamring/kernel/registry/BackendRegistryTest.java
@@ -45,6 +45,15 @@
         assertThat(ids()).containsExactlyInAnyOrder("i-1", "i-2");
     }
 
+    /** Three requests reached a server within 1.5 s of back-off that it had requested before its new row was read. */
+    @Test
+    public void aBackOffRequestedByANewProcessStaysInForceWhenItsRowIsListed() {
+        availability.answered(backend("i-1", true).incarnation(), true, new BackendNotice(false, 1_500), 4_900);
+        registry.put(new BackendInstance("i-1", "assist", "10.0.0.1", 8_080, "hall-1", 64, true, 0, 7, "v1"), 5_200);
+        assertThat(availability.isAvailable("i-1@7", 5_600)).isFalse();
+        assertThat(availability.isAvailable("i-1@7", 6_400)).isTrue();
+    }
+
     @Test
     public void aServerWhoseAnswerReportedItsShutdownIsNotKeptThroughAnOutage() {
         availability.answered(backend("i-1", true).incarnation(), false, new BackendNotice(true, 0), 9_000);
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.streamring.direct.caller.CallerServer;
+import org.streamring.direct.caller.IncompleteAnswerLog;
 import org.streamring.direct.feed.BackendFeed;
 import org.streamring.direct.feed.ConfigurationFeed;
 import org.streamring.direct.feed.EraLog;
@@ -29,6 +30,7 @@
 import org.streamring.direct.metrics.LinkBacklogMonitor;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.GrantExchange;
+import org.streamring.direct.peer.PeerReadiness;
 import org.streamring.direct.peer.PermitExchange;
 import org.streamring.direct.peer.PlacementExchange;
 import org.streamring.direct.peer.StreamOriginExchange;
@@ -62,7 +64,6 @@
 import org.streamring.kernel.suspect.SuspectLimits;
 import org.streamring.kernel.suspect.SuspectTable;
 import org.streamring.model.route.CallerLimits;
-import org.streamring.model.route.Route;
 import org.streamring.model.route.ServiceTraits;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.peer.PeerIdentity;
@@ -88,21 +89,11 @@
 
     private static final long CLEANUP_INTERVAL_MILLIS = 250;
     private static final long RELOAD_INTERVAL_MILLIS = 5_000;
-    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
     private static final Duration MAX_LEASE_WAIT = Duration.ofSeconds(4);
-    /** Longest wait for connections to other entries, which may be gone though they are still listed. */
-    private static final Duration MAX_PEER_WAIT = Duration.ofSeconds(3);
-
-    private static final Duration MIN_TIME_FOR_NEW_CALL = Duration.ofSeconds(2);
-    /**
-     * Time within which the load balancer stops sending new connections to this entry. It checks the readiness every
-     * second and removes an entry after two failed checks.
-     */
-    private static final Duration BALANCER_DETECTION_TIME = Duration.ofMillis(2_500);
 
     private final EventLoop loop;
     private final NodePlatform platform;
-    private NodeSettings settings;
+    private volatile NodeSettings settings;
     private final DecisionLog log;
     private final LongSupplier clock;
     private final BackendAvailability availability;
@@ -112,6 +103,7 @@
     private final MemberRegister members;
     private final TokenAllocator tokens;
     private final EntryPeers peers;
+    private final PeerReadiness peerReadiness;
     private final TokenLending lending;
     private final UsageWitnesses witnesses;
     private final AccountKnowledge knowledge = new AccountKnowledge();
@@ -133,9 +125,8 @@
     private final LinkBacklog link;
     private final CallerServer callers;
     private final EventLoopDelayMonitor eventLoopDelayMonitor;
-    private boolean stopping;
-    private boolean rejectingAll;
-    private long stopStartedMillis;
+    private final GracefulStop gracefulStop;
+    private final IncompleteAnswerLog incompleteAnswers;
 
     DirectEntry(
             EventLoopGroup loops,
@@ -154,14 +145,20 @@
         this.availability =
                 new BackendAvailability(() -> this.settings.drainTime().toMillis(), new AvailabilityLog(log));
         this.registry = new BackendRegistry(settings.lapsedRetention().toMillis(), availability);
-        this.configuration = new ConfigurationFeed(platform.operatorRows(), log, () -> {});
+        this.gracefulStop = new GracefulStop(loop, clock, this::stopGracePeriod, log);
         EntryMetrics metrics = new EntryMetrics();
+        this.incompleteAnswers =
+                new IncompleteAnswerLog(clock, this::configurationVersion, gracefulStop::elapsedMillis, metrics, log);
+        this.configuration =
+                new ConfigurationFeed(platform.operatorRows(), log, incompleteAnswers::configurationChanged);
         this.viewAges = new ViewAgeLog(clock, metrics, log);
         this.store = new EraCheckedStore(platform.store());
         Random random = new Random();
         PeerIdentity own = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.nodeName(), incarnation);
         this.homeEntries = new HomeEntries(settings.nodeName());
         this.peers = new EntryPeers(loops, loop, store, settings.peers(), own, homeEntries, metrics, log);
+        this.peerReadiness = new PeerReadiness(clock, peers::reachesOthers);
+        peers.listen(peerReadiness);
         this.witnesses = new UsageWitnesses(peers, settings.nodeName());
         this.grants = new GrantExchange(loop, peers, settings.nodeName(), store, knowledge, log);
         this.lending = new TokenLending(loop, peers, homeEntries, random, metrics, log);
@@ -180,13 +177,7 @@
                 loop, peers, fleet.placement(), members::live, this::memoryTokensOf, link, reportPace, clock);
         this.configurationWatch = watchConfiguration(metrics);
         this.backendWatch = watchBackends(metrics);
-        this.streams = new StreamOrigins(
-                new StreamOriginExchange(loop, peers, homeEntries, clock, metrics),
-                registry,
-                configuration::inForce,
-                backendWatch.view(),
-                loop,
-                clock);
+        this.streams = createStreamOrigins(metrics);
         this.softwareVersions = new SoftwareVersionLog(registry, streams::count, metrics, log);
         this.suspects = new SuspectTable(SuspectLimits.DEFAULT, this::sendsAfterBlock, new SuspectLog(log));
         this.suspectExchange = new SuspectExchange(loop, store, peers, settings.nodeName(), suspects, clock, log);
@@ -194,7 +185,7 @@
                 SuspectExchange.TABLE, "suspects", TableWatch.AfterGap.LIST, SUSPECTS_WAIT, metrics, suspectExchange);
         listenToEras(metrics);
         this.router = new RequestRouter(requestServices(random, metrics));
-        this.callers = new CallerServer(loops, settings.callers(), router, this::limits, clock, () -> stopping);
+        this.callers = createCallerServer(loops);
         new ReadinessServer(loops, settings.readiness(), platform.readinessPath(), this::ready);
         registerGauges(metrics);
         this.eventLoopDelayMonitor =
@@ -203,6 +194,28 @@
         log.line("started", "incarnation", incarnation, "domain", settings.failureDomain());
     }
 
+    private StreamOrigins createStreamOrigins(EntryMetrics metrics) {
+        return new StreamOrigins(
+                new StreamOriginExchange(loop, peers, homeEntries, clock, metrics),
+                registry,
+                configuration::inForce,
+                backendWatch.view(),
+                loop,
+                clock);
+    }
+
+    private CallerServer createCallerServer(EventLoopGroup loops) throws PeerException {
+        return new CallerServer(
+                loops,
+                settings.callers(),
+                router,
+                this::limits,
+                clock,
+                gracefulStop::stopping,
+                platform.headers().requestId(),
+                incompleteAnswers);
+    }
+
     private MemberRegister createMemberRegister(String incarnation) {
         return new MemberRegister(
                 loop, store, settings.nodeName(), incarnation, settings.peers(), clock, otherEntries -> {
@@ -290,7 +303,7 @@
                 tokens,
                 streams,
                 new CrashSuspectGuard(digests, suspects, suspectExchange, registry, clock, metrics, log),
-                this::accepts,
+                gracefulStop::accepts,
                 link,
                 metrics,
                 log);
@@ -417,52 +430,19 @@
         }
     }
 
+    /** Returns the time after which the process is killed. May be called from any thread. */
+    Duration stopGracePeriod() {
+        return settings.stopGracePeriod();
+    }
+
     /**
      * Stops the entry and lets running requests finish within the grace period. Has to be called on the event loop.
      *
      * @return future that completes when the process may exit
      */
     CompletableFuture<Void> stop() {
-        stopping = true;
-        log.line("stopping", "requests", callers.connectionsWithRequest());
-        CompletableFuture<Void> stopped = new CompletableFuture<>();
-        stopStartedMillis = clock.getAsLong();
         members.stop();
-        callers.closeConnectionsWithoutRequest();
-        loop.schedule(tokens::release, BALANCER_DETECTION_TIME.toMillis(), TimeUnit.MILLISECONDS);
-        waitForRequests(stopped);
-        return stopped;
-    }
-
-    private void waitForRequests(CompletableFuture<Void> stopped) {
-        long elapsed = clock.getAsLong() - stopStartedMillis;
-        rejectingAll |= router.runningStreams() == 0 && elapsed >= BALANCER_DETECTION_TIME.toMillis();
-        boolean allFinished = rejectingAll && callers.connectionsWithRequest() == 0;
-        boolean timedOut =
-                elapsed >= settings.stopGracePeriod().minus(STOP_MARGIN).toMillis();
-        if (!allFinished && !timedOut) {
-            loop.schedule(() -> waitForRequests(stopped), 50, TimeUnit.MILLISECONDS);
-            return;
-        }
-        rejectingAll = true;
-        callers.closeConnectionsWithoutRequest();
-        log.line("stopped", "requests", callers.connectionsWithRequest(), "ms", elapsed);
-        CompletableFuture<Void> returned = tokens.close();
-        returned.whenComplete((done, failure) -> stopped.complete(null));
-        loop.schedule(() -> stopped.complete(null), 400, TimeUnit.MILLISECONDS);
-    }
-
-    /** Returns whether a new request is accepted. A stopping entry rejects requests that could not finish in time. */
-    private boolean accepts(Route route) {
-        if (!stopping) {
-            return true;
-        }
-        long elapsed = clock.getAsLong() - stopStartedMillis;
-        long remaining = settings.stopGracePeriod().minus(STOP_MARGIN).toMillis() - elapsed;
-        boolean canFinishInTime = route.stream()
-                ? elapsed < BALANCER_DETECTION_TIME.toMillis()
-                : remaining > MIN_TIME_FOR_NEW_CALL.toMillis();
-        return canFinishInTime && !rejectingAll;
+        return gracefulStop.start(callers, router::runningStreams, tokens);
     }
 
     /**
@@ -471,14 +451,17 @@
      */
     private boolean ready() {
         boolean leasesReady = tokens.renewedOnce() || clock.getAsLong() > MAX_LEASE_WAIT.toMillis();
-        boolean peersReached = peers.reachesOthers() || clock.getAsLong() > MAX_PEER_WAIT.toMillis();
-        return !stopping
+        return !gracefulStop.stopping()
                 && leasesReady
-                && peersReached
+                && peerReadiness.ready()
                 && configuration.inForce().isPresent()
                 && backends.loaded();
     }
 
+    private long configurationVersion() {
+        return configuration.inForce().map(RouteTable::version).orElse(-1L);
+    }
+
     private CallerLimits limits() {
         return configuration
                 .inForce()
@@ -493,6 +476,6 @@
         streams.update();
         softwareVersions.check();
         viewAges.check();
-        callers.closeIdle();
+        callers.closeOverdue();
     }
 }
--- a/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -52,14 +53,14 @@
         signal.await();
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> entry.stop().whenComplete((done, failure) -> stopped.complete(null)));
-        awaitStop(stopped, settings);
+        awaitStop(stopped, entry.stopGracePeriod());
         log.close();
         signal.stopped();
     }
 
-    private static void awaitStop(CompletableFuture<Void> stopped, NodeSettings settings) throws InterruptedException {
+    private static void awaitStop(CompletableFuture<Void> stopped, Duration gracePeriod) throws InterruptedException {
         try {
-            stopped.get(settings.stopGracePeriod().toMillis(), TimeUnit.MILLISECONDS);
+            stopped.get(gracePeriod.toMillis(), TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             System.err.println("shutdown did not complete in time: " + e);
         }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -68,6 +68,11 @@
         return listener != null;
     }
 
+    /** Whether an answer is awaited and read as it arrives, and nothing has arrived since the given time. */
+    boolean awaitsDataSince(long millis) {
+        return busy() && !paused && lastReadOrSentMillis() < millis;
+    }
+
     /** Returns {@link Silence#NONE} while reading is paused because the caller reads slowly. */
     Silence checkResponsiveness(long millis) {
         return paused ? Silence.NONE : pool.checkResponsiveness(this, millis);
@@ -169,7 +174,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            pool.recordActivity();
+            pool.recordData();
             lastReadMillis = pool.nowMillis();
             if (listener == null) {
                 reportSurplusAnswer(message);
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -12,6 +12,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -26,6 +27,10 @@
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final long MAX_FRESH_IDLE_MILLIS = 1_500;
+    /** A connection that was used a moment ago has most likely not failed together with a silent one. */
+    private static final long MAX_REPLACEMENT_IDLE_MILLIS = 300;
+    /** A timer that is set by a task of the event loop fires after the event loop has read its connections. */
+    private static final long READING_DELAY_MILLIS = 1;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -39,7 +44,9 @@
     private final Set<BackendConnection> open = new HashSet<>();
     private final RecentAnswers answers = new RecentAnswers();
     private final ProcessExitCheck exitCheck;
+    private final ProcessExitWatch exitWatch;
     private long lastActivityMillis;
+    private long lastDataMillis;
 
     /**
      * Creates an empty pool.
@@ -65,7 +72,9 @@
         this.limits = new LimitReader(headers.limit());
         this.noticeListener = noticeListener;
         this.lastActivityMillis = clock.getAsLong();
+        this.lastDataMillis = lastActivityMillis;
         this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> !open.isEmpty());
+        this.exitWatch = new ProcessExitWatch(loop, address, CONNECT_TIMEOUT_MILLIS, exitCheck);
     }
 
     /**
@@ -76,15 +85,63 @@
      */
     public BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
-        BackendConnection ready = takeIdle(request.recentlyUsedOnly());
-        if (ready != null) {
+        BackendConnection ready = takeIdle(request.recentlyUsedOnly() ? MAX_FRESH_IDLE_MILLIS : Long.MAX_VALUE);
+        if (ready == null) {
+            connect(attempt, opened -> send(opened, request, mayBeSent, attempt));
+        } else {
             attempt.run(ready, request, clock.getAsLong());
-            return attempt;
         }
-        connect(request, mayBeSent, attempt);
         return attempt;
     }
 
+    /**
+     * Starts an attempt in place of a silent one, over a new connection or one that was used just before, and returns a
+     * handle to cancel it.
+     *
+     * @param mayBeSent checked immediately before the request is sent, also over an idle connection; all connections
+     *     were read since that connection was ready
+     */
+    public BackendAttempt beginReplacing(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
+        BackendAttempt attempt = new BackendAttempt(listener);
+        BackendConnection ready = takeIdle(MAX_REPLACEMENT_IDLE_MILLIS);
+        if (ready == null) {
+            connectReplacing(request, mayBeSent, attempt);
+        } else {
+            afterReading(() -> sendReplacing(ready, request, mayBeSent, attempt));
+        }
+        return attempt;
+    }
+
+    private void connectReplacing(BackendRequest request, BooleanSupplier mayBeSent, BackendAttempt attempt) {
+        connect(
+                attempt,
+                opened -> afterReading(() -> {
+                    if (opened.isOpen()) {
+                        send(opened, request, mayBeSent, attempt);
+                    } else {
+                        attempt.endNotSent("the new connection was closed at once");
+                    }
+                }));
+    }
+
+    /** Sends a request over a connection that was idle, or over a new one if it was closed in the meantime. */
+    private void sendReplacing(
+            BackendConnection idled, BackendRequest request, BooleanSupplier mayBeSent, BackendAttempt attempt) {
+        if (!idled.isOpen()) {
+            connectReplacing(request, mayBeSent, attempt);
+        } else if (mayBeSent.getAsBoolean()) {
+            attempt.run(idled, request, clock.getAsLong());
+        } else {
+            returnIdle(idled);
+            attempt.endWithdrawn();
+        }
+    }
+
+    /** Runs a task after all connections were read once more. */
+    private void afterReading(Runnable task) {
+        loop.execute(() -> loop.schedule(task, READING_DELAY_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     /**
      * Checks whether a connection with a pending request, or its server, is unresponsive.
      *
@@ -96,7 +153,7 @@
     Silence checkResponsiveness(BackendConnection connection, long millis) {
         long now = clock.getAsLong();
         boolean serverInactive = now - lastActivityMillis > millis;
-        if (serverInactive && open.stream().anyMatch(each -> each.firstRequestUnansweredSince(now - millis))) {
+        if (serverInactive && (connection.firstRequestUnansweredSince(now - millis) || foundSilent(now, millis))) {
             return Silence.BACKEND;
         }
         boolean quiet = connection.busy() && now - connection.lastReadOrSentMillis() > millis;
@@ -107,11 +164,32 @@
                 : Silence.NONE;
     }
 
+    /**
+     * Whether a connection that was opened for its request shows that the server is silent. It shows that for a while
+     * only, as the connection itself may have failed.
+     */
+    private boolean foundSilent(long nowMillis, long millis) {
+        return open.stream()
+                .anyMatch(each -> each.firstRequestUnansweredSince(nowMillis - millis)
+                        && !each.firstRequestUnansweredSince(nowMillis - 2 * millis));
+    }
+
+    /** Returns whether a request waits for the server, and nothing was received from the server, for the given time. */
+    public boolean isQuiet(long millis) {
+        long since = clock.getAsLong() - millis;
+        return lastDataMillis < since && open.stream().anyMatch(each -> each.awaitsDataSince(since));
+    }
+
     /** Checks after a broken attempt whether the process of the server has exited, and passes on the result. */
     public void checkProcessExited(Consumer<Boolean> then) {
         exitCheck.run(then);
     }
 
+    /** Watches for the given time whether the process of the server exits, and passes on the result once. */
+    public void watchProcessExit(long millis, Consumer<Boolean> then) {
+        exitWatch.run(millis, then);
+    }
+
     /** Closes idle connections that were last used at or before the given time, as they may have failed since. */
     public void closeIdleUnusedSince(long millis) {
         idle.removeIf(each -> {
@@ -146,12 +224,18 @@
         return open.isEmpty();
     }
 
+    /** Returns when something was last received from the server. */
+    public long lastDataMillis() {
+        return lastDataMillis;
+    }
+
     long nowMillis() {
         return clock.getAsLong();
     }
 
-    void recordActivity() {
+    void recordData() {
         lastActivityMillis = clock.getAsLong();
+        lastDataMillis = lastActivityMillis;
     }
 
     /** Records that the server has started to answer a request. */
@@ -179,19 +263,19 @@
         open.remove(connection);
     }
 
-    private @Nullable BackendConnection takeIdle(boolean recentlyUsedOnly) {
+    private @Nullable BackendConnection takeIdle(long maxIdleMillis) {
         closeExpiredIdle();
         BackendConnection first = idle.peekFirst();
         if (first == null) {
             return null;
         }
-        if (recentlyUsedOnly && clock.getAsLong() - first.lastUseMillis() > MAX_FRESH_IDLE_MILLIS) {
+        if (clock.getAsLong() - first.lastUseMillis() > maxIdleMillis) {
             return null;
         }
         return idle.pollFirst();
     }
 
-    private void connect(BackendRequest request, BooleanSupplier mayBeSent, BackendAttempt attempt) {
+    private void connect(BackendAttempt attempt, Consumer<BackendConnection> onOpened) {
         BackendConnection connection = new BackendConnection(this, requestIdHeader);
         long beganMillis = clock.getAsLong();
         ChannelFuture connecting =
@@ -210,13 +294,18 @@
             }
             connection.opened(connecting.channel());
             open.add(connection);
-            recordActivity();
-            if (mayBeSent.getAsBoolean()) {
-                attempt.run(connection, request, clock.getAsLong());
-            } else {
-                connection.close();
-                attempt.endWithdrawn();
-            }
+            lastActivityMillis = clock.getAsLong();
+            onOpened.accept(connection);
         });
     }
+
+    private void send(
+            BackendConnection opened, BackendRequest request, BooleanSupplier mayBeSent, BackendAttempt attempt) {
+        if (mayBeSent.getAsBoolean()) {
+            attempt.run(opened, request, clock.getAsLong());
+        } else {
+            opened.close();
+            attempt.endWithdrawn();
+        }
+    }
 }
--- a/direct/src/main/java/org/streamring/direct/caller/AnswerWriter.java
+++ b/direct/src/main/java/org/streamring/direct/caller/AnswerWriter.java
@@ -16,8 +16,12 @@
     /** Completes an answer whose head was sent. */
     void end();
 
-    /** Ends an answer so that the caller recognizes it as incomplete. */
-    void abort();
+    /**
+     * Ends an answer so that the caller recognizes it as incomplete.
+     *
+     * @param reason short name of the cause, for the log
+     */
+    void abort(String reason);
 
     /** Whether more data can be sent at once, without being buffered. */
     boolean writable();
--- a/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
@@ -4,8 +4,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -26,18 +24,28 @@
     private final Supplier<CallerLimits> limits;
     private final ListeningSocket listeningSocket;
 
-    /** Opens the server socket. */
+    /**
+     * Opens the server socket.
+     *
+     * @param requestIdHeader name of the header in which callers identify their requests
+     */
     public CallerServer(
             EventLoopGroup loops,
             InetSocketAddress address,
             RequestSink sink,
             Supplier<CallerLimits> limits,
             LongSupplier clock,
-            BooleanSupplier stopping)
+            BooleanSupplier stopping,
+            String requestIdHeader,
+            IncompleteAnswer.Listener incompleteAnswers)
             throws PeerException {
         this.limits = limits;
         this.listeningSocket = new ListeningSocket(
-                loops, address, accepted -> prepare(accepted, new CallerConnection(sink, clock, stopping)));
+                loops,
+                address,
+                accepted -> prepare(
+                        accepted,
+                        new CallerConnection(sink, clock, stopping, limits, requestIdHeader, incompleteAnswers)));
     }
 
     /** Returns the port on which the server listens. */
@@ -45,32 +53,59 @@
         return listeningSocket.port();
     }
 
-    /** Closes connections that were idle for longer than the idle timeout. */
-    public void closeIdle() {
-        long idleMillis = limits.get().idleTimeout().toMillis();
-        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(idleMillis));
+    /**
+     * Closes connections that were idle for longer than the idle timeout, and refuses requests that arrive too slowly.
+     */
+    public void closeOverdue() {
+        List.copyOf(connections).forEach(CallerConnection::closeIfOverdue);
     }
 
-    /** Closes connections without a request in progress. */
+    /** Closes connections on which no request is in progress or arriving. */
     public void closeConnectionsWithoutRequest() {
         List.copyOf(connections).forEach(CallerConnection::closeIfUnused);
     }
 
-    /** Returns the number of connections with a request in progress. */
+    /** Refuses the requests that have not arrived whole, and closes connections without a request in progress. */
+    public void refuseArrivingRequests() {
+        List.copyOf(connections).forEach(CallerConnection::refuseIfArriving);
+        closeConnectionsWithoutRequest();
+    }
+
+    /** Answers the requests in progress whose answers have not begun, as the process exits. */
+    public void answerUnfinishedRequests() {
+        List.copyOf(connections).forEach(CallerConnection::answerUnfinishedRequest);
+    }
+
+    /** Reports the requests that have no complete answer when the process exits. */
+    public void reportAtExit() {
+        List.copyOf(connections).forEach(CallerConnection::reportAtExit);
+    }
+
+    /** Returns the number of connections on which a request is in progress or arriving. */
     public long connectionsWithRequest() {
         return connections.stream().filter(CallerConnection::busy).count();
     }
 
+    /** Returns the number of open connections whose callers may not have read the last answer. */
+    public long endingConnections() {
+        return connections.stream().filter(CallerConnection::ending).count();
+    }
+
     private void prepare(SocketChannel accepted, CallerConnection connection) {
-        CallerLimits currentLimits = limits.get();
+        // The codec has state that can't be handed over, so the limit on heads is that at the begin of the connection.
+        int maxHeaderBytes = limits.get().maxHeaderBytes();
+        BodyLimitHandler bodyLimit = new BodyLimitHandler(limits);
         accepted.config().setTcpNoDelay(true);
         accepted.pipeline()
                 .addLast(
-                        new HttpServerCodec(
-                                Math.max(MAX_LINE_BYTES, currentLimits.maxHeaderBytes()),
-                                currentLimits.maxHeaderBytes(),
+                        connection.arriving().beforeDecoder(),
+                        new RequestCodec(
+                                connection.arriving(),
+                                Math.max(MAX_LINE_BYTES, maxHeaderBytes),
+                                maxHeaderBytes,
                                 CHUNK_BYTES),
-                        new HttpObjectAggregator(currentLimits.maxBodyBytes()),
+                        bodyLimit,
+                        bodyLimit.aggregator(),
                         connection,
                         new Registration(connection));
     }
--- a/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
+++ b/direct/src/main/java/org/streamring/direct/feed/MemberRegister.java
@@ -32,6 +32,9 @@
     private static final String STOPPED = "stopped ";
     private static final long BASE_INTERVAL_MILLIS = 2_000;
     private static final long INTERVAL_MILLIS_PER_ENTRY = 20;
+    /** First wait after a reading that failed before the table was read once; each further one is twice as long. */
+    private static final long FIRST_RETRY_MILLIS = 250;
+
     private static final int MAX_MISSED_HEARTBEATS = 3;
     /**
      * Number of consecutive readings without a change of its row after which an entry is considered gone, about two
@@ -50,6 +53,7 @@
     private long ownVersion;
     private long oldestLiveMillis = Long.MIN_VALUE;
     private long readMillis;
+    private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean ownRowWritten;
     private FleetShare.Start start = FleetShare.Start.JOINED;
     private int live = 1;
@@ -155,15 +159,30 @@
     private void refresh() {
         store.list(TABLE, "").whenComplete((page, failure) -> {
             if (failure == null) {
+                boolean writtenBefore = ownRowWritten;
                 handlePage(page);
+                if (ownRowWritten && !writtenBefore) {
+                    noteWhetherFirst();
+                }
                 if (!stopping) {
                     write(incarnation + " " + ownAddress);
                 }
             }
-            loop.schedule(this::refresh, intervalMillis(), TimeUnit.MILLISECONDS);
+            loop.schedule(this::refresh, untilNextReadingMillis(), TimeUnit.MILLISECONDS);
         });
     }
 
+    /** Until it has read the table this entry knows no other one, and can neither borrow tokens nor ask for permits. */
+    private long untilNextReadingMillis() {
+        long interval = intervalMillis();
+        if (!possiblyLive.isEmpty()) {
+            return interval;
+        }
+        long delay = retryMillis;
+        retryMillis = Math.min(2 * delay, interval);
+        return delay;
+    }
+
     private long intervalMillis() {
         return BASE_INTERVAL_MILLIS + INTERVAL_MILLIS_PER_ENTRY * live;
     }
@@ -173,8 +192,7 @@
         ownVersion = 0;
         for (StoredRow row : page.rows()) {
             if (row.key().equals(ownKey)) {
-                ownVersion = row.version();
-                start = ownRowWritten ? start : FleetShare.Start.RESTARTED;
+                handleOwnRow(row);
             } else {
                 observe(row, new StorePosition(page.position().era(), row.version()));
             }
@@ -187,6 +205,16 @@
         onChange.accept(otherEntries);
     }
 
+    /** The row that a predecessor left has another incarnation. */
+    private void handleOwnRow(StoredRow row) {
+        ownVersion = row.version();
+        if (row.value().startsWith(incarnation + " ")) {
+            ownRowWritten = true;
+        } else if (!ownRowWritten) {
+            start = FleetShare.Start.RESTARTED;
+        }
+    }
+
     private void observe(StoredRow row, StorePosition position) {
         observed.compute(row.key().key(), (name, before) -> {
             if (before != null && before.position().equals(position)) {
@@ -233,17 +261,22 @@
         });
     }
 
-    /**
-     * Reads the table after the first write of the own row. Of processes that start at the same time, at most one finds
-     * no other row then.
-     */
+    /** Reads the table after the first write of the own row. */
     private void checkWhetherFirst() {
         store.list(TABLE, "").whenComplete((page, failure) -> {
             if (failure == null) {
                 handlePage(page);
-                boolean alone = observed.isEmpty() && start == FleetShare.Start.JOINED;
-                start = alone ? FleetShare.Start.FIRST : start;
+                noteWhetherFirst();
             }
         });
     }
+
+    /**
+     * Called after a reading that follows the first write of the own row. Of processes that start at the same time, at
+     * most one finds no other row then.
+     */
+    private void noteWhetherFirst() {
+        boolean alone = observed.isEmpty() && start == FleetShare.Start.JOINED;
+        start = alone ? FleetShare.Start.FIRST : start;
+    }
 }
--- a/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
@@ -1,5 +1,6 @@
 package org.streamring.direct.ledger;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -45,9 +46,11 @@
      * @param answered number of entries that answered in time
      * @param homeAnswered whether an entry that holds leases of the account answered
      * @param moreSoon whether an entry that holds leases of the account may soon have more tokens
+     * @param lateAnswerExpected returns whether an entry that has not answered until now is still connected
      */
-    record Answers(int asked, int answered, boolean homeAnswered, boolean moreSoon) {
+    record Answers(
+            int asked, int answered, boolean homeAnswered, boolean moreSoon, BooleanSupplier lateAnswerExpected) {
         /** Summary for the case that no entry was asked. */
-        static final Answers NONE = new Answers(0, 0, false, false);
+        static final Answers NONE = new Answers(0, 0, false, false, () -> false);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -43,15 +44,16 @@
     private static final long FIRST_CONNECTION_MILLIS = 5_000;
 
     private static final long FINAL_TRY_MILLIS = 60;
-    /**
-     * A lender that pauses for a moment answers late. Without this wait a request was refused while a lender that
-     * paused for 150 ms had 18,750 idle tokens. Much shorter than the 1.5 s after which a silent connection is closed.
-     */
-    private static final long LATE_LENDER_WAIT_MILLIS = 200;
+    /** Within this time lenders are asked again, and leases and rising usage caps serve the request as well. */
+    private static final long MIN_LATE_LENDER_WAIT_MILLIS = 200;
+    /** As long as the silence after which the connection to a lender is closed. */
+    private static final long MAX_LATE_LENDER_WAIT_MILLIS = 1_500;
 
     private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 20;
     /** A write of a lender takes about 10 to 20 ms. */
     private static final long ASK_AGAIN_DELAY_MILLIS = 20;
+    /** Entries that ask each other at the same moment exchange their tokens. A random delay lets one ask first. */
+    private static final long MAX_ASK_AGAIN_JITTER_MILLIS = 10;
 
     private final EventLoop loop;
     private final PrepaidLedger ledger;
@@ -63,6 +65,7 @@
     private final HomeEntries homeEntries;
     private final Lenders lenders;
     private final LongSupplier clock;
+    private final Random random;
     private final EntryMetrics metrics;
     private final DecisionLog log;
     private final List<Waiter> waiters = new ArrayList<>();
@@ -104,6 +107,7 @@
         this.homeEntries = homeEntries;
         this.lenders = lenders;
         this.clock = clock;
+        this.random = random;
         this.metrics = metrics;
         this.log = log;
         this.renewer = new LeaseRenewer(
@@ -244,7 +248,9 @@
         tokenLender.serveWaiting();
     }
 
+    /** Ends waits that are over. Usage caps rise with time, so that waiting requests may be served without an event. */
     private void expireWaiters() {
+        serveWaiters();
         long now = clock.getAsLong();
         for (Waiter waiter : List.copyOf(waiters)) {
             if (now > waiter.expiresMillis) {
@@ -270,9 +276,11 @@
         private boolean asked;
         private Lenders.Answers answers = Lenders.Answers.NONE;
         private boolean leasing;
+        private long lackingBeforeLoans;
+        private long borrowed;
         private boolean noLenderConnected;
         private boolean allLendersAsked;
-        private boolean waitedForLateLender;
+        private OptionalLong lateLenderSinceMillis = OptionalLong.empty();
 
         private Waiter(String account, long tokens, Consumer<Outcome> then) {
             this.account = account;
@@ -320,6 +328,12 @@
                 return;
             }
             asked = true;
+            askLenders();
+        }
+
+        private void askLenders() {
+            lackingBeforeLoans = lacking();
+            borrowed = 0;
             lenders.ask(account, this::lacking, this::lent, this::continueAfterLoans);
         }
 
@@ -334,10 +348,14 @@
             if (!isWaiting()) {
                 return;
             }
-            if (answers.asked() == 0 && mayStillConnect()) {
+            if (loansUsedByOthers()) {
+                loop.schedule(this::askAgain, random.nextLong(MAX_ASK_AGAIN_JITTER_MILLIS), TimeUnit.MILLISECONDS);
+            } else if (answers.asked() == 0 && mayStillConnect()) {
                 loop.schedule(this::askAgain, ASK_AGAIN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             } else if (answers.moreSoon()) {
                 loop.schedule(this::askAgain, ASK_AGAIN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            } else if (renewer.storeUnreachable() && becomesAvailableInTime()) {
+                return;
             } else if (leasing) {
                 giveUp(renewer.storeUnreachable() ? "store_away" : "lease_not_in_time");
             } else if (renewer.storeUnreachable()) {
@@ -348,11 +366,24 @@
             }
         }
 
+        /**
+         * Returns whether other entries lent all that was missing, but other requests reserved it, or it was lent on.
+         * Requests that arrive together count the same available tokens, so that their loans cover only some of them.
+         */
+        private boolean loansUsedByOthers() {
+            return borrowed > 0 && borrowed >= lackingBeforeLoans && lacking() > 0;
+        }
+
+        private boolean becomesAvailableInTime() {
+            long leftMillis = Math.max(0, expiresMillis - clock.getAsLong());
+            return ledger.availableAfter(account, leftMillis) >= tokens;
+        }
+
         /** Asks other entries again. A request that may also be served by a lease does not wait longer for loans. */
         private void askAgain() {
-            if (isWaiting()) {
+            if (mayAskAgain()) {
                 allLendersAsked = leasing;
-                lenders.ask(account, this::lacking, this::lent, this::continueAfterLoans);
+                askLenders();
             }
         }
 
@@ -367,16 +398,27 @@
 
         /** Ends the wait without tokens, unless a lender that was asked may still answer. */
         private void giveUp(String reason) {
-            if (waitedForLateLender || !lenderIsLate()) {
+            tryServe();
+            long now = clock.getAsLong();
+            if (!lenderMayAnswer() || now > lateLenderSinceMillis.orElse(now) + MAX_LATE_LENDER_WAIT_MILLIS) {
                 end(Outcome.UNAVAILABLE, reason);
-                return;
+            } else if (lateLenderSinceMillis.isEmpty()) {
+                lateLenderSinceMillis = OptionalLong.of(now);
+                expiresMillis = now + MIN_LATE_LENDER_WAIT_MILLIS;
+            } else {
+                expiresMillis = now;
             }
-            waitedForLateLender = true;
-            expiresMillis = clock.getAsLong() + LATE_LENDER_WAIT_MILLIS;
         }
 
-        private boolean lenderIsLate() {
-            return !allLendersAsked || answers.answered() < answers.asked();
+        /** A late lender is not asked again and again, as it would lend for each question once it goes on. */
+        private boolean mayAskAgain() {
+            return isWaiting()
+                    && clock.getAsLong()
+                            <= lateLenderSinceMillis.orElse(Long.MAX_VALUE / 2) + MIN_LATE_LENDER_WAIT_MILLIS;
+        }
+
+        private boolean lenderMayAnswer() {
+            return !allLendersAsked || answers.lateAnswerExpected().getAsBoolean();
         }
 
         private long lacking() {
@@ -384,6 +426,7 @@
         }
 
         private void lent(long amount) {
+            borrowed += amount;
             ledger.borrow(account, amount);
             log.line("tokens_borrowed", "account", account, "tokens", amount);
             serveWaiters();
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -40,6 +40,14 @@
                 .record(Duration.ofMillis(millis));
     }
 
+    /** Counts a request whose connection ended before its answer was complete, by why it ended. */
+    public void answerIncomplete(String reason) {
+        Counter.builder("streamring.direct.answer.incomplete")
+                .tag("reason", reason)
+                .register(registry)
+                .increment();
+    }
+
     /** Counts an attempt that did not succeed, by the kind of its end. */
     public void attemptFailed(String kind) {
         Counter.builder("streamring.direct.attempt.failed")
@@ -48,6 +56,15 @@
                 .increment();
     }
 
+    /** Counts an attempt that fell silent, by what was decided and what a second attempt lacked. */
+    public void attemptSilent(String decision, String lack) {
+        Counter.builder("streamring.direct.attempt.silent")
+                .tag("decision", decision)
+                .tag("lacks", lack)
+                .register(registry)
+                .increment();
+    }
+
     /** Counts a request that resumes a stream, by the outcome of the decision. */
     public void streamResumed(String outcome) {
         Counter.builder("streamring.direct.stream.resumed")
--- a/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
+++ b/direct/src/main/java/org/streamring/direct/peer/EntryPeers.java
@@ -41,6 +41,7 @@
     private final List<FrameListener> listeners = new ArrayList<>();
     private @Nullable FleetKey key;
     private boolean membersRead;
+    private boolean connecting;
     private MemberRegister.OtherEntries members = new MemberRegister.OtherEntries(List.of(), List.of());
 
     /**
@@ -76,6 +77,9 @@
 
         /** Called when a connection to another entry was opened. */
         default void connected(PeerConnection connection) {}
+
+        /** Called once, when the list of entries and the key are known and this entry begins to connect. */
+        default void connecting() {}
     }
 
     /** Adds a listener for received frames. */
@@ -167,6 +171,10 @@
         if (key == null) {
             return;
         }
+        if (membersRead && !connecting) {
+            connecting = true;
+            listeners.forEach(FrameListener::connecting);
+        }
         List<InetSocketAddress> targets = connectionAddresses();
         connectors.entrySet().removeIf(entry -> {
             boolean gone = !targets.contains(entry.getKey());
--- a/direct/src/main/java/org/streamring/direct/peer/TokenLending.java
+++ b/direct/src/main/java/org/streamring/direct/peer/TokenLending.java
@@ -7,10 +7,12 @@
 import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -127,6 +129,7 @@
         private final LongConsumer lent;
         private final Consumer<Answers> atEnd;
         private final Deque<PeerConnection> remainingLenders;
+        private final Set<PeerConnection> unanswered = new HashSet<>();
         private int askedCount;
         private int answeredCount;
         private boolean homeAnswered;
@@ -144,13 +147,13 @@
             long tokens = lacking.getAsLong();
             PeerConnection next = tokens > 0 ? remainingLenders.pollFirst() : null;
             if (next == null) {
-                atEnd.accept(new Answers(askedCount, answeredCount, homeAnswered, moreSoon));
+                atEnd.accept(new Answers(askedCount, answeredCount, homeAnswered, moreSoon, this::lateAnswerExpected));
                 return;
             }
             askedCount++;
             long queryId = nextQueryId++;
-            boolean home = homeEntries.of(account).contains(next.remote().name());
-            openQueries.put(queryId, new LoanQuery(loan -> answered(home, loan), this::askNext));
+            unanswered.add(next);
+            openQueries.put(queryId, new LoanQuery(loan -> answered(next, loan), this::askNext));
             loop.schedule(() -> continueRound(queryId), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> openQueries.remove(queryId), LATE_ANSWER_MILLIS, TimeUnit.MILLISECONDS);
             LendAsk ask = LendAsk.newBuilder()
@@ -163,7 +166,13 @@
             }
         }
 
-        private void answered(boolean home, Loan loan) {
+        private boolean lateAnswerExpected() {
+            return unanswered.stream().anyMatch(PeerConnection::isOpen);
+        }
+
+        private void answered(PeerConnection from, Loan loan) {
+            boolean home = homeEntries.of(account).contains(from.remote().name());
+            unanswered.remove(from);
             answeredCount++;
             homeAnswered |= home;
             moreSoon |= home && loan.moreSoon();
--- a/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
@@ -13,6 +13,7 @@
     private int sent;
     private int unsent;
     private boolean mayHaveRun;
+    private Optional<String> silentReplica = Optional.empty();
 
     /** Records the replica chosen for the next attempt. */
     void chosen(BackendInstance instance) {
@@ -39,11 +40,21 @@
                 unsent++;
                 lastReplica.map(BackendInstance::id).ifPresent(excludedReplicas::remove);
             }
-            case FAILED, BROKEN, SILENT -> mayHaveRun = true;
+            case FAILED -> mayHaveRun = true;
+            case BROKEN -> {
+                mayHaveRun = true;
+                silentReplica.filter(id -> !id.equals(lastReplicaId())).ifPresent(excludedReplicas::remove);
+            }
+            case SILENT -> {
+                mayHaveRun = true;
+                silentReplica = lastReplica.map(BackendInstance::id);
+            }
             case UNHEARD -> {
                 mayHaveRun = true;
-                lastReplica.map(BackendInstance::id).ifPresent(excludedReplicas::remove);
+                silentReplica = lastReplica.map(BackendInstance::id);
+                silentReplica.ifPresent(excludedReplicas::remove);
             }
+            case NOT_RUN -> silentReplica.ifPresent(excludedReplicas::remove);
             default -> {}
         }
     }
@@ -53,6 +64,13 @@
         return excludedReplicas;
     }
 
+    /** Returns the identifiers of the replicas that are excluded from further attempts, apart from one of them. */
+    Set<String> excludedExcept(BackendInstance instance) {
+        Set<String> excluded = new HashSet<>(excludedReplicas);
+        excluded.remove(instance.id());
+        return excluded;
+    }
+
     /** Returns the replica that was chosen last; empty if none was chosen. */
     Optional<BackendInstance> lastReplica() {
         return lastReplica;
@@ -83,6 +101,14 @@
         return unsent;
     }
 
+    /**
+     * Whether a silent attempt was ended for another one that brought no answer. The request has lost its run then, and
+     * waits for another one rather than ending.
+     */
+    boolean lostItsRun() {
+        return silentReplica.isPresent() && lastEnd.flatMap(AttemptEnd::answer).isEmpty();
+    }
+
     /** Whether the request may have run. */
     boolean mayHaveRun() {
         return mayHaveRun;
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.backend.AnswerHead;
@@ -25,7 +26,6 @@
 final class AttemptRun implements AttemptListener {
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
-    private static final long SILENCE_CHECK_INTERVAL_MILLIS = 200;
     /**
      * Plain calls take up to about 400 ms, and answers to prompts begin within a second. A request that is sent to
      * another replica after this time may still be answered in time.
@@ -42,10 +42,11 @@
     private final ReplicaState state;
     private final AnswerRelay relay;
     private final Owner owner;
+    private SendListener sendListener;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable BackendAttempt attempt;
     private @Nullable AnswerHead head;
-    private @Nullable Future<?> silenceTimer;
+    private final SilenceCheck silenceCheck;
     private @Nullable PlacedPrompt placedPrompt;
     private @Nullable SendCheck sendCheck;
     private long beganMillis;
@@ -56,24 +57,41 @@
     private int drainedEvents;
     private @Nullable Future<?> drainTimer;
     private boolean finished;
+    private @Nullable SilentAttempt silent;
+    private boolean countedAsSilent;
+    private boolean foundReplicaSilent;
 
-    /** Callbacks of the request that the attempt belongs to. */
-    interface Owner {
+    /** A way to begin an attempt at a replica. */
+    private interface Sending {
+        BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener);
+    }
+
+    /** Callbacks until the request is written to a connection, or the attempt ends before that. */
+    interface SendListener {
         /** Whether the request is still worth sending; called when the connection is established. */
         boolean isStillLive();
 
         /** Called when the request is about to be written to a connection, or was just written. */
         void attemptWritten(BackendInstance instance);
 
+        /** Called once when the attempt has ended, unless it was cancelled. */
+        void attemptEnded(AttemptEnd end);
+    }
+
+    /** Callbacks of the request that the attempt belongs to. */
+    interface Owner extends SendListener {
+        /** Called regularly while an attempt is silent whose request may be sent again. */
+        void attemptSilent(AttemptRun run, SilentAttempt silence);
+
+        /** Called when an attempt that was silent is heard again. */
+        void attemptHeard(SilentAttempt before);
+
         /** Called when the request was sent and may run. */
         void attemptSent();
 
         /** Called when events were passed on to the caller. */
         void eventsDelivered(int events);
 
-        /** Called once when the attempt has ended, unless it was cancelled. */
-        void attemptEnded(AttemptEnd end);
-
         /**
          * Called once after {@link AttemptRun#cancelAndDrain}.
          *
@@ -90,36 +108,51 @@
         this.state = services.fleet().state(instance);
         this.relay = relay;
         this.owner = owner;
+        this.sendListener = owner;
+        this.silenceCheck = new SilenceCheck(services.loop(), this::silence, this::silenceChecked);
     }
 
     void begin(BackendRequest request, PlacementQuery query) {
+        begin(request, query, services.fleet().pool(instance)::begin);
+    }
+
+    /**
+     * Begins an attempt whose owner is called only once its request is written.
+     *
+     * @param listener called until then; its {@link SendListener#attemptWritten} immediately before the request is
+     *     written
+     */
+    void beginReplacing(BackendRequest request, PlacementQuery query, SendListener listener) {
+        sendListener = listener;
+        begin(request, query, services.fleet().pool(instance)::beginReplacing);
+    }
+
+    private void begin(BackendRequest request, PlacementQuery query, Sending sending) {
         beganMillis = services.clock().getAsLong();
         placedPrompt = services.fleet().started(query, plan.service(), instance);
         SendCheck check = services.fleet().sendCheck(instance);
         sendCheck = check;
-        BackendAttempt begun = services.fleet()
-                .pool(instance)
-                .begin(request, () -> owner.isStillLive() && check.passes() && noteWritten(), this);
+        BackendAttempt begun =
+                sending.begin(request, () -> sendListener.isStillLive() && check.passes() && noteWritten(), this);
         attempt = begun;
         if (begun.sent()) {
             noteWritten();
         }
-        silenceTimer = services.loop()
-                .scheduleAtFixedRate(
-                        this::checkSilence,
-                        SILENCE_CHECK_INTERVAL_MILLIS,
-                        SILENCE_CHECK_INTERVAL_MILLIS,
-                        TimeUnit.MILLISECONDS);
+        silenceCheck.start();
     }
 
     private boolean noteWritten() {
         if (!written) {
             written = true;
-            owner.attemptWritten(instance);
+            sendListener.attemptWritten(instance);
         }
         return true;
     }
 
+    BackendInstance instance() {
+        return instance;
+    }
+
     /** Returns the forecast for the attempt; empty before it began. */
     Optional<PlacementForecast> forecast() {
         return Optional.ofNullable(placedPrompt).map(PlacedPrompt::forecast);
@@ -134,6 +167,11 @@
         return attempt == null ? OptionalLong.empty() : attempt.sentMillis();
     }
 
+    /** Returns how far the answer has come. */
+    AttemptProgress progress() {
+        return new AttemptProgress(head != null, eventsDelivered);
+    }
+
     void pauseReading(boolean paused) {
         if (attempt != null) {
             attempt.pauseReading(paused);
@@ -145,7 +183,7 @@
         if (sent()) {
             owner.attemptSent();
         } else {
-            returnPermit();
+            noteNotSent();
         }
         release();
         if (attempt != null) {
@@ -155,6 +193,7 @@
 
     /**
      * Cancels the attempt and counts the events that arrive until the replica closes the connection, for a short time.
+     * A silent attempt is reset at once: its replica learns of it when it goes on, though it may still read what came.
      * {@link Owner#attemptDrained} is called at the end instead of {@link Owner#attemptEnded}.
      */
     void cancelAndDrain() {
@@ -162,6 +201,10 @@
         release();
         draining = true;
         drainTimer = services.loop().schedule(this::drainTimedOut, MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+        if (silent != null) {
+            drainTimedOut();
+            return;
+        }
         Objects.requireNonNull(attempt).drain();
     }
 
@@ -182,27 +225,90 @@
         owner.attemptDrained(drainedEvents + incompleteEvents, toItsEnd && countable);
     }
 
-    private void checkSilence() {
-        BackendAttempt waiting = attempt;
-        if (finished || waiting == null || mayStillReadPrompt()) {
-            return;
-        }
-        Silence silence = waiting.checkResponsiveness(SILENCE_TIMEOUT_MILLIS);
+    private Silence silence() {
+        return attempt == null || mayStillReadPrompt()
+                ? Silence.NONE
+                : attempt.checkResponsiveness(SILENCE_TIMEOUT_MILLIS);
+    }
+
+    private void silenceChecked(Silence silence) {
+        BackendAttempt waiting = Objects.requireNonNull(attempt);
         if (silence == Silence.CONNECTION) {
             services.fleet().closeIdleLastUsedBy(waiting.lastReadOrSentMillis());
         }
-        if (silence != Silence.NONE && plan.route().repeatable()) {
-            endSilentAttempt(waiting, silence);
+        if (silence == Silence.NONE) {
+            noteHeard();
+            return;
+        }
+        noteSilent();
+        if (!plan.route().repeatable()) {
+            return;
         }
+        if (silence == Silence.BACKEND && !foundReplicaSilent) {
+            foundReplicaSilent = true;
+            state.silent(services.clock().getAsLong());
+        }
+        silent = silentAttempt(waiting, silence);
+        owner.attemptSilent(this, silent);
     }
 
-    private void endSilentAttempt(BackendAttempt silent, Silence silence) {
-        boolean replicaSilent = silence == Silence.BACKEND;
-        if (replicaSilent) {
-            state.unreachable(services.clock().getAsLong());
+    private void noteHeard() {
+        SilentAttempt before = silent;
+        if (before != null && !heardSince(before)) {
+            return;
+        }
+        noteNotSilent();
+        if (before != null) {
+            silent = null;
+            foundReplicaSilent = false;
+            owner.attemptHeard(before);
+        }
+    }
+
+    private void noteSilent() {
+        if (!countedAsSilent) {
+            countedAsSilent = true;
+            state.attemptSilent();
+        }
+    }
+
+    private void noteNotSilent() {
+        if (countedAsSilent) {
+            countedAsSilent = false;
+            state.attemptNoLongerSilent();
         }
-        silent.cancel();
-        endAfterSending(replicaSilent ? AttemptEnd.silent() : AttemptEnd.unheard());
+    }
+
+    private SilentAttempt silentAttempt(BackendAttempt waiting, Silence silence) {
+        long now = services.clock().getAsLong();
+        return new SilentAttempt(
+                silence,
+                waiting.lastReadOrSentMillis(),
+                now - waiting.lastReadOrSentMillis(),
+                now - services.fleet().pool(instance).lastDataMillis(),
+                eventsDelivered);
+    }
+
+    /** Whether something arrived on the connection of the attempt since it was silent, or the attempt has ended. */
+    boolean heardSince(SilentAttempt before) {
+        return finished || attempt == null || attempt.lastReadOrSentMillis() != before.sinceMillis();
+    }
+
+    /**
+     * Whether a silent attempt may be answered after all: it was heard since, or its replica was, and what the replica
+     * sent does not show that the connection has failed. A connection that was only accepted shows nothing.
+     */
+    boolean mayBeAnswered(SilentAttempt before) {
+        boolean replicaHeard = services.fleet().pool(instance).lastDataMillis() > before.replicaHeardMillis();
+        return heardSince(before) || (replicaHeard && silence() == Silence.NONE);
+    }
+
+    /** Ends a silent attempt without a call of {@link Owner#attemptEnded}, and returns its end. */
+    AttemptEnd endSilent(Silence silence) {
+        Objects.requireNonNull(attempt).cancel();
+        release();
+        owner.attemptSent();
+        return silence == Silence.BACKEND ? AttemptEnd.silent() : AttemptEnd.unheard();
     }
 
     /** Whether the replica may still be processing the prompt; it sends nothing while it processes long prompts. */
@@ -213,6 +319,7 @@
 
     @Override
     public void onHead(AnswerHead answerHead) {
+        state.heard();
         head = answerHead;
         streaming = relay.isStreamed(answerHead) && sealed(answerHead);
         if (streaming) {
@@ -222,6 +329,7 @@
 
     @Override
     public void onData(byte[] data) {
+        state.heard();
         services.link().addBytes(Traffic.ANSWERS, data.length, services.clock().getAsLong());
         if (!streaming) {
             body.writeBytes(data);
@@ -304,7 +412,7 @@
 
     private void endBroken(String reason) {
         state.failed(services.clock().getAsLong());
-        endAfterSending(AttemptEnd.broken(reason, new AttemptProgress(head != null, eventsDelivered)));
+        endAfterSending(AttemptEnd.broken(reason, progress()));
     }
 
     @Override
@@ -314,18 +422,18 @@
             return;
         }
         if (failure == AttemptFailure.WITHDRAWN) {
-            returnPermit();
+            noteNotSent();
             release();
-            owner.attemptEnded(AttemptEnd.withdrawn());
+            sendListener.attemptEnded(AttemptEnd.withdrawn());
             return;
         }
         if (failure == AttemptFailure.NOT_SENT) {
             if (!services.fleet().isLocalBoxDelayed()) {
                 state.unreachable(services.clock().getAsLong());
             }
-            returnPermit();
+            noteNotSent();
             release();
-            owner.attemptEnded(AttemptEnd.notSent("not_connected"));
+            sendListener.attemptEnded(AttemptEnd.notSent("not_connected"));
             return;
         }
         endBroken(streaming ? "stream_broken" : "no_whole_answer");
@@ -348,7 +456,7 @@
         }
     }
 
-    private void returnPermit() {
+    private void noteNotSent() {
         if (sendCheck != null) {
             sendCheck.notSent();
             sendCheck = null;
@@ -360,9 +468,8 @@
             return;
         }
         finished = true;
+        noteNotSilent();
         ifPlaced(PlacedPrompt::ended);
-        if (silenceTimer != null) {
-            silenceTimer.cancel(false);
-        }
+        silenceCheck.stop();
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -39,6 +39,10 @@
 /** Backend servers from the view of this entry: connections, load, health and retries. Confined to the event loop. */
 public final class BackendFleet {
     private static final int MAX_LOGGED_REPLICAS = 12;
+
+    /** A replica that runs requests and sent nothing for this time may itself be silent. */
+    private static final long MAX_QUIET_MILLIS = 500;
+
     /** Statuses by which a replica rejects a request; they are no evidence of whether it serves requests properly. */
     private static final Set<Integer> REJECTION_STATUSES = Set.of(421, 429, 503);
 
@@ -117,13 +121,9 @@
      */
     Optional<BackendInstance> choose(ServiceTraits service, PlacementQuery query) {
         long now = clock.getAsLong();
-        ColdLimit limit = limit(service);
         List<BackendInstance> accepting = acceptingInstances(candidates(service.name(), query), now);
         accepting.forEach(instance -> permits.wanted(instance.incarnation(), now));
-        List<BackendInstance> ready = accepting.stream()
-                .filter(instance -> limits.mayBePlaced(instance.incarnation(), now))
-                .filter(instance -> cold.mayPlace(instance.id(), limit, now))
-                .toList();
+        List<BackendInstance> ready = ready(service, accepting, now);
         List<BackendInstance> due = ready.stream()
                 .filter(instance -> limits.isDue(instance.incarnation(), now))
                 .toList();
@@ -132,6 +132,47 @@
                 .or(() -> placement.choose(query, service, ready, entries.getAsInt(), now));
     }
 
+    /**
+     * Chooses a replica that is expected to answer: none that is silent on other connections, ejected or shutting down.
+     */
+    Optional<BackendInstance> chooseResponsive(ServiceTraits service, PlacementQuery query) {
+        Set<String> excluded = new HashSet<>(query.excluded());
+        candidates(service.name(), query).stream()
+                .filter(instance -> pool(instance).isQuiet(MAX_QUIET_MILLIS))
+                .map(BackendInstance::id)
+                .forEach(excluded::add);
+        return chooseUsable(service, query.excluding(excluded));
+    }
+
+    /**
+     * Chooses a replica at which this entry has a silent attempt for another one that takes its place, and its slot.
+     */
+    Optional<BackendInstance> chooseAgain(ServiceTraits service, BackendInstance instance) {
+        long now = clock.getAsLong();
+        List<BackendInstance> accepting = registry.inService(service.name()).stream()
+                .filter(listed -> listed.incarnation().equals(instance.incarnation()))
+                .filter(listed -> availability.isAvailable(listed.incarnation(), now))
+                .toList();
+        return ready(service, accepting, now).stream().filter(this::isUsable).findFirst();
+    }
+
+    /** Chooses a replica that is not ejected or shutting down, also one that was not heard for a while. */
+    Optional<BackendInstance> chooseUsable(ServiceTraits service, PlacementQuery query) {
+        return choose(service, query).filter(this::isUsable);
+    }
+
+    private List<BackendInstance> ready(ServiceTraits service, List<BackendInstance> accepting, long now) {
+        ColdLimit limit = limit(service);
+        return accepting.stream()
+                .filter(instance -> limits.mayBePlaced(instance.incarnation(), now))
+                .filter(instance -> cold.mayPlace(instance.id(), limit, now))
+                .toList();
+    }
+
+    private boolean isUsable(BackendInstance instance) {
+        return state(instance).usable(clock.getAsLong()) && !availability.isShuttingDown(instance.incarnation());
+    }
+
     /** Returns why each replica that matches a query isn't chosen, for the log; of many replicas only some. */
     String obstacles(String service, PlacementQuery query) {
         long now = clock.getAsLong();
@@ -193,9 +234,9 @@
                 .orElse(WaitQuery.NEVER));
     }
 
-    /** Returns the check to make before a request that is placed at a replica now is sent. */
+    /** Counts a request that is placed at a replica now, and returns the check to make before it is sent. */
     SendCheck sendCheck(BackendInstance instance) {
-        return new SendCheck(availability, limits, clock, instance.incarnation());
+        return new SendCheck(availability, limits, cold, clock, instance);
     }
 
     private ColdLimit limit(ServiceTraits service) {
@@ -203,10 +244,8 @@
         return new ColdLimit(perSecond, coldMargin.get().mostInSecond(perSecond));
     }
 
-    /** Records that a request was placed at a replica. */
+    /** Records the load of a request that is placed at a replica. */
     PlacedPrompt started(PlacementQuery query, ServiceTraits service, BackendInstance instance) {
-        cold.placed(instance.id(), clock.getAsLong());
-        availability.placed(instance.incarnation(), clock.getAsLong());
         return placement.started(query, service, instance, clock.getAsLong());
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
@@ -1,7 +1,9 @@
 package org.streamring.direct.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -29,6 +31,9 @@
      */
     private static final int EVENTS_OF_CONTINUED_ANSWER = 2;
 
+    /** A silent server that goes on does so within a few seconds, and then runs what it has received. */
+    private static final long REPLACED_ATTEMPT_MAY_RUN_MILLIS = 5_000;
+
     private final RequestDigests digests;
     private final SuspectTable table;
     private final SuspectExchange exchange;
@@ -38,6 +43,16 @@
     private final DecisionLog log;
     /** Attempts that broke off, by incarnation of the server, until it is known whether the server has ended. */
     private final Map<String, BrokenAttempts> brokenAttempts = new HashMap<>();
+    /** Attempts that another one replaced while they were silent, by incarnation of the server that is watched. */
+    private final Map<String, List<ReplacedAttempt>> replacedAttempts = new HashMap<>();
+
+    /** An attempt that was ended for its silence, and that its server may still run. */
+    private record ReplacedAttempt(
+            Watched request,
+            SentAttempt attempt,
+            BackendInstance instance,
+            AttemptProgress progress,
+            long mayRunUntilMillis) {}
 
     /** Creates a guard on a table of suspects that is exchanged with other entries. */
     public CrashSuspectGuard(
@@ -62,7 +77,55 @@
         return new Watched(plan.id(), digests.of(request, plan.sharedPartIds(), plan.account()));
     }
 
+    private void watchServer(ReplacedAttempt replaced, BackendPool pool) {
+        replacedAttempts
+                .computeIfAbsent(replaced.attempt().server(), any -> new ArrayList<>())
+                .add(replaced);
+        pool.watchProcessExit(REPLACED_ATTEMPT_MAY_RUN_MILLIS, exited -> serverWatched(replaced, exited));
+    }
+
+    private void serverWatched(ReplacedAttempt replaced, boolean exited) {
+        String server = replaced.attempt().server();
+        if (exited) {
+            serverEndChecked(server, true);
+            return;
+        }
+        replacedAttempts.computeIfPresent(server, (any, watched) -> {
+            watched.remove(replaced);
+            return watched.isEmpty() ? null : watched;
+        });
+    }
+
+    /**
+     * Counts the end of a server against the requests that it may still have run. An answer from another server since
+     * then shows that a request is sound.
+     */
+    private void countReplacedAttempts(String server) {
+        List<ReplacedAttempt> replaced = replacedAttempts.remove(server);
+        if (replaced == null) {
+            return;
+        }
+        replaced.stream()
+                .filter(each -> !each.request().answered && clock.getAsLong() <= each.mayRunUntilMillis())
+                .filter(each -> mayHaveCrashed(each.instance()))
+                .forEach(each -> recordBroken(each.attempt(), each.progress()));
+    }
+
+    private void recordBroken(SentAttempt broken, AttemptProgress progress) {
+        brokenAttempts
+                .computeIfAbsent(broken.server(), any -> new BrokenAttempts())
+                .add(progress, broken.traits().parts());
+        table.brokeOff(broken, hasContinued(progress.events()), clock.getAsLong());
+    }
+
+    private static boolean hasContinued(int events) {
+        return events >= EVENTS_OF_CONTINUED_ANSWER;
+    }
+
     private void serverEndChecked(String server, boolean ended) {
+        if (ended) {
+            countReplacedAttempts(server);
+        }
         int requests = ended ? table.confirmed(server, clock.getAsLong()) : table.refuted(server);
         BrokenAttempts broken = brokenAttempts.remove(server);
         if (broken == null) {
@@ -107,6 +170,7 @@
 
         private boolean running;
         private int events;
+        private boolean answered;
 
         private Watched(String id, Optional<RequestTraits> traits) {
             this.id = id;
@@ -125,6 +189,11 @@
             return refusal.map(decision -> Duration.ofMillis(decision.retryAfterMillis()));
         }
 
+        /** Whether the request may be sent again, as far as that is known now. */
+        boolean maySendAgain() {
+            return decide().map(SuspectDecision::maySend).orElse(true);
+        }
+
         private Optional<SuspectDecision> decide() {
             return traits.map(each -> table.decide(each, clock.getAsLong()));
         }
@@ -163,18 +232,14 @@
             if (events == 0) {
                 attempt.ifPresent(table::begun);
             }
-            boolean hadContinued = answerContinued();
+            boolean hadContinued = hasContinued(events);
             events += count;
-            if (!hadContinued && answerContinued()) {
+            if (!hadContinued && hasContinued(events)) {
                 attempt.ifPresent(each -> table.continued(each, clock.getAsLong()));
                 exchange.scheduleReport();
             }
         }
 
-        private boolean answerContinued() {
-            return events >= EVENTS_OF_CONTINUED_ANSWER;
-        }
-
         /**
          * Called when the attempt has ended, whatever its result.
          *
@@ -187,8 +252,20 @@
             }
         }
 
+        /**
+         * Called when the attempt was ended for its silence and another one takes its place. The server may still run
+         * it when it goes on, and crash.
+         */
+        void replaced(BackendInstance instance, BackendPool pool, AttemptProgress progress) {
+            ended(true);
+            long mayRunUntil = clock.getAsLong() + REPLACED_ATTEMPT_MAY_RUN_MILLIS;
+            attempt.ifPresent(
+                    silent -> watchServer(new ReplacedAttempt(this, silent, instance, progress, mayRunUntil), pool));
+        }
+
         /** Called when the attempt returned the complete answer. */
         void answered() {
+            answered = true;
             attempt.ifPresent(each -> table.answered(each, clock.getAsLong()));
             exchange.scheduleReport();
         }
@@ -199,12 +276,8 @@
                 return;
             }
             SentAttempt broken = attempt.get();
-            String server = broken.server();
-            brokenAttempts
-                    .computeIfAbsent(server, any -> new BrokenAttempts())
-                    .add(progress, broken.traits().parts());
-            table.brokeOff(broken, answerContinued(), clock.getAsLong());
-            pool.checkProcessExited(ended -> serverEndChecked(server, ended));
+            recordBroken(broken, progress);
+            pool.checkProcessExited(ended -> serverEndChecked(broken.server(), ended));
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -4,8 +4,11 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.streamring.direct.backend.BackendRequest;
+import org.streamring.direct.backend.Silence;
 import org.streamring.direct.caller.AnswerWriter;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.caller.RequestSink;
@@ -20,32 +23,24 @@
  * Processes one request from its arrival to its final answer: reserves tokens, chooses a replica, sends the request,
  * retries it at another replica where that is allowed, and settles the tokens. Confined to the event loop.
  */
-final class DirectRequest implements RequestSink.ActiveRequest, SlotQueue.Waiting, AttemptRun.Owner {
+final class DirectRequest implements RequestSink.ActiveRequest, SlotQueue.Waiting, RetryPreparation.Request {
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(250);
-    /** Retry-After is at most the time that the caller has left, divided by this number. */
-    private static final int TIME_LEFT_DIVISOR = 3;
 
-    /**
-     * Reason of a refusal: servers crashed while they ran this request or others with a part of its prompt, through
-     * this entry or others.
-     */
+    /** Reason of a refusal: servers crashed while they ran this request or others with a part of its prompt. */
     private static final String CRASHES_SERVERS = "request_crashes_servers";
 
-    /** Spreads the retries of callers refused during the same back-off, which would otherwise all arrive at its end. */
-    private static final int MAX_RETRY_JITTER_MILLIS = 250;
-
     private static final int MAX_UNSENT_ATTEMPTS = 8;
+    private static final long RETRY_LATER_MILLIS = 200;
     private static final long DEADLINE_MARGIN_MILLIS = 5;
 
     private final RequestServices services;
     private final SlotQueue slots;
-    private final HeaderFilter filter;
     private final RequestPlan plan;
     private final RequestLog log;
     private final CallerRequest request;
-    private final AnswerWriter writer;
     private final Runnable onFinished;
     private final AnswerRelay relay;
+    private final FinalAnswers answers;
     private final StreamBinding binding;
     private final StreamTiming timing;
     private final RequestTokens tokens;
@@ -54,6 +49,8 @@
     private final RequestLiveness liveness;
     private final LinkUsage linkUsage;
     private final BackendRequestBuilder builder;
+    private final RetryPreparation preparation;
+    private final RetryDelays retryDelays;
     private final AttemptHistory attempts = new AttemptHistory();
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun currentAttempt;
@@ -73,11 +70,9 @@
             Runnable onFinished) {
         this.services = services;
         this.slots = slots;
-        this.filter = filter;
         this.plan = plan;
         this.log = new RequestLog(services.log(), plan);
         this.request = request;
-        this.writer = writer;
         this.onFinished = onFinished;
         this.timing = new StreamTiming(services.clock(), request.arrivedMillis());
         this.binding =
@@ -89,12 +84,22 @@
                 this::bindToOrigin,
                 Optional.ofNullable(request.headers().get(services.names().lastEventId())),
                 timing);
+        this.answers = new FinalAnswers(plan, services.names(), filter, relay, writer, attempts);
         this.tokens = new RequestTokens(services, plan, log, attempts);
         this.retries = new RequestRetries(services, plan.service().name(), log, this::elapsed);
         this.suspect = services.suspects().watch(request, plan);
         this.liveness = new RequestLiveness(writer::callerPresent, plan.deadlineMillis());
         this.linkUsage = new LinkUsage(services.link(), services.clock(), request.body().length);
         this.builder = new BackendRequestBuilder(services.names(), filter, request, plan);
+        this.retryDelays = new RetryDelays(services.random(), plan.callerWaitMillis());
+        this.preparation = new RetryPreparation(
+                services.clock(),
+                tokens,
+                retries,
+                new NextAttemptCheck(services.clock(), plan, attempts, suspect, liveness, linkUsage),
+                new ReplacementChoice(services.fleet(), plan, attempts, this::nextPlacement),
+                new SilenceReport(log, services.metrics(), attempts, this::elapsed),
+                this);
     }
 
     void start() {
@@ -114,30 +119,13 @@
         if (outcome == TokenSource.Outcome.RESERVED) {
             placeOrQueue();
         } else if (outcome == TokenSource.Outcome.EXHAUSTED) {
-            answerLocally(LocalAnswer.refusal(402, "prepaid_used_up"));
+            finish(answers.local(LocalAnswer.refusal(402, "prepaid_used_up")));
         } else {
-            answerLocally(LocalAnswer.retryLater("no_tokens_leased", tokenRetryDelay()));
+            finish(answers.local(LocalAnswer.retryLater(
+                    "no_tokens_leased", retryDelays.capped(services.tokens().untilAvailable(), elapsed()))));
         }
     }
 
-    private Duration tokenRetryDelay() {
-        return capToTimeLeft(services.tokens().untilAvailable());
-    }
-
-    /**
-     * Caps a retry delay to a part of the time that the caller has left, so that a caller who can't wait for the whole
-     * delay retries sooner, perhaps at another entry.
-     */
-    private Duration capToTimeLeft(Duration after) {
-        long left = plan.callerWaitMillis() - elapsed();
-        long longest = Math.max(0, left) / TIME_LEFT_DIVISOR;
-        return Duration.ofMillis(Math.min(longest, after.toMillis()));
-    }
-
-    private Duration retryJitter() {
-        return Duration.ofMillis(services.random().nextInt(MAX_RETRY_JITTER_MILLIS));
-    }
-
     private void placeOrQueue() {
         if (!tryPlace()) {
             slots.add(this);
@@ -151,15 +139,11 @@
 
     @Override
     public boolean tryPlace() {
-        if (finished) {
-            return true;
-        }
-        if (refusedAsSuspect()) {
+        if (finished || refusedAsSuspect()) {
             return true;
         }
         long linkBlockedMillis = linkUsage.closedMillis();
-        PlacementQuery query =
-                plan.placement(services.failureDomain(), attempts.excludedReplicas(), binding.softwareVersion());
+        PlacementQuery query = nextPlacement(attempts.excludedReplicas());
         Optional<BackendInstance> chosen =
                 linkBlockedMillis > 0 ? Optional.empty() : services.fleet().choose(plan.service(), query);
         if (chosen.isPresent()) {
@@ -174,7 +158,7 @@
         long unavailableMillis = unavailability.millis();
         WaitDecision decision =
                 slots.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis(), unavailableMillis);
-        if (decision.waits()) {
+        if (decision.waits() || attempts.lostItsRun()) {
             return false;
         }
         if (binding.softwareVersion().isPresent()) {
@@ -183,9 +167,8 @@
                     services.fleet().obstacles(plan.service().name(), query),
                     elapsed());
         }
-        retryAfter = unavailableMillis == 0
-                ? decision.retryAfter()
-                : capToTimeLeft(decision.retryAfter().plus(retryJitter()));
+        retryAfter =
+                unavailableMillis == 0 ? decision.retryAfter() : retryDelays.spread(decision.retryAfter(), elapsed());
         endWithoutSuccess(attempts.lastEnd().orElseGet(() -> AttemptEnd.notRun(unavailability.reason())));
         return true;
     }
@@ -218,16 +201,16 @@
         attempts.chosen(instance);
         suspect.sent(instance);
         linkUsage.acquire();
-        AttemptRun attempt = new AttemptRun(services, plan, instance, relay, this);
+        AttemptRun attempt = createAttempt(instance);
         currentAttempt = attempt;
-        attempt.begin(builder.build(instance, plan.callerWaitMillis() - elapsed(), relay.lastEventId()), query);
+        attempt.begin(backendRequest(instance), query);
         if (currentAttempt == attempt) {
             forecast = attempt.forecast();
         }
     }
 
     private void bindToOrigin() {
-        attempts.lastReplica().ifPresent(replica -> binding.firstEvent(replica, plan.callerWaitMillis() - elapsed()));
+        attempts.lastReplica().ifPresent(replica -> binding.firstEvent(replica, plan.resumeMillis() - elapsed()));
     }
 
     @Override
@@ -240,6 +223,50 @@
         retries.written(instance.id());
     }
 
+    @Override
+    public void attemptSilent(AttemptRun run, SilentAttempt silence) {
+        preparation.attemptSilent(run, silence);
+    }
+
+    @Override
+    public void attemptHeard(SilentAttempt before) {
+        preparation.attemptHeard(before);
+    }
+
+    private PlacementQuery nextPlacement(Set<String> excluded) {
+        return plan.placement(services.failureDomain(), excluded, binding.softwareVersion());
+    }
+
+    @Override
+    public AttemptRun createAttempt(BackendInstance instance) {
+        return new AttemptRun(services, plan, instance, relay, this);
+    }
+
+    @Override
+    public void beginReplacing(
+            AttemptRun next, BackendInstance instance, PlacementQuery query, AttemptRun.SendListener listener) {
+        next.beginReplacing(backendRequest(instance), query, listener);
+    }
+
+    private BackendRequest backendRequest(BackendInstance instance) {
+        return builder.build(instance, plan.callerWaitMillis() - elapsed(), relay.lastEventId());
+    }
+
+    @Override
+    public void replaceAttempt(AttemptRun silent, AttemptRun next, BackendInstance instance, Silence silence) {
+        AttemptEnd end = silent.endSilent(silence);
+        attempts.ended(end);
+        suspect.replaced(silent.instance(), services.fleet().pool(silent.instance()), silent.progress());
+        slots.slotReleased();
+        logFailedAttempt(end);
+        tokens.attemptEnded(end, relay.started());
+        attempts.chosen(instance);
+        suspect.sent(instance);
+        linkUsage.acquire();
+        currentAttempt = next;
+        forecast = next.forecast();
+    }
+
     @Override
     public void attemptSent() {
         attempts.sent();
@@ -256,6 +283,7 @@
         if (finished) {
             return;
         }
+        preparation.cancel();
         attempts.ended(end);
         currentAttempt = null;
         if (end.unsent()) {
@@ -267,7 +295,7 @@
         tokens.attemptEnded(end, relay.started());
         if (end.kind() == AttemptEnd.Kind.WHOLE) {
             suspect.answered();
-            complete("answered", 200);
+            finish(answers.whole());
         } else if (end.unsent()) {
             placeAgainOrEnd(end);
         } else if (end.kind() == AttemptEnd.Kind.NOT_RUN) {
@@ -295,15 +323,20 @@
     }
 
     private void retryOrEnd(AttemptEnd end, boolean allowed) {
-        if (allowed && refusedAsSuspect()) {
+        if (finished || (allowed && refusedAsSuspect())) {
             return;
         }
-        boolean retry = allowed
-                && attempts.attempts() < plan.route().maxAttempts()
-                && liveness.hasTime(now())
-                && retries.tryTake();
-        if (retry) {
+        boolean possible = allowed && attempts.attempts() < plan.route().maxAttempts() && liveness.hasTime(now());
+        if (possible && retries.tryTake()) {
             pendingTokens = tokens.reserveForNextRun(outcome -> onTokensForRetry(outcome, end));
+        } else {
+            retryLaterOrEnd(end, possible);
+        }
+    }
+
+    private void retryLaterOrEnd(AttemptEnd end, boolean possible) {
+        if (possible && attempts.lostItsRun()) {
+            services.loop().schedule(() -> retryOrEnd(end, true), RETRY_LATER_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             endWithoutSuccess(end);
         }
@@ -316,31 +349,27 @@
         if (outcome == TokenSource.Outcome.RESERVED) {
             placeOrQueue();
         } else {
-            endWithoutSuccess(end);
+            retries.giveBack();
+            retryLaterOrEnd(end, true);
         }
     }
 
-    /** Ends the request without success. */
     private void endWithoutSuccess(AttemptEnd end) {
-        if (relay.started()) {
-            terminate("aborted", 0);
-            writer.abort();
-            return;
-        }
-        if (end.answer().isPresent() && end.answer().get().forwardable()) {
-            BufferedAnswer answer = end.answer().get();
-            terminate("failure_passed_on", answer.head().status());
-            writer.writeFull(
-                    answer.head().status(), filter.forCaller(answer.head().headers()), answer.body());
-            return;
-        }
-        answerLocally(
-                attempts.mayHaveRun()
-                        ? LocalAnswer.outcomeUnknown(502, end.reason())
-                        : LocalAnswer.retryLater(end.reason(), retryAfter));
+        finish(answers.withoutSuccess(end, retryAfter));
     }
 
     private void onDeadline() {
+        endNow("deadline");
+    }
+
+    @Override
+    public void processExits() {
+        if (!relay.started()) {
+            endNow("entry_stopped");
+        }
+    }
+
+    private void endNow(String reason) {
         if (finished) {
             return;
         }
@@ -349,15 +378,13 @@
             attempts.cancelled(attempt.sent());
             cancelAttempt(attempt);
         }
-        if (relay.started()) {
-            terminate("deadline_in_stream", 0);
-            writer.abort();
-            return;
-        }
-        answerLocally(
-                attempts.mayHaveRun()
-                        ? LocalAnswer.outcomeUnknown(504, "deadline")
-                        : LocalAnswer.retryLater("deadline_not_run", DEFAULT_RETRY_AFTER));
+        finish(answers.interrupted(reason, DEFAULT_RETRY_AFTER));
+    }
+
+    @Override
+    public RequestSink.Progress progress() {
+        boolean running = !finished && currentAttempt != null && currentAttempt.sent();
+        return new RequestSink.Progress(attempts.attempts() + (running ? 1 : 0), attempts.lastReplicaId());
     }
 
     @Override
@@ -399,14 +426,9 @@
         }
     }
 
-    private void complete(String outcome, int status) {
-        terminate(outcome, status);
-        relay.end();
-    }
-
-    private void answerLocally(LocalAnswer answer) {
-        terminate(answer.reason(), answer.status());
-        answer.write(writer, services.names(), plan.id());
+    private void finish(FinalAnswer answer) {
+        terminate(answer.outcome(), answer.status());
+        answer.writing().run();
     }
 
     /**
@@ -415,6 +437,7 @@
      */
     private void terminate(String outcome, int status) {
         finished = true;
+        preparation.cancel();
         onFinished.run();
         slots.remove(this);
         if (pendingTokens != null) {
@@ -439,16 +462,7 @@
     }
 
     private RequestLog.Summary summary() {
-        return new RequestLog.Summary(
-                attempts.attempts(),
-                attempts.unsent(),
-                tokens.used(),
-                attempts.lastReplicaId(),
-                attempts.lastSoftwareVersion(),
-                forecast,
-                timing,
-                sinceSentMillis(),
-                elapsed());
+        return RequestLog.Summary.of(attempts, tokens.used(), forecast, timing, sinceSentMillis(), elapsed());
     }
 
     private OptionalLong sinceSentMillis() {
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -41,7 +41,26 @@
             Optional<PlacementForecast> forecast,
             StreamTiming timing,
             OptionalLong sinceSentMillis,
-            long millis) {}
+            long millis) {
+        static Summary of(
+                AttemptHistory attempts,
+                long tokens,
+                Optional<PlacementForecast> forecast,
+                StreamTiming timing,
+                OptionalLong sinceSentMillis,
+                long millis) {
+            return new Summary(
+                    attempts.attempts(),
+                    attempts.unsent(),
+                    tokens,
+                    attempts.lastReplicaId(),
+                    attempts.lastSoftwareVersion(),
+                    forecast,
+                    timing,
+                    sinceSentMillis,
+                    millis);
+        }
+    }
 
     RequestLog(DecisionLog log, RequestPlan plan) {
         this.log = log;
@@ -82,6 +101,35 @@
                 millis);
     }
 
+    /**
+     * Logs that an attempt fell silent.
+     *
+     * @param event name of what was decided for the attempt
+     * @param lack what a second attempt lacks
+     */
+    void attemptSilent(String event, SilentAttempt silent, SilentAttempt.Lack lack, String replica, long millis) {
+        log.line(
+                event,
+                "request",
+                plan.id(),
+                "service",
+                plan.service().name(),
+                "replica",
+                replica,
+                "silence",
+                silent.silence(),
+                "silent_ms",
+                silent.silentMillis(),
+                "replica_heard_ms_ago",
+                silent.replicaHeardMillisAgo(),
+                "events",
+                silent.events(),
+                "lacks",
+                lack.text(),
+                "ms",
+                millis);
+    }
+
     /** Returns the digests of the first and last shared parts of a prompt, in order. */
     private static String partsText(RequestTraits traits) {
         List<SuspectId> parts = traits.parts();
--- a/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.kernel.placement.PlacementQuery;
@@ -25,6 +26,7 @@
  * @param sharedPartIds identifiers of the parts of the prompt that other prompts may share
  * @param deadlineMillis deadline of the final answer, on the process's monotonic clock
  * @param callerWaitMillis milliseconds that the caller waits, from the arrival
+ * @param resumeMillis milliseconds within which the caller may resume the stream, from the arrival
  */
 record RequestPlan(
         String id,
@@ -37,7 +39,8 @@
         Prompt prompt,
         List<String> sharedPartIds,
         long deadlineMillis,
-        long callerWaitMillis) {
+        long callerWaitMillis,
+        long resumeMillis) {
 
     static RequestPlan of(
             CallerRequest request,
@@ -65,7 +68,8 @@
                 PromptHeader.read(request.headers(), names, tokens),
                 PromptHeader.sharedPartIds(request.headers(), names),
                 request.arrivedMillis() + timeoutMillis,
-                waitMillis);
+                waitMillis,
+                resumePeriod(request, route, names));
     }
 
     Optional<String> prepaidAccount() {
@@ -90,14 +94,26 @@
 
     /** Returns the time for which the caller waits from the arrival of its request, in milliseconds. */
     static long callerWait(CallerRequest request, Route route, ForwardingHeaders names) {
+        return namedWait(request, names).orElse(route.timeout().toMillis());
+    }
+
+    /**
+     * Returns the time from the arrival of a request within which its caller may resume the stream, in milliseconds. A
+     * caller that names no deadline may also resume a stream that the route's timeout has ended.
+     */
+    static long resumePeriod(CallerRequest request, Route route, ForwardingHeaders names) {
+        return namedWait(request, names).orElse(2 * route.timeout().toMillis());
+    }
+
+    private static OptionalLong namedWait(CallerRequest request, ForwardingHeaders names) {
         String header = request.headers().get(names.deadline());
         if (header == null) {
-            return route.timeout().toMillis();
+            return OptionalLong.empty();
         }
         try {
-            return Math.max(0, Long.parseLong(header.trim()));
+            return OptionalLong.of(Math.max(0, Long.parseLong(header.trim())));
         } catch (NumberFormatException e) {
-            return route.timeout().toMillis();
+            return OptionalLong.empty();
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/RequestRetries.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRetries.java
@@ -33,6 +33,11 @@
         budget().request(now());
     }
 
+    /** Returns whether the budget allows a retry now, without taking it. */
+    boolean available() {
+        return budget().allows(now());
+    }
+
     /** Takes a retry from the budget; returns false if the budget allows none. */
     boolean tryTake() {
         grant = budget().tryRetry(now());
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -137,6 +137,11 @@
     }
 
     private static final class AnsweredRequest implements ActiveRequest {
+        @Override
+        public Progress progress() {
+            return Progress.NONE;
+        }
+
         @Override
         public void callerGone() {
             // the answer was already sent
--- a/direct/src/main/java/org/streamring/direct/request/RequestTokens.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestTokens.java
@@ -37,6 +37,23 @@
         return () -> {};
     }
 
+    /**
+     * Reserves the tokens of a run that begins when the one in progress is given up; the outcome may be delivered
+     * before this method returns.
+     */
+    TokenSource.Pending reserveForRunAfterCurrent(Consumer<TokenSource.Outcome> onOutcome) {
+        if (reservation.isPresent()) {
+            return reservation.get().reserveForRunAfterCurrent(onOutcome);
+        }
+        onOutcome.accept(TokenSource.Outcome.RESERVED);
+        return () -> {};
+    }
+
+    /** Releases tokens that were reserved for a run after the one in progress. */
+    void releaseRunAfterCurrent() {
+        reservation.ifPresent(Reservation::releaseRunAfterCurrent);
+    }
+
     /** Adds events received from the run in progress. */
     void eventsReceived(int events) {
         long tokens = (long) events * plan.service().tokensPerEvent();
--- a/direct/src/main/java/org/streamring/direct/request/Reservation.java
+++ b/direct/src/main/java/org/streamring/direct/request/Reservation.java
@@ -38,7 +38,25 @@
 
     /** Reserves the tokens that the next run lacks; the outcome may be delivered before this method returns. */
     TokenSource.Pending reserveForNextRun(Consumer<TokenSource.Outcome> onOutcome) {
-        long lacking = usage.neededForNextRun() - reserved;
+        return reserve(usage.neededForNextRun(), onOutcome);
+    }
+
+    /** Reserves the tokens that a run lacks that begins when the one in progress is given up. */
+    TokenSource.Pending reserveForRunAfterCurrent(Consumer<TokenSource.Outcome> onOutcome) {
+        return reserve(usage.neededForRunAfterCurrent(), onOutcome);
+    }
+
+    /** Releases tokens that were reserved for a run after the one in progress. */
+    void releaseRunAfterCurrent() {
+        long surplus = reserved - usage.neededForNextRun();
+        if (surplus > 0 && !closed) {
+            reserved -= surplus;
+            source.settle(account, surplus, 0);
+        }
+    }
+
+    private TokenSource.Pending reserve(long needed, Consumer<TokenSource.Outcome> onOutcome) {
+        long lacking = needed - reserved;
         if (lacking <= 0) {
             onOutcome.accept(TokenSource.Outcome.RESERVED);
             return () -> {};
--- a/direct/src/main/java/org/streamring/direct/request/SendCheck.java
+++ b/direct/src/main/java/org/streamring/direct/request/SendCheck.java
@@ -5,24 +5,40 @@
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.permit.LimitedBackends;
 import org.streamring.kernel.permit.Permit;
+import org.streamring.kernel.placement.ColdReplicas;
+import org.streamring.kernel.registry.BackendInstance;
 
-/** Checks whether a request that was placed at a replica may still be sent to it. Confined to the event loop. */
+/**
+ * Counts a request that is placed at a replica against the limits of that replica, and checks whether it may still be
+ * sent to it. Confined to the event loop.
+ */
 final class SendCheck {
     private final BackendAvailability availability;
     private final LimitedBackends limits;
+    private final ColdReplicas cold;
     private final LongSupplier clock;
-    private final String incarnation;
+    private final BackendInstance instance;
+    private final long placedMillis;
     private final boolean lastResort;
     private final Optional<Permit> permit;
 
-    /** Creates the check for a request that is placed now; takes a permit if the replica announces a limit. */
-    SendCheck(BackendAvailability availability, LimitedBackends limits, LongSupplier clock, String incarnation) {
+    /** Counts a request that is placed now; takes a permit if the replica announces a limit. */
+    SendCheck(
+            BackendAvailability availability,
+            LimitedBackends limits,
+            ColdReplicas cold,
+            LongSupplier clock,
+            BackendInstance instance) {
         this.availability = availability;
         this.limits = limits;
+        this.cold = cold;
         this.clock = clock;
-        this.incarnation = incarnation;
-        this.lastResort = availability.isShuttingDown(incarnation);
-        this.permit = limits.place(incarnation, clock.getAsLong());
+        this.instance = instance;
+        this.placedMillis = clock.getAsLong();
+        this.lastResort = availability.isShuttingDown(instance.incarnation());
+        this.permit = limits.place(instance.incarnation(), placedMillis);
+        cold.placed(instance.id(), placedMillis);
+        availability.placed(instance.incarnation(), placedMillis);
     }
 
     /**
@@ -31,11 +47,14 @@
      */
     boolean passes() {
         long now = clock.getAsLong();
-        return availability.mayBeSent(incarnation, lastResort, now) && limits.mayBeSent(incarnation, permit, now);
+        return availability.mayBeSent(instance.incarnation(), lastResort, now)
+                && limits.mayBeSent(instance.incarnation(), permit, now);
     }
 
-    /** Returns the permit of a request that was not sent. */
+    /** Gives back what a request that was not sent counted for. */
     void notSent() {
         permit.ifPresent(limits::notSent);
+        cold.notSent(instance.id(), placedMillis);
+        availability.notSent(instance.incarnation(), placedMillis);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
+++ b/direct/src/main/java/org/streamring/direct/request/StreamResumption.java
@@ -71,7 +71,7 @@
     }
 
     private void decide(Optional<KnownOrigin> known, Optional<StreamOrigin> only) {
-        if (callerGone || !writer.callerPresent()) {
+        if (continued != null || callerGone || !writer.callerPresent()) {
             return;
         }
         Optional<StreamOrigin> recorded = known.map(KnownOrigin::origin);
@@ -82,8 +82,8 @@
     }
 
     private Optional<StreamOrigin> onlyPossible() {
-        long callerWait = RequestPlan.callerWait(request, route, services.names());
-        return services.streams().onlyPossible(route, account, route.timeout().toMillis() + callerWait);
+        long resumePeriod = RequestPlan.resumePeriod(request, route, services.names());
+        return services.streams().onlyPossible(route, account, route.timeout().toMillis() + resumePeriod);
     }
 
     private static LocalAnswer refusal(ResumeDecision decision) {
@@ -123,6 +123,11 @@
                         services.clock().getAsLong() - startedMillis);
     }
 
+    @Override
+    public RequestSink.Progress progress() {
+        return continued == null ? RequestSink.Progress.NONE : continued.progress();
+    }
+
     @Override
     public void callerGone() {
         callerGone = true;
@@ -131,6 +136,15 @@
         }
     }
 
+    @Override
+    public void processExits() {
+        if (continued == null) {
+            continued = starter.refuse(LocalAnswer.retryLater("entry_stopped_not_run", RETRY_AFTER));
+        } else {
+            continued.processExits();
+        }
+    }
+
     @Override
     public void writabilityChanged(boolean writable) {
         if (continued != null) {
--- a/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -107,6 +108,48 @@
         assertThat(connection.busy()).isFalse();
     }
 
+    @Test
+    public void aServerThatAcceptsNoConnectionsIsNotTakenForOneThatHasExited() throws Exception {
+        List<Socket> unaccepted = new ArrayList<>();
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = (InetSocketAddress) silent.getLocalSocketAddress();
+            for (int i = 0; i < 4; i++) {
+                unaccepted.add(connectWithoutWaiting(address));
+            }
+            assertThat(exited(address)).isFalse();
+            silent.close();
+            assertThat(exited(address)).isTrue();
+        } finally {
+            for (Socket each : unaccepted) {
+                each.close();
+            }
+        }
+    }
+
+    /** Opens a connection that stays in the queue of its server, or is not established if the queue is full. */
+    private static Socket connectWithoutWaiting(InetSocketAddress address) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.connect(address, 100);
+        } catch (SocketTimeoutException e) {
+            // the queue is full
+        }
+        return socket;
+    }
+
+    private boolean exited(InetSocketAddress address) throws Exception {
+        CompletableFuture<Boolean> exited = new CompletableFuture<>();
+        BackendPool checked = new BackendPool(
+                loops.next(),
+                address,
+                TestHeaders.NAMES,
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                took -> {},
+                (status, notice, limit, sentMillis) -> {});
+        loops.next().execute(() -> checked.checkProcessExited(exited::complete));
+        return exited.get(5, TimeUnit.SECONDS);
+    }
+
     private static final class Outcome implements AttemptListener {
         private final CompletableFuture<AttemptFailure> failure = new CompletableFuture<>();
         private final CompletableFuture<Integer> status = new CompletableFuture<>();
--- a/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
+++ b/direct/src/test/java/org/streamring/direct/feed/MemberRegisterTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.streamring.kernel.limit.FleetShare;
 import org.streamring.kernel.store.CommitResult;
@@ -134,7 +135,45 @@
         assertThat(register.view().start()).isEqualTo(FleetShare.Start.JOINED);
     }
 
+    @Test
+    public void theFirstProcessOfAFleetIsAloneAlsoIfItsFirstWriteWasNotConfirmed() {
+        rows.unconfirmedWrites.set(1);
+        loop.execute(register::start);
+        Awaitility.await().until(() -> register.view().start() != FleetShare.Start.JOINED);
+        assertThat(register.view().start()).isEqualTo(FleetShare.Start.FIRST);
+    }
+
+    @Test
+    public void aProcessWhoseFirstWriteWasNotConfirmedJoinsTheOthers() throws InterruptedException {
+        rows.addRow("entry-2", "entry-2.a 127.0.0.2:7340");
+        rows.unconfirmedWrites.set(1);
+        loop.execute(register::start);
+        received.poll(5, TimeUnit.SECONDS);
+        received.poll(5, TimeUnit.SECONDS);
+        assertThat(register.view().start()).isEqualTo(FleetShare.Start.JOINED);
+    }
+
+    @Test
+    public void theOtherEntriesAreKnownSoonAfterTheFirstReadingFailed() throws InterruptedException {
+        rows.addRow("entry-2", "entry-2.a 127.0.0.2:7340");
+        rows.failures.set(2);
+        loop.execute(register::start);
+        assertThat(received.poll(1_500, TimeUnit.MILLISECONDS)).isNotNull();
+        assertThat(register.live()).isEqualTo(2);
+    }
+
+    @Test
+    public void theTableIsNotReadMoreOftenWhileTheStoreIsAway() throws InterruptedException {
+        rows.failures.set(Integer.MAX_VALUE);
+        loop.execute(register::start);
+        Thread.sleep(5_000);
+        assertThat(rows.readings.get()).isLessThanOrEqualTo(6);
+    }
+
     private static final class FakeRowStore implements RowStore {
+        private final AtomicInteger failures = new AtomicInteger();
+        private final AtomicInteger unconfirmedWrites = new AtomicInteger();
+        private final AtomicInteger readings = new AtomicInteger();
         private final List<StoredRow> rows = new CopyOnWriteArrayList<>();
         private final BlockingQueue<String> written = new LinkedBlockingQueue<>();
         private final BlockingQueue<Long> expectedVersions = new LinkedBlockingQueue<>();
@@ -147,12 +186,20 @@
         public CompletableFuture<CommitResult> commit(List<RowChange> changes) {
             expectedVersions.add(changes.get(0).expectedVersion());
             written.add(changes.get(0).value());
+            if (unconfirmedWrites.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+                addRow(changes.get(0).key().key(), changes.get(0).value());
+                return CompletableFuture.failedFuture(new IllegalStateException("the answer is lost"));
+            }
             return CompletableFuture.completedFuture(
                     new CommitResult(true, StorePosition.withoutEra(100), 0, List.of()));
         }
 
         @Override
         public CompletableFuture<RowPage> list(String table, String partition) {
+            readings.incrementAndGet();
+            if (failures.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+                return CompletableFuture.failedFuture(new IllegalStateException("the store does not answer"));
+            }
             return CompletableFuture.completedFuture(new RowPage(rows, StorePosition.withoutEra(100), 0, false));
         }
 
--- a/entry/src/main/java/org/streamring/entry/EntryMain.java
+++ b/entry/src/main/java/org/streamring/entry/EntryMain.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
 import org.streamring.net.peer.PeerException;
+import org.streamring.net.process.CommandLine;
 import org.streamring.net.process.SettingsProgram;
 import org.streamring.net.settings.SettingValues;
 import org.streamring.net.settings.SettingsSchema;
@@ -10,10 +11,9 @@
 /** Command line of the entry program. */
 @Command(name = "streamring-entry", description = "Serves callers and decides on their requests")
 public final class EntryMain extends SettingsProgram {
-    /** Runs the program. */
+    /** Runs the program and exits the JVM with its exit code. */
     public static void main(String[] arguments) {
-        System.exit(
-                SingleCommand.singleCommand(EntryMain.class).parse(arguments).run());
+        System.exit(CommandLine.run(SingleCommand.singleCommand(EntryMain.class), arguments));
     }
 
     @Override
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -245,8 +245,8 @@
     }
 
     /**
-     * Shuts the entry down gracefully: refuses new calls, waits for open requests and for the settlement of the leases,
-     * then closes all components.
+     * Shuts the entry down gracefully: refuses new calls, waits for open requests, for the settlement of the leases and
+     * until callers have received their answers, then closes all components.
      */
     @Override
     public void stopGracefully() {
@@ -265,9 +265,11 @@
                 + settings.get(EntrySettings.SETTLE_WAIT).toMillis();
         waitUntil(Math.min(stopDeadlineMillis, settleDeadlineMillis), () -> ledgers.current()
                 .isSettled());
+        waitUntil(stopDeadlineMillis, () -> callers.unwrittenAnswers() == 0);
         LOGGER.info(
-                "entry_stopped open_requests={} leases={}",
+                "entry_stopped open_requests={} unwritten_answers={} leases={}",
                 coordinator.openRequests(),
+                callers.unwrittenAnswers(),
                 ledgers.current().openLeases());
         close();
     }
--- a/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
@@ -4,11 +4,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -22,10 +28,13 @@
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
 import org.streamring.net.generated.Wire.Header;
+import org.streamring.net.http.ContinueExpectedEvent;
+import org.streamring.net.http.UnsupportedExpectationException;
 import org.streamring.net.process.ArrivedBytes;
 
-/** Converts the HTTP requests of one connection into calls, one at a time. */
+/** Converts the HTTP requests of one connection into calls, one at a time, in the order of their arrival. */
 final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final int MAX_PIPELINED = 16;
     private static final Logger LOGGER = LoggerFactory.getLogger(CallHandler.class);
     private static final Pattern VALID_IDEMPOTENCY_KEY = Pattern.compile("[A-Za-z0-9._:~-]{1,128}");
     private static final Set<String> NOT_FORWARDED = Set.of(
@@ -44,31 +53,54 @@
 
     private final CallReceiver receiver;
     private final CallTimeoutHandler timeoutHandler;
+    private final UnwrittenAnswers unwritten;
     private Runnable onCallerGone = CallHandler::noOp;
+    private final Deque<FullHttpRequest> pending = new ArrayDeque<>();
     private @Nullable HttpAnswer current;
-    private @Nullable FullHttpRequest pendingRequest;
+    /** Whether the caller of the arriving request waits for an interim answer. */
+    private boolean continueExpected;
 
-    CallHandler(CallReceiver receiver, CallTimeoutHandler timeoutHandler) {
+    CallHandler(CallReceiver receiver, CallTimeoutHandler timeoutHandler, UnwrittenAnswers unwritten) {
         this.receiver = receiver;
         this.timeoutHandler = timeoutHandler;
+        this.unwritten = unwritten;
+        timeoutHandler.setAnswerInProgress(this::isAnswerInProgress);
+    }
+
+    private boolean isAnswerInProgress() {
+        HttpAnswer latest = current;
+        return latest != null && !latest.allowsNext();
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         timeoutHandler.stopTimer();
-        if (pendingRequest != null || (current != null && !current.isDone())) {
-            // The answers to pipelined calls could be mixed up.
-            context.close();
-            return;
+        continueExpected = false;
+        pending.addLast(request.retain());
+        if (pending.size() >= MAX_PIPELINED) {
+            context.channel().config().setAutoRead(false);
         }
-        pendingRequest = request.retain();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        continueExpected |= event == ContinueExpectedEvent.INSTANCE;
+        super.userEventTriggered(context, event);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        FullHttpRequest request = pendingRequest;
-        pendingRequest = null;
+        serveNext(context);
+    }
+
+    private void serveNext(ChannelHandlerContext context) {
+        if (isAnswerInProgress()) {
+            return;
+        }
+        FullHttpRequest request = pending.pollFirst();
         if (request == null) {
+            context.channel().config().setAutoRead(true);
+            writeInterimAnswer(context);
             return;
         }
         try {
@@ -78,17 +110,30 @@
         }
     }
 
+    private void writeInterimAnswer(ChannelHandlerContext context) {
+        if (continueExpected) {
+            continueExpected = false;
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
     private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+        String requestId = UUID.randomUUID().toString();
+        boolean readable = request.decoderResult().isSuccess();
+        boolean announcesEnd = !HttpUtil.isKeepAlive(request);
+        HttpAnswer answer = new HttpAnswer(
+                context.channel(),
+                readable && !announcesEnd,
+                !readable || !announcesEnd,
+                requestId,
+                () -> serveNext(context),
+                unwritten);
+        current = answer;
         if (!ArrivedBytes.isOpenAfterReading(context.channel())) {
             LOGGER.debug("caller_left_before_its_call_was_received");
             return;
         }
-        String requestId = UUID.randomUUID().toString();
-        boolean keepAlive =
-                HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
-        HttpAnswer answer = new HttpAnswer(context.channel(), keepAlive, requestId);
-        current = answer;
-        if (!request.decoderResult().isSuccess()) {
+        if (!readable) {
             answer.refuse(refusalOf(request.decoderResult().cause()));
             return;
         }
@@ -101,6 +146,12 @@
     }
 
     private static Refusal refusalOf(@Nullable Throwable cause) {
+        if (cause instanceof TooLongHttpContentException) {
+            return Refusal.of(RefusalReason.TOO_LARGE, cause.getMessage());
+        }
+        if (cause instanceof UnsupportedExpectationException) {
+            return Refusal.of(RefusalReason.UNSUPPORTED_EXPECTATION, cause.getMessage());
+        }
         if (cause instanceof TooLongFrameException) {
             return Refusal.of(RefusalReason.HEADERS_TOO_LARGE, "the request line or headers are too large");
         }
@@ -169,6 +220,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        pending.forEach(FullHttpRequest::release);
+        pending.clear();
         onCallerGone.run();
     }
 
--- a/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.UUID;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
@@ -17,8 +19,11 @@
  */
 final class CallTimeoutHandler extends ChannelInboundHandlerAdapter {
     private final Duration callTimeout;
+    private final UnwrittenAnswers unwritten;
     private @Nullable ScheduledFuture<?> timer;
+    private BooleanSupplier answerInProgress = () -> false;
     private boolean bytesReceived;
+    private boolean refused;
 
     /**
      * Creates a handler for one connection.
@@ -26,8 +31,14 @@
      * @param callTimeout longest time from the opening of the connection, or from the first byte of a later call, until
      *     the last byte of the call
      */
-    CallTimeoutHandler(Duration callTimeout) {
+    CallTimeoutHandler(Duration callTimeout, UnwrittenAnswers unwritten) {
         this.callTimeout = callTimeout;
+        this.unwritten = unwritten;
+    }
+
+    /** Sets whether an answer is in progress, before which no call behind it is refused. */
+    void setAnswerInProgress(BooleanSupplier newAnswerInProgress) {
+        answerInProgress = newAnswerInProgress;
     }
 
     @Override
@@ -38,6 +49,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+        if (refused) {
+            ReferenceCountUtil.release(bytes);
+            return;
+        }
         bytesReceived = true;
         if (timer == null) {
             startTimer(context);
@@ -60,8 +75,12 @@
             context.close();
             return;
         }
-        HttpAnswer answer =
-                new HttpAnswer(context.channel(), false, UUID.randomUUID().toString());
+        if (answerInProgress.getAsBoolean()) {
+            startTimer(context);
+            return;
+        }
+        refused = true;
+        HttpAnswer answer = HttpAnswer.last(context.channel(), UUID.randomUUID().toString(), unwritten);
         answer.refuse(Refusal.of(
                 RefusalReason.CALL_TOO_SLOW,
                 "the call was not received completely within " + callTimeout.toMillis() + " ms"));
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.streamring.net.http.BodyAggregator;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.ListeningSocket;
 
@@ -13,6 +14,7 @@
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
+    private final UnwrittenAnswers unwritten = new UnwrittenAnswers();
     private final ListeningSocket listeningSocket;
 
     /**
@@ -29,13 +31,13 @@
             CallReceiver receiver)
             throws PeerException {
         listeningSocket = new ListeningSocket(loops, address, accepted -> {
-            CallTimeoutHandler timeoutHandler = new CallTimeoutHandler(callTimeout);
+            CallTimeoutHandler timeoutHandler = new CallTimeoutHandler(callTimeout, unwritten);
             accepted.pipeline()
                     .addLast(
                             timeoutHandler,
                             new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                            new CallAggregator(maxBodyBytes, timeoutHandler),
-                            new CallHandler(receiver, timeoutHandler));
+                            new BodyAggregator(maxBodyBytes),
+                            new CallHandler(receiver, timeoutHandler, unwritten));
         });
     }
 
@@ -44,6 +46,14 @@
         return listeningSocket.port();
     }
 
+    /**
+     * Returns the number of answers that were given and are not yet written to their sockets. An answer that ends its
+     * connection counts until the caller closes the connection as well, or has had time to do so.
+     */
+    public int unwrittenAnswers() {
+        return unwritten.count();
+    }
+
     /** Stops accepting connections. */
     public void close() {
         listeningSocket.close();
--- a/entry/src/main/java/org/streamring/entry/caller/HttpAnswer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/HttpAnswer.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -23,6 +22,7 @@
 import org.streamring.model.request.Outcome;
 import org.streamring.model.request.Refusal;
 import org.streamring.net.generated.Wire.Header;
+import org.streamring.net.http.LingeringClose;
 
 /**
  * Writes one answer to a caller's connection. A streamed answer is forwarded as it arrives and ends with an event that
@@ -38,22 +38,47 @@
 
     private final Channel channel;
     private final boolean keepAlive;
+    private final boolean callerMaySend;
     private final String requestId;
+    private final Runnable onNextAllowed;
+    private final UnwrittenAnswers unwritten;
     private int status;
     private List<Header> headers = List.of();
     private ByteString bufferedBody = ByteString.EMPTY;
     private boolean streaming;
     private boolean done;
 
-    HttpAnswer(Channel channel, boolean keepAlive, String requestId) {
+    /** Creates an answer behind which the connection is closed, although the caller may send more. */
+    static HttpAnswer last(Channel channel, String requestId, UnwrittenAnswers unwritten) {
+        return new HttpAnswer(channel, false, true, requestId, () -> {}, unwritten);
+    }
+
+    /**
+     * Creates an answer.
+     *
+     * @param keepAlive whether another answer may follow on the connection
+     * @param callerMaySend whether the caller may send more, because it did not announce the end of the connection or
+     *     its call can't be read to its end
+     * @param onNextAllowed called on the event loop once another answer may follow
+     */
+    HttpAnswer(
+            Channel channel,
+            boolean keepAlive,
+            boolean callerMaySend,
+            String requestId,
+            Runnable onNextAllowed,
+            UnwrittenAnswers unwritten) {
         this.channel = channel;
         this.keepAlive = keepAlive;
+        this.callerMaySend = callerMaySend;
         this.requestId = requestId;
+        this.onNextAllowed = onNextAllowed;
+        this.unwritten = unwritten;
     }
 
-    /** Returns whether the final answer was given. */
-    synchronized boolean isDone() {
-        return done;
+    /** Returns whether the final answer was given and another one may follow. */
+    synchronized boolean allowsNext() {
+        return done && keepAlive;
     }
 
     @Override
@@ -176,9 +201,19 @@
 
     private void finish(Object last) {
         if (keepAlive) {
-            channel.writeAndFlush(last);
+            unwritten.addUntil(channel.writeAndFlush(last));
+            channel.eventLoop().execute(onNextAllowed);
         } else {
-            channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+            unwritten.addUntil(channel.closeFuture());
+            channel.writeAndFlush(last).addListener(written -> endConnection());
+        }
+    }
+
+    private void endConnection() {
+        if (callerMaySend && channel.isActive()) {
+            LingeringClose.start(channel);
+        } else {
+            channel.close();
         }
     }
 }
--- a/entry/src/main/java/org/streamring/entry/peer/AttemptListener.java
+++ b/entry/src/main/java/org/streamring/entry/peer/AttemptListener.java
@@ -21,6 +21,13 @@
     /** Called when the sidecar has refused the attempt; it was not forwarded and will not be. */
     void refused(Refused refused);
 
+    /**
+     * Secures a retry elsewhere for the case that this attempt is given up, which {@link #lost} then reports.
+     *
+     * @return whether a retry is allowed and another replica has room for it
+     */
+    boolean secureRetry();
+
     /** Called when the connection is lost; whether the attempt ran is unknown. */
     void lost();
 }
--- a/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
+++ b/entry/src/main/java/org/streamring/entry/peer/SidecarLinks.java
@@ -85,8 +85,8 @@
     }
 
     /**
-     * Connects to the servers of the subset, and closes the connections to servers that are not in it or whose address
-     * has changed.
+     * Connects to the servers of the subset. The connections to servers that are not in it or whose address has changed
+     * are closed once no attempt is left on them.
      */
     public void updateSubset(Collection<BackendServer> subset) {
         Map<String, BackendServer> wanted = new HashMap<>();
@@ -95,7 +95,7 @@
             BackendServer server = wanted.get(name);
             if (server == null || !link.hasAddressOf(server)) {
                 links.remove(name);
-                link.connector.stop();
+                link.retire();
             }
         });
         wanted.values().forEach(this::connect);
@@ -170,13 +170,16 @@
         OpenAttempt open = attempts.get(attempt);
         if (open != null) {
             open.markCancelled();
-            open.connection()
-                    .send(Frame.newBuilder()
-                            .setCancel(Cancel.newBuilder().setAttempt(attempt))
-                            .build());
+            open.connection().send(cancelFrame(attempt));
         }
     }
 
+    private static Frame cancelFrame(String attempt) {
+        return Frame.newBuilder()
+                .setCancel(Cancel.newBuilder().setAttempt(attempt))
+                .build();
+    }
+
     /** Returns the number of attempts in progress. */
     public int openAttempts() {
         return attempts.size();
@@ -242,6 +245,7 @@
         private final PeerConnector connector;
         private volatile Optional<PeerConnection> connection = Optional.empty();
         private volatile long lastReceivedMillis;
+        private volatile long connectedMillis;
         private volatile long heartbeatSentMillis;
         private volatile long sentConfigVersion;
 
@@ -277,6 +281,17 @@
             connection.ifPresent(open -> open.send(frame));
         }
 
+        private void retire() {
+            Optional<PeerConnection> current = connection;
+            if (current.filter(this::isUsed).isEmpty()) {
+                connector.stop();
+                return;
+            }
+            connector.stopReconnecting();
+            removeCurrent(current.get());
+            closeIfUnused(current.get());
+        }
+
         private boolean hasAddressOf(BackendServer listed) {
             return listed.host().equals(server.host()) && listed.port() == server.port();
         }
@@ -292,6 +307,7 @@
                 return;
             }
             lastReceivedMillis = now();
+            connectedMillis = lastReceivedMillis;
             sentConfigVersion = 0;
             connection = Optional.of(opened);
             LOGGER.info("sidecar_connected peer={}", opened);
@@ -300,23 +316,77 @@
             listeners.forEach(listener -> listener.sidecarConnected(incarnation));
         }
 
+        /**
+         * Replaces a silent connection by a new one, and gives up the attempts that are retried elsewhere. The silent
+         * connection is kept for the others, which go on if the sidecar does, until the sidecar is heard on the new one
+         * only.
+         */
         @Override
-        public void disconnected(PeerConnection closed, DisconnectReason reason) {
-            if (connection.isEmpty() || connection.get() != closed) {
-                return;
+        public boolean closesSilent(PeerConnection silent) {
+            attempts.forEach((id, open) -> {
+                if (open.connection() == silent && open.listener().secureRetry()) {
+                    silent.send(cancelFrame(id));
+                    giveUp(id, open);
+                }
+            });
+            if (!isUsed(silent) || isHeardElsewhere(silent)) {
+                return true;
+            }
+            if (isCurrent(silent)) {
+                LOGGER.info("sidecar_silent peer={}", silent);
+                removeCurrent(silent);
+                connector.replace();
             }
+            return false;
+        }
+
+        private boolean isHeardElsewhere(PeerConnection silent) {
+            return connection.isPresent()
+                    && !isCurrent(silent)
+                    && now() - connectedMillis >= PeerConnection.MILLIS_TO_OUTLAST_SILENCE;
+        }
+
+        private void giveUp(String id, OpenAttempt open) {
+            if (attempts.remove(id, open)) {
+                replicas.ended(server.name(), AttemptResult.FAILED, now());
+                open.listener().lost();
+            }
+        }
+
+        private boolean isUsed(PeerConnection candidate) {
+            return attempts.values().stream().anyMatch(open -> open.connection() == candidate);
+        }
+
+        private boolean isCurrent(PeerConnection candidate) {
+            return connection.filter(current -> current == candidate).isPresent();
+        }
+
+        private void removeCurrent(PeerConnection removed) {
             connection = Optional.empty();
-            LOGGER.info("sidecar_disconnected peer={} reason={}", closed, reason);
             replicas.disconnected(server.name());
-            String incarnation = closed.remote().incarnation();
-            queries.connectionLost(closed);
+            queries.connectionLost(removed);
+            String incarnation = removed.remote().incarnation();
+            listeners.forEach(listener -> listener.sidecarDisconnected(incarnation));
+        }
+
+        @Override
+        public void disconnected(PeerConnection closed, DisconnectReason reason) {
+            LOGGER.info("sidecar_disconnected peer={} reason={}", closed, reason);
+            if (isCurrent(closed)) {
+                removeCurrent(closed);
+            }
             attempts.forEach((id, open) -> {
-                if (open.connection() == closed && attempts.remove(id, open)) {
-                    replicas.ended(server.name(), AttemptResult.FAILED, now());
-                    open.listener().lost();
+                if (open.connection() == closed) {
+                    giveUp(id, open);
                 }
             });
-            listeners.forEach(listener -> listener.sidecarDisconnected(incarnation));
+        }
+
+        /** Closes a connection that was replaced once no attempt is left on it. */
+        private void closeIfUnused(PeerConnection from) {
+            if (!isUsed(from) && !isCurrent(from)) {
+                from.close();
+            }
         }
 
         @Override
@@ -358,6 +428,7 @@
                     .serviceTimeMillis(frame.getEnd())
                     .ifPresent(millis -> replicas.recordServiceTime(server.name(), millis, now()));
             open.get().listener().ended(frame.getEnd());
+            closeIfUnused(from);
         }
 
         private void refused(PeerConnection from, Frame frame) {
@@ -371,6 +442,7 @@
             boolean unreachable = frame.getRefused().getReason().equals(RefusalReason.BACKEND_UNREACHABLE.name());
             replicas.ended(server.name(), unreachable ? AttemptResult.FAILED : AttemptResult.INCONCLUSIVE, now());
             open.get().listener().refused(frame.getRefused());
+            closeIfUnused(from);
         }
 
         private void recordLoad(Load load) {
--- a/entry/src/main/java/org/streamring/entry/request/CountingAnswerSink.java
+++ b/entry/src/main/java/org/streamring/entry/request/CountingAnswerSink.java
@@ -35,25 +35,28 @@
 
     @Override
     public void complete() {
-        count(Outcome.ANSWERED, "none");
+        boolean isFinal = count(Outcome.ANSWERED, "none");
         sink.complete();
+        afterAnswer(isFinal);
     }
 
     @Override
     public void refuse(Refusal refusal) {
-        count(Outcome.NOT_RUN, refusal.reason().name());
+        boolean isFinal = count(Outcome.NOT_RUN, refusal.reason().name());
         sink.refuse(refusal);
+        afterAnswer(isFinal);
     }
 
     @Override
     public void fail(Outcome outcome, String message) {
-        count(outcome, "incomplete");
+        boolean isFinal = count(outcome, "incomplete");
         sink.fail(outcome, message);
+        afterAnswer(isFinal);
     }
 
-    private void count(Outcome outcome, String reason) {
+    private boolean count(Outcome outcome, String reason) {
         if (!finalAnswerGiven.compareAndSet(false, true)) {
-            return;
+            return false;
         }
         Counter.builder("streamring.requests")
                 .description("Final answers by outcome and reason")
@@ -61,6 +64,13 @@
                 .tag("reason", reason)
                 .register(metrics)
                 .increment();
-        onFinalAnswer.run();
+        return true;
+    }
+
+    /** A stop may end the process once no request is open, so that the answer has to be given before. */
+    private void afterAnswer(boolean isFinal) {
+        if (isFinal) {
+            onFinalAnswer.run();
+        }
     }
 }
--- a/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
+++ b/entry/src/main/java/org/streamring/entry/request/RunningRequest.java
@@ -51,6 +51,7 @@
     private long startedMillis;
     private boolean submitted;
     private boolean earlierAttemptMayHaveRun;
+    private boolean retrySecured;
     private boolean done;
     private boolean callerGone;
 
@@ -379,6 +380,14 @@
         retryOrRefuse(reason);
     }
 
+    @Override
+    public synchronized boolean secureRetry() {
+        retrySecured = isSafeToRunAgain()
+                && routes.hasRoomElsewhere(request(), attemptReservation::mayUse, now())
+                && services.retries().tryRetry();
+        return retrySecured;
+    }
+
     /**
      * Handles the loss of the connection to the sidecar; the attempt may have run. The tokens stay reserved until the
      * sidecar has reported the result. A repeatable request is retried elsewhere if no part of its answer was
@@ -386,7 +395,10 @@
      */
     @Override
     public synchronized void lost() {
-        if (isSafeToRunAgain() && services.retries().tryRetry()) {
+        boolean retry =
+                isSafeToRunAgain() && (retrySecured || services.retries().tryRetry());
+        retrySecured = false;
+        if (retry) {
             delivery.discard();
             if (target != null) {
                 attemptReservation.recordLostAt(target.incarnation());
--- a/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
 import org.streamring.net.peer.PeerException;
@@ -72,6 +74,7 @@
             {"two lengths", HEAD + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
             {"chunks above the limit", CHUNKED + "800\r\n" + "x".repeat(0x800) + "\r\n0\r\n\r\n", 413},
             {"a length above the limit", HEAD + "Content-Length: 999999\r\n\r\n", 413},
+            {"an expectation that is not supported", HEAD + "Expect: x\r\nContent-Length: 0\r\n\r\n", 417},
             {"an endless request line", "GET /" + "x".repeat(20_000) + " HTTP/1.1\r\n\r\n", 431},
             {"endless headers", HEAD + "X: " + "x".repeat(40_000) + "\r\n\r\n", 431},
             {"a body that is never completed", HEAD + "Content-Length: 50\r\n\r\nabc", 408},
@@ -121,4 +124,36 @@
             assertThat(answer.toString()).doesNotContain(" 408 ");
         }
     }
+
+    @DataProvider
+    public Object[][] callsThatGoOn() {
+        return new Object[][] {
+            {"a length above the limit", HEAD + "Content-Length: 999999\r\n\r\n", 413},
+            {"a request line that is not HTTP", "GET / HTTP/x\r\n\r\n", 400},
+        };
+    }
+
+    @Test(dataProvider = "callsThatGoOn")
+    public void aCallerThatSendsOnAfterItsRefusalIsNotReset(String name, String sent, int status) throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setTcpNoDelay(true);
+            socket.getOutputStream().write(sent.getBytes(US_ASCII));
+            for (int i = 0; i < 5; i++) {
+                Thread.sleep(50);
+                socket.getOutputStream().write("the rest".getBytes(US_ASCII));
+            }
+            String answer = new String(socket.getInputStream().readAllBytes(), US_ASCII);
+            assertThat(answer).as(name).startsWith("HTTP/1.1 " + status + " ");
+        }
+    }
+
+    @Test
+    public void aConnectionIsClosedSomeTimeAfterARefusalThatEndsIt() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.getOutputStream().write("GET / HTTP/x\r\n\r\n".getBytes(US_ASCII));
+            Awaitility.await().atMost(Duration.ofSeconds(5)).untilAsserted(() -> assertThatThrownBy(
+                            () -> socket.getOutputStream().write('x'))
+                    .isInstanceOf(IOException.class));
+        }
+    }
 }
