--- /dev/null
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -0,0 +1,174 @@
+package org.streamring.entry.caller;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
+import org.streamring.net.generated.Wire.Header;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests calls that arrive while an earlier one on their connection is answered. */
+public class PipelinedCallsTest {
+    private static final int MAX_BODY = 1024;
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    private static final String HEAD = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
+    private static final String LAST_CALL_HEAD = HEAD + "Connection: close\r\nContent-Length: 4\r\n";
+    private static final String LAST_CALL = LAST_CALL_HEAD + "\r\nnext";
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+    private static final String CALL = HEAD + "Content-Length: 4\r\n\r\nbody";
+
+    private final List<Call> received = new CopyOnWriteArrayList<>();
+    private final List<AnswerSink> sinks = new CopyOnWriteArrayList<>();
+    private NioEventLoopGroup loops;
+    private CallerServer server;
+    private Socket caller;
+
+    @BeforeMethod
+    public void connect() throws Exception {
+        received.clear();
+        sinks.clear();
+        loops = new NioEventLoopGroup(1);
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, (requestId, call, sink) -> {
+            received.add(call);
+            sinks.add(sink);
+            return () -> {};
+        });
+        caller = new Socket(InetAddress.getLoopbackAddress(), server.port());
+        caller.setSoTimeout(5_000);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        caller.close();
+        server.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    @Test
+    public void aCallThatArrivesWithAnotherOneIsAnsweredAfterIt() throws Exception {
+        send(CALL + LAST_CALL);
+        answer(0, "first");
+        answer(1, "second");
+        assertThat(readAll()).containsSubsequence("HTTP/1.1 200", "first", "HTTP/1.1 200", "second");
+        assertThat(received).extracting(call -> call.body().toStringUtf8()).containsExactly("body", "next");
+    }
+
+    @Test
+    public void aCallThatArrivesDuringAnAnswerDoesNotCutIt() throws Exception {
+        send(CALL);
+        beginStream();
+        send(LAST_CALL);
+        Thread.sleep(100);
+        endStream();
+        answer(1, "second");
+        assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 200", "second");
+    }
+
+    @Test
+    public void theRefusalOfACallThatArrivesTooSlowlyFollowsTheAnswerBeforeIt() throws Exception {
+        send(CALL);
+        beginStream();
+        send(HEAD);
+        Thread.sleep(2 * CALL_TIMEOUT.toMillis());
+        endStream();
+        assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 408");
+    }
+
+    @Test
+    public void theRefusalOfACallThatIsTooLargeFollowsTheAnswerBeforeIt() throws Exception {
+        send(CALL);
+        beginStream();
+        send(HEAD + "Content-Length: 5000\r\n\r\n");
+        Thread.sleep(100);
+        endStream();
+        assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 413");
+    }
+
+    @Test
+    public void theInterimAnswerFollowsTheAnswerBeforeIt() throws Exception {
+        send(CALL);
+        beginStream();
+        send(LAST_CALL_HEAD + "Expect: 100-continue\r\n\r\n");
+        Thread.sleep(100);
+        endStream();
+        assertThat(readUntil(CONTINUE)).containsSubsequence("data: 1", "data: 2", "streamring.outcome", CONTINUE);
+        send("next");
+        answer(1, "second");
+        assertThat(readAll()).startsWith("HTTP/1.1 200").endsWith("second");
+    }
+
+    @Test
+    public void theRefusalOfAnExpectationFollowsTheAnswerBeforeIt() throws Exception {
+        send(CALL);
+        beginStream();
+        send(LAST_CALL_HEAD + "Expect: a-miracle\r\n\r\nnext");
+        Thread.sleep(100);
+        endStream();
+        assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 417");
+        assertThat(received).hasSize(1);
+    }
+
+    @Test
+    public void aCallThatArrivesWholeAfterItsRefusalIsNotRun() throws Exception {
+        send(CALL);
+        answer(0, "x".repeat(16_000_000));
+        send(HEAD + "Content-Length: 4\r\n\r\n");
+        Thread.sleep(2 * CALL_TIMEOUT.toMillis());
+        send("late");
+        assertThat(readAll()).contains("HTTP/1.1 408");
+        assertThat(received).hasSize(1);
+    }
+
+    private void beginStream() {
+        Awaitility.await().until(() -> sinks.size() == 1);
+        Header type = Header.newBuilder()
+                .setName("Content-Type")
+                .setValue("text/event-stream")
+                .build();
+        sinks.get(0).begin(200, List.of(type));
+        sinks.get(0).chunk(ByteString.copyFromUtf8("data: 1\n\n"));
+    }
+
+    private void endStream() {
+        sinks.get(0).chunk(ByteString.copyFromUtf8("data: 2\n\n"));
+        sinks.get(0).complete();
+    }
+
+    private void answer(int index, String body) {
+        Awaitility.await().until(() -> sinks.size() > index);
+        sinks.get(index).begin(200, List.of());
+        sinks.get(index).chunk(ByteString.copyFromUtf8(body));
+        sinks.get(index).complete();
+    }
+
+    private void send(String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(US_ASCII));
+    }
+
+    private String readUntil(String end) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(end) < 0) {
+            int next = caller.getInputStream().read();
+            assertThat(next).as("read after %s", read).isNotNegative();
+            read.append((char) next);
+        }
+        return read.toString();
+    }
+
+    private String readAll() throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), US_ASCII);
+    }
+}
--- a/integration/src/test/java/org/streamring/integration/OperatorCommandTest.java
+++ b/integration/src/test/java/org/streamring/integration/OperatorCommandTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -49,7 +50,7 @@
         arguments.addAll(List.of("--platform", platform.url(), "--operator-key", key, "--author", "tester"));
         PrintStream originalOut = System.out;
         ByteArrayOutputStream captured = new ByteArrayOutputStream();
-        System.setOut(new PrintStream(captured, true, StandardCharsets.UTF_8));
+        System.setOut(new PrintStream(ownOutput(captured, originalOut), true, StandardCharsets.UTF_8));
         try {
             return OperatorMain.run(arguments.toArray(String[]::new));
         } finally {
@@ -58,6 +59,17 @@
         }
     }
 
+    /** Returns a stream that captures what this thread writes; other tests run at the same time. */
+    private static OutputStream ownOutput(OutputStream captured, OutputStream others) {
+        Thread own = Thread.currentThread();
+        return new OutputStream() {
+            @Override
+            public void write(int next) throws IOException {
+                (Thread.currentThread() == own ? captured : others).write(next);
+            }
+        };
+    }
+
     @Test
     public void declarationsAreAppliedOnceAndAudited() {
         assertThat(run("apply", "--expect-version", "0", EXAMPLE)).isZero();
--- a/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
+++ b/integration/src/test/java/org/streamring/integration/StoreOutageTest.java
@@ -4,6 +4,8 @@
 
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.streamring.fleet.Fleet;
 import org.streamring.kernel.table.RowKeys;
 import org.streamring.standin.platform.PlatformFaults;
@@ -11,6 +13,10 @@
 import org.testng.annotations.Test;
 
 public class StoreOutageTest extends FleetTestBase {
+    private static final long TABLE_DELAY_MILLIS = 200;
+    /** Longer than the entry waits for an answer of the table. */
+    private static final long PAUSE_MILLIS = 700;
+
     @Test
     public void leasedTokensAreServedDuringAStoreOutage() throws Exception {
         fleet = Fleet.small().start(1);
@@ -44,6 +50,24 @@
         assertThat(response.headers().firstValue("Retry-After")).isPresent();
     }
 
+    /** Guards against taking the answers that arrived during a pause of the entry for a silence of the store. */
+    @Test
+    public void aRequestThatWaitsForALeaseIsServedAfterAPauseOfTheEntry() throws Exception {
+        fleet = Fleet.small().start(1);
+        fleet.platform.setFaults(new PlatformFaults(false, TABLE_DELAY_MILLIS, 0, false, 0));
+        int before = fleet.platform.transactionsReceived();
+        CompletableFuture<HttpResponse<String>> answer = fleet.chatAsync("entry-1", Fleet.CREWS_KEY, 20, false, "");
+        eventually("a transaction is on the way")
+                .pollDelay(Duration.ZERO)
+                .pollInterval(Duration.ofMillis(5))
+                .until(() -> fleet.platform.transactionsReceived() > before);
+        fleet.entries.get("entry-1").pause();
+        Thread.sleep(PAUSE_MILLIS);
+        fleet.entries.get("entry-1").resume();
+        assertThat(answer.get(10, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+        assertThat(fleet.entries.get("entry-1").log()).doesNotContain("table_away");
+    }
+
     @Test
     public void aStopGivesBackALeaseWhoseAnswerWasLost() throws Exception {
         fleet = Fleet.small().start(1);
--- a/net/src/main/java/org/streamring/net/http/package-info.java
+++ b/net/src/main/java/org/streamring/net/http/package-info.java
@@ -1,4 +1,4 @@
-/** HTTP client with a timeout per call and connection reuse. */
+/** HTTP client with a timeout per call and connection reuse, and handlers of connections of callers. */
 @NullMarked
 package org.streamring.net.http;
 
--- a/net/src/main/java/org/streamring/net/peer/FrameCodec.java
+++ b/net/src/main/java/org/streamring/net/peer/FrameCodec.java
@@ -30,13 +30,19 @@
      */
     static final int HEARTBEAT_INTERVAL_MILLIS = 500;
     /**
-     * Number of heartbeat intervals without a frame after which a connection is closed and replaced, that is 1.5 s.
+     * Number of heartbeat intervals without a frame after which a connection is replaced, that is 1.5 s.
      * Without this timeout, entries kept using unresponsive connections: when the connections of 30 entries stopped
      * responding, 30 to 39 of 100 requests completed instead of 95. Pauses of a healthy process stay far below two
      * heartbeat intervals.
      */
     private static final int MISSED_HEARTBEATS_UNTIL_TIMEOUT = 3;
 
+    /**
+     * Time after the read timeout for which a connection with work in progress is kept. Most pauses of a healthy
+     * process end within a few seconds.
+     */
+    static final long MAX_SILENCE_MILLIS = 8_000;
+
     private FrameCodec() {}
 
     /** Adds the handlers of a new channel. Frames are limited to 1024 bytes until the peer is authenticated. */
--- a/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
+++ b/net/src/main/java/org/streamring/net/peer/HandshakeHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -10,6 +11,7 @@
 import org.streamring.net.generated.Wire.Hello;
 import org.streamring.net.generated.Wire.Proof;
 import org.streamring.net.peer.FleetKey.Side;
+import org.streamring.net.process.ArrivedBytes;
 
 /**
  * Authenticates both sides by the fleet key, then passes received frames to the listener. Any other frame received
@@ -25,6 +27,7 @@
     private @Nullable Hello remoteHello;
     private @Nullable PeerConnection connection;
     private DisconnectReason reason = DisconnectReason.CLOSED;
+    private long silentSinceNanos;
 
     HandshakeHandler(Side side, FleetKey fleetKey, PeerIdentity ownIdentity, PeerListener listener) {
         this.side = side;
@@ -117,12 +120,23 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent) {
+        if (!(event instanceof IdleStateEvent idle) || ArrivedBytes.anyAfterReading(context.channel())) {
+            return;
+        }
+        if (idle.isFirst()) {
+            silentSinceNanos = System.nanoTime();
+        }
+        PeerConnection silent = connection;
+        if (silent == null || silentForLong() || listener.closesSilent(silent)) {
             reason = DisconnectReason.SILENT;
             context.close();
         }
     }
 
+    private boolean silentForLong() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentSinceNanos) >= FrameCodec.MAX_SILENCE_MILLIS;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (connection != null) {
--- a/net/src/main/java/org/streamring/net/peer/PeerConnection.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerConnection.java
@@ -5,6 +5,12 @@
 
 /** Authenticated connection to another process. Thread-safe. */
 public final class PeerConnection {
+    /**
+     * A connection that stays silent for this time after a newer one to the same process was opened has failed: a
+     * process that was paused is heard on both at about the same time.
+     */
+    public static final long MILLIS_TO_OUTLAST_SILENCE = 1_000;
+
     private final Channel channel;
     private final PeerIdentity remote;
 
@@ -31,6 +37,11 @@
         return true;
     }
 
+    /** Returns whether the connection is open as far as this process knows. */
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
     /** Returns whether the outbound buffer is below its high water mark. */
     public boolean isWritable() {
         return channel.isWritable();
--- a/net/src/main/java/org/streamring/net/peer/PeerConnector.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerConnector.java
@@ -60,18 +60,27 @@
             return;
         }
         ChannelFuture connecting = TcpClient.connect(loops, address, CONNECT_TIMEOUT_MILLIS, pipelineInitializer);
-        channel = connecting.channel();
+        Channel opened = connecting.channel();
+        channel = opened;
         connecting.addListener(done -> {
             if (connecting.isSuccess()) {
-                connecting.channel().closeFuture().addListener(closed -> reconnect());
+                opened.closeFuture().addListener(closed -> reconnect(opened));
             } else {
-                reconnect();
+                reconnect(opened);
             }
         });
     }
 
-    private void reconnect() {
-        if (stopped || loops.isShuttingDown()) {
+    /**
+     * Opens a connection that replaces the current one. The current one stays open until it is closed by its user or by
+     * the remote process.
+     */
+    public void replace() {
+        start();
+    }
+
+    private void reconnect(Channel ended) {
+        if (stopped || loops.isShuttingDown() || ended != channel) {
             return;
         }
         long delayMillis = ThreadLocalRandom.current().nextLong(backoffMillis / 2, backoffMillis + 1);
@@ -79,9 +88,14 @@
         loops.schedule(this::start, delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Stops reconnecting. The current connection stays open until its user or the remote process closes it. */
+    public void stopReconnecting() {
+        stopped = true;
+    }
+
     /** Closes the connection and stops reconnecting. */
     public void stop() {
-        stopped = true;
+        stopReconnecting();
         Channel current = channel;
         if (current != null) {
             current.close();
@@ -107,6 +121,11 @@
             listener.received(connection, frame);
         }
 
+        @Override
+        public boolean closesSilent(PeerConnection connection) {
+            return listener.closesSilent(connection);
+        }
+
         @Override
         public void disconnected(PeerConnection connection, DisconnectReason reason) {
             listener.disconnected(connection, reason);
--- a/net/src/main/java/org/streamring/net/peer/PeerListener.java
+++ b/net/src/main/java/org/streamring/net/peer/PeerListener.java
@@ -10,6 +10,15 @@
     /** Called for each frame received, except heartbeats. */
     void received(PeerConnection connection, Frame frame);
 
+    /**
+     * Called when no frame has arrived within the read timeout, and again after each further one.
+     *
+     * @return whether the connection is closed now; it is closed later if the remote process stays silent
+     */
+    default boolean closesSilent(PeerConnection connection) {
+        return true;
+    }
+
     /** Called when an authenticated connection has been closed. */
     void disconnected(PeerConnection connection, DisconnectReason reason);
 }
--- a/net/src/main/java/org/streamring/net/process/ArrivedBytes.java
+++ b/net/src/main/java/org/streamring/net/process/ArrivedBytes.java
@@ -22,6 +22,15 @@
         return channel.isActive();
     }
 
+    /**
+     * Reads pending bytes and returns whether there were any, or the connection was closed behind them. Must not be
+     * called while data of the same connection is being decoded.
+     */
+    public static boolean anyAfterReading(Channel channel) {
+        boolean any = channel.unsafe() instanceof NioUnsafe && readOnce(channel);
+        return !isOpenAfterReading(channel) || any;
+    }
+
     /** Reads once and returns whether more bytes may be pending. */
     private static boolean readOnce(Channel channel) {
         if (!channel.isActive() || !channel.config().isAutoRead()) {
--- a/net/src/main/java/org/streamring/net/process/SettingsProgram.java
+++ b/net/src/main/java/org/streamring/net/process/SettingsProgram.java
@@ -2,13 +2,14 @@
 
 import com.github.rvesse.airline.annotations.Option;
 import java.nio.file.Path;
+import java.util.concurrent.Callable;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.settings.SettingValues;
 import org.streamring.net.settings.SettingsException;
 import org.streamring.net.settings.SettingsSchema;
 
 /** Base class of programs that are configured by a settings file and run until the process is asked to stop. */
-public abstract class SettingsProgram {
+public abstract class SettingsProgram implements Callable<Integer> {
     private static final int EXIT_INVALID_SETTINGS = 2;
     private static final int EXIT_START_FAILED = 3;
 
@@ -38,7 +39,8 @@
     protected abstract Running start(SettingValues settings) throws PeerException;
 
     /** Runs the program until it is stopped; returns the exit code: 0, 2 for invalid settings, 3 for a failed start. */
-    public int run() {
+    @Override
+    public Integer call() {
         if (describe) {
             System.out.print(schema().describe());
             return 0;
--- a/net/src/main/java/org/streamring/platform/http/PlatformHttpClient.java
+++ b/net/src/main/java/org/streamring/platform/http/PlatformHttpClient.java
@@ -5,8 +5,10 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.ListenableFuture;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 import org.streamring.kernel.table.PlatformException;
@@ -16,17 +18,21 @@
 final class PlatformHttpClient {
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
+    private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
 
     private final URI base;
     private final String authorization;
+    private final RunningTimeout timeout;
     private final AsyncHttpClient client;
 
     PlatformHttpClient(URI base, String key, Duration timeout) {
         this.base = base;
         this.authorization = "Bearer " + key;
+        this.timeout = new RunningTimeout(timeout, System::nanoTime);
         this.client = Dsl.asyncHttpClient(Dsl.config()
                 .setConnectTimeout(timeout)
-                .setRequestTimeout(timeout)
+                .setRequestTimeout(NO_TIMEOUT)
+                .setReadTimeout(NO_TIMEOUT)
                 .setMaxRequestRetry(0)
                 .setIoThreadsCount(1)
                 .setThreadPoolName("platform"));
@@ -54,8 +60,7 @@
 
     private Response call(String step, RequestBuilder request) throws PlatformException {
         try {
-            Response response = client.executeRequest(request.setHeader("Authorization", authorization))
-                    .get();
+            Response response = await(step, client.executeRequest(request.setHeader("Authorization", authorization)));
             if (response.getStatusCode() == NOT_FOUND) {
                 throw new NotFoundException(step, base.toString());
             }
@@ -71,6 +76,17 @@
         }
     }
 
+    private Response await(String step, ListenableFuture<Response> call)
+            throws PlatformException, ExecutionException, InterruptedException {
+        try {
+            return timeout.await(call);
+        } catch (TimeoutException e) {
+            throw new PlatformException(step, base.toString(), "no answer in time");
+        } finally {
+            call.cancel(true);
+        }
+    }
+
     private <T> T parse(String step, Response response, Class<T> type) throws PlatformException {
         try {
             return RowText.read(response.getResponseBody(), type);
--- a/sidecar/src/main/java/org/streamring/sidecar/AnswerRecord.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/AnswerRecord.java
@@ -51,6 +51,10 @@
         return retainedBytes;
     }
 
+    synchronized boolean isSubscribed(PeerConnection connection) {
+        return subscribers.stream().anyMatch(subscriber -> subscriber.connection() == connection);
+    }
+
     /** Removes the subscribers of a closed connection. Returns true if any was removed and none is left. */
     synchronized boolean unsubscribe(PeerConnection connection) {
         boolean removed = subscribers.removeIf(subscriber -> subscriber.connection() == connection);
--- a/sidecar/src/main/java/org/streamring/sidecar/AttemptRunner.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/AttemptRunner.java
@@ -216,6 +216,11 @@
         }
     }
 
+    /** Returns whether the answer of a running attempt is sent to this connection. */
+    boolean hasSubscriber(PeerConnection connection) {
+        return runningAttempts.values().stream().anyMatch(running -> running.answer.isSubscribed(connection));
+    }
+
     /**
      * Removes the subscriptions of a closed connection. Cancels attempts that have no subscriber left, unless their
      * answers are retained for retries.
--- a/sidecar/src/main/java/org/streamring/sidecar/EntryFrameHandler.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/EntryFrameHandler.java
@@ -1,5 +1,7 @@
 package org.streamring.sidecar;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamring.kernel.receipt.Receipt;
@@ -21,6 +23,7 @@
 
     private final ReceiptStore receiptStore;
     private final AttemptRunner runner;
+    private final Map<PeerConnection, Long> connectedMillis = new ConcurrentHashMap<>();
     private long lastOrderVersion;
     private boolean stopping;
 
@@ -35,12 +38,31 @@
             connection.close();
             return;
         }
+        connectedMillis.put(connection, System.currentTimeMillis());
         LOGGER.info("entry_connected peer={}", connection);
     }
 
+    /**
+     * Keeps a silent connection to which answers are being sent, because its end would cancel them, until the entry is
+     * heard on a newer one only.
+     */
+    @Override
+    public boolean closesSilent(PeerConnection connection) {
+        return !runner.hasSubscriber(connection) || isHeardElsewhere(connection);
+    }
+
+    private boolean isHeardElsewhere(PeerConnection silent) {
+        long connectedBefore = System.currentTimeMillis() - PeerConnection.MILLIS_TO_OUTLAST_SILENCE;
+        long silentConnected = connectedMillis.getOrDefault(silent, Long.MAX_VALUE);
+        return connectedMillis.entrySet().stream()
+                .filter(each -> each.getKey().remote().equals(silent.remote()))
+                .anyMatch(each -> each.getValue() > silentConnected && each.getValue() <= connectedBefore);
+    }
+
     @Override
     public void disconnected(PeerConnection connection, DisconnectReason reason) {
         LOGGER.info("entry_disconnected peer={} reason={}", connection, reason);
+        connectedMillis.remove(connection);
         runner.disconnected(connection);
     }
 
--- a/sidecar/src/main/java/org/streamring/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/SidecarMain.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
 import org.streamring.net.peer.PeerException;
+import org.streamring.net.process.CommandLine;
 import org.streamring.net.process.SettingsProgram;
 import org.streamring.net.settings.SettingValues;
 import org.streamring.net.settings.SettingsSchema;
@@ -12,8 +13,7 @@
 public final class SidecarMain extends SettingsProgram {
     /** Parses the arguments, runs the sidecar and exits the JVM with its exit code. */
     public static void main(String[] arguments) {
-        System.exit(
-                SingleCommand.singleCommand(SidecarMain.class).parse(arguments).run());
+        System.exit(CommandLine.run(SingleCommand.singleCommand(SidecarMain.class), arguments));
     }
 
     @Override
--- a/standin/src/main/java/org/streamring/standin/StandinMain.java
+++ b/standin/src/main/java/org/streamring/standin/StandinMain.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.help.Help;
+import org.streamring.net.process.CommandLine;
 import org.streamring.net.process.StopSignal;
 import org.streamring.standin.engine.EngineSettings;
 import org.streamring.standin.engine.EngineStandin;
@@ -20,9 +21,13 @@
 public final class StandinMain {
     private StandinMain() {}
 
-    /** Runs the command given on the command line. */
+    /** Runs the command given on the command line and exits the JVM with its exit code. */
     public static void main(String[] arguments) {
-        Cli<Runnable> commandLine = Cli.<Runnable>builder("streamring-standin")
+        System.exit(CommandLine.run(commandLine(), arguments));
+    }
+
+    private static Cli<Object> commandLine() {
+        return Cli.builder("streamring-standin")
                 .withDescription("Stand-ins for tests and the quick start")
                 .withDefaultCommand(Help.class)
                 .withCommand(Help.class)
@@ -36,7 +41,6 @@
                 .withCommand(LoadCommand.class)
                 .withCommand(RoutingCommand.class)
                 .build();
-        commandLine.parse(arguments).run();
     }
 
     private static void runUntilStopped(AutoCloseable standin, String url) {
--- a/standin/src/main/java/org/streamring/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/streamring/standin/http/StandinServer.java
@@ -22,10 +22,14 @@
 import java.util.function.Consumer;
 import org.streamring.kernel.table.RowText;
 
-/** An HTTP server on a loopback port that passes all requests to a handler on its event loop. */
+/**
+ * An HTTP server on a loopback port that passes all requests to a handler on its event loop. Control requests set the
+ * notices of its answers, and make it fall silent for a while.
+ */
 public final class StandinServer implements AutoCloseable {
     private static final String CONTROL_PREFIX = "/control/";
     private static final String NOTICES_PATH = CONTROL_PREFIX + "notices";
+    private static final String SILENCE_PATH = CONTROL_PREFIX + "silence";
     private static final int MAX_BODY_BYTES = 8 << 20;
 
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1, new DefaultThreadFactory("standin", true));
@@ -78,6 +82,9 @@
         if (exchange.path().equals(NOTICES_PATH)) {
             notices = RowText.read(exchange.body(), AnswerNotices.class);
             exchange.answerJson("{}");
+        } else if (exchange.path().equals(SILENCE_PATH)) {
+            exchange.answerJson("{}");
+            fallSilent(RowText.read(exchange.body(), Silence.class));
         } else if (notices.turnsAway() && !exchange.path().startsWith(CONTROL_PREFIX)) {
             exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "text/plain", "turned away");
         } else {
@@ -85,6 +92,17 @@
         }
     }
 
+    /** Blocks the only event loop, so that neither connections nor requests are read and no timer runs meanwhile. */
+    private void fallSilent(Silence silence) {
+        eventLoops.execute(() -> {
+            try {
+                Thread.sleep(silence.millis());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         @Override
--- a/standin/src/main/java/org/streamring/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/streamring/standin/platform/PlatformStandin.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.streamring.kernel.table.InMemoryTable;
 import org.streamring.kernel.table.RowKeys;
@@ -30,11 +31,13 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
+    private static final String TRANSACT_PATH = "/v1/table/transact";
     private static final JsonMapper MAPPER = new JsonMapper();
 
     private final InMemoryTable table = new InMemoryTable();
     private final ConcurrentSkipListMap<String, String> objects = new ConcurrentSkipListMap<>();
     private final AtomicLong transactionCounter = new AtomicLong();
+    private final AtomicInteger transactionsReceived = new AtomicInteger();
     private final String fleetKey;
     private final String operatorKey;
     private final StandinServer server;
@@ -84,6 +87,9 @@
             exchange.answer(UNAUTHORIZED, "text/plain", "unknown key");
             return;
         }
+        if (exchange.path().equals(TRANSACT_PATH)) {
+            transactionsReceived.incrementAndGet();
+        }
         PlatformFaults currentFaults = faults;
         if (currentFaults.down()) {
             // Sends no response, like a service that hangs, so that the call ends by the timeout of the caller.
@@ -97,10 +103,15 @@
         }
     }
 
+    /** Returns the number of transactions that have arrived so far. */
+    public int transactionsReceived() {
+        return transactionsReceived.get();
+    }
+
     private void serve(Exchange exchange, PlatformFaults currentFaults) {
         try {
             switch (exchange.path()) {
-                case "/v1/table/transact" -> transact(exchange, currentFaults);
+                case TRANSACT_PATH -> transact(exchange, currentFaults);
                 case "/v1/table/read" ->
                     exchange.answerJson(RowText.write(new RowsAnswer(table.read(
                             RowText.read(exchange.body(), ReadCall.class).keys()))));
