Let the event loop end a stop whose grace period was lengthened

Callers whose requests were running got no answer, and leases were not returned, if the grace period was lengthened after SIGTERM: the main thread waited for the grace period that it had read once, while the event loop reads it anew. The main thread's time also began before the loop's, so that a loop that was 0.1 s late lost its report and one 0.5 s late the answers at the end (found by a reviewer, by reading).

The main thread now reads the grace period again while it waits and is over one second later than the loop; it is needed only if the loop does not run any more. Ruled out: no limit at all, as a blocked loop would keep the process.

--- a/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntryMain.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -53,14 +52,14 @@
         signal.await();
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> entry.stop().whenComplete((done, failure) -> stopped.complete(null)));
-        awaitStop(stopped, entry.stopGracePeriod());
+        awaitStop(stopped, new StopWait(clock, entry::stopGracePeriod));
         log.close();
         signal.stopped();
     }
 
-    private static void awaitStop(CompletableFuture<Void> stopped, Duration gracePeriod) throws InterruptedException {
+    private static void awaitStop(CompletableFuture<Void> stopped, StopWait wait) throws InterruptedException {
         try {
-            stopped.get(gracePeriod.toMillis(), TimeUnit.MILLISECONDS);
+            wait.await(stopped);
         } catch (ExecutionException | TimeoutException e) {
             System.err.println("shutdown did not complete in time: " + e);
         }
