Keep an entry ready that already serves when it reads the list of entries

Cause: an entry that can't read its key or the list of entries is ready after six seconds; when it read them later and could not connect, it waited for connections as if it had just started, and the balancer took it out for three seconds (found by a reviewer, by reading).

The wait ends once. The new test fails without this and passes with it.

--- a/direct/src/main/java/org/streamring/direct/peer/PeerReadiness.java
+++ b/direct/src/main/java/org/streamring/direct/peer/PeerReadiness.java
@@ -19,6 +19,7 @@
     private final LongSupplier clock;
     private final BooleanSupplier reachesOthers;
     private long waitsUntilMillis = MAX_LIST_MILLIS;
+    private boolean waitEnded;
 
     /**
      * Creates an instance; it has to be added to the listeners of the connections.
@@ -33,12 +34,20 @@
 
     /** Returns whether this entry serves requests, as it has reached other entries or waited for them. */
     public boolean ready() {
-        return reachesOthers.getAsBoolean() || clock.getAsLong() > waitsUntilMillis;
+        return waitEnded() || reachesOthers.getAsBoolean();
     }
 
+    private boolean waitEnded() {
+        waitEnded |= clock.getAsLong() > waitsUntilMillis;
+        return waitEnded;
+    }
+
+    /** Has no effect after the wait for the list, as the entry serves then. */
     @Override
     public void connecting() {
-        waitsUntilMillis = clock.getAsLong() + MAX_CONNECT_MILLIS;
+        if (!waitEnded()) {
+            waitsUntilMillis = clock.getAsLong() + MAX_CONNECT_MILLIS;
+        }
     }
 
     @Override
--- a/direct/src/test/java/org/streamring/direct/peer/PeerReadinessTest.java
+++ b/direct/src/test/java/org/streamring/direct/peer/PeerReadinessTest.java
@@ -43,4 +43,12 @@
         nowMillis++;
         assertThat(readiness.ready()).isTrue();
     }
+
+    /** An entry that served was taken out of the balancer for three seconds when it read the key late. */
+    @Test
+    public void anEntryThatServesWithoutTheListOfEntriesStaysReadyOnceItBeginsToConnect() {
+        nowMillis = PeerReadiness.MAX_LIST_MILLIS + 1;
+        readiness.connecting();
+        assertThat(readiness.ready()).isTrue();
+    }
 }
