--- a/entry/src/main/java/org/streamring/entry/request/CountingAnswerSink.java
+++ b/entry/src/main/java/org/streamring/entry/request/CountingAnswerSink.java
@@ -36,22 +36,31 @@
     @Override
     public void complete() {
         boolean isFinal = count(Outcome.ANSWERED, "none");
-        sink.complete();
-        afterAnswer(isFinal);
+        try {
+            sink.complete();
+        } finally {
+            afterAnswer(isFinal);
+        }
     }
 
     @Override
     public void refuse(Refusal refusal) {
         boolean isFinal = count(Outcome.NOT_RUN, refusal.reason().name());
-        sink.refuse(refusal);
-        afterAnswer(isFinal);
+        try {
+            sink.refuse(refusal);
+        } finally {
+            afterAnswer(isFinal);
+        }
     }
 
     @Override
     public void fail(Outcome outcome, String message) {
         boolean isFinal = count(outcome, "incomplete");
-        sink.fail(outcome, message);
-        afterAnswer(isFinal);
+        try {
+            sink.fail(outcome, message);
+        } finally {
+            afterAnswer(isFinal);
+        }
     }
 
     private boolean count(Outcome outcome, String reason) {
