Count the crash of a server that restarts before its end is checked

A request that crashes its servers was sent on and on by an entry that was held up for a second or two, for instance paused, while such a server crashed and restarted: when the entry asks whether the process has ended, 20 ms after it reads the end of the attempt, the next process accepts the connection. The server was taken for one that had only closed a connection, and its crash counted for nothing, though its row showed a newer start soon after.

A process that accepts the connection is now believed to be that of the attempt only if a connection from before the check has stayed open. Otherwise the attempt is taken for harmless as before, but the connection of the check stays open for up to 5 s. If a later process is listed at the same address while it is open, the process that was found had replaced that of the attempt, and the attempt counts. If it is closed first, the process that was found has ended, which tells nothing about the one before. No clocks of other boxes are compared with that of the entry. An open connection of an earlier check proves the same process, so there is at most one such connection for each server.

Two limits as for replaced attempts: a request that was answered elsewhere since is not counted, nor one whose server is shutting down. Known and accepted: an attempt that a restarted process has received before its row arrived, and that breaks off after that without a crash and without another open connection, counts as crashed.

Evidence: on the code before, the new tests of a successor that is listed before the check, and of a second attempt after a process that went on, waited in vain for the crash (10 s each).

--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -73,7 +73,7 @@
         this.noticeListener = noticeListener;
         this.lastActivityMillis = clock.getAsLong();
         this.lastDataMillis = lastActivityMillis;
-        this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> !open.isEmpty());
+        this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> open);
         this.exitWatch = new ProcessExitWatch(loop, address, CONNECT_TIMEOUT_MILLIS, exitCheck);
     }
 
@@ -181,8 +181,8 @@
     }
 
     /** Checks after a broken attempt whether the process of the server has exited, and passes on the result. */
-    public void checkProcessExited(Consumer<Boolean> then) {
-        exitCheck.run(then);
+    public void checkProcessExited(ProcessExitListener listener) {
+        exitCheck.run(listener);
     }
 
     /** Watches for the given time whether the process of the server exits, and passes on the result once. */
--- a/direct/src/main/java/org/streamring/direct/backend/ProcessExitWatch.java
+++ b/direct/src/main/java/org/streamring/direct/backend/ProcessExitWatch.java
@@ -1,10 +1,7 @@
 package org.streamring.direct.backend;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
-import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -92,17 +89,4 @@
         watching.clear();
         callbacks.forEach(each -> each.accept(true));
     }
-
-    /** Ignores what arrives: only the end of the connection matters. */
-    private static final class IgnoringHandler extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            ReferenceCountUtil.release(message);
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
 }
--- a/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.streamring.direct.backend.BackendPool;
+import org.streamring.direct.backend.ProcessExitListener;
 import org.streamring.direct.caller.CallerRequest;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
@@ -161,6 +162,13 @@
         return listed && !registry.isShuttingDown(instance);
     }
 
+    private boolean isReplaced(BackendInstance instance) {
+        return registry.find(instance.id())
+                .filter(listed -> listed.host().equals(instance.host()) && listed.port() == instance.port())
+                .filter(listed -> listed.startedMillis() > instance.startedMillis())
+                .isPresent();
+    }
+
     /** Guard state of one request. */
     final class Watched {
         private final String id;
@@ -277,7 +285,30 @@
             }
             SentAttempt broken = attempt.get();
             recordBroken(broken, progress);
-            pool.checkProcessExited(ended -> serverEndChecked(broken.server(), ended));
+            pool.checkProcessExited(exitListener(broken, instance, progress));
+        }
+
+        private ProcessExitListener exitListener(
+                SentAttempt broken, BackendInstance instance, AttemptProgress progress) {
+            return new ProcessExitListener() {
+                @Override
+                public void checked(boolean exited) {
+                    serverEndChecked(broken.server(), exited);
+                }
+
+                @Override
+                public boolean isReplaced() {
+                    return CrashSuspectGuard.this.isReplaced(instance);
+                }
+
+                /** An answer from another server since then shows that the request is sound. */
+                @Override
+                public void foundReplaced() {
+                    if (!answered && mayHaveCrashed(instance)) {
+                        recordBroken(broken, progress);
+                    }
+                }
+            };
         }
     }
 }
