Tell an entry that connects about crashes that the store has not taken

A request that had crashed its servers was sent on by all other entries if the entry that had observed the crashes was killed while the store took no writes. Observations are told at once to the entries that are connected at that moment; one that connects later was told of blocked suspects only, so that a crash or two below the limit were known to nobody else until the store took the row.

An entry that connects is now also told what the store has not taken yet. The frame and its content are those of other reports, which may arrive repeatedly and in any order. Entries whose observations are written send nothing more than before.

Evidence: on the code before, the other entry of the new test knew of no suspect 3 s after it had connected. Left: an entry that is killed before any other is connected to it, or within the 10 ms for which reports are collected, still takes what it knows with it; what an entry was told by others it does not write to its row.

--- a/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
+++ b/direct/src/main/java/org/streamring/direct/suspect/SuspectExchange.java
@@ -25,7 +25,8 @@
  * <p>New observations are sent over the connections between entries, which works during a store outage as well. Each
  * entry also writes all of its observations to its own row in the store. The row reaches entries that are not
  * connected, and restores what the entry observed on its box before its last restart. An entry that connects is sent
- * the crashes of all blocked suspects, as it may have restarted during a store outage. Confined to the event loop.
+ * the crashes of all blocked suspects, as it may have restarted during a store outage, and what the store hasn't taken
+ * yet, as nobody else may know it. Confined to the event loop.
  */
 public final class SuspectExchange implements TableWatch.Listener {
     /** Table that holds one row per entry; the key of a row is the name of the entry. */
@@ -85,11 +86,23 @@
                 if (!blocked.isEmpty()) {
                     connection.send(frameOf(blocked));
                 }
+                sendUnwritten(connection);
             }
         });
         loop.scheduleAtFixedRate(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void sendUnwritten(PeerConnection connection) {
+        writePending |= table.hasChanged();
+        if (!writePending && !writing) {
+            return;
+        }
+        SuspectReport own = table.report();
+        if (!own.isEmpty()) {
+            connection.send(frameOf(own));
+        }
+    }
+
     /** Schedules a report to the other entries if there are changes that have to be sent at once. */
     public void scheduleReport() {
         if (table.hasUnsent() && !reportScheduled) {
