Count no time of attempts that were not sent towards a request's wait for a slot

What callers saw: 503 replica_takes_nothing at once, although a replica that accepts requests would have had a slot a moment later. A request may wait for a slot for a fifth of its target (160 ms of 800 ms). That was counted from its arrival, so a request whose connection took longer and was then not sent had nothing left of its wait. If all slots of the other replicas were in use at that moment, it was refused without having waited at all.

Evidence: ServerLimitTest.requestsAboveTheLimitOfOneReplicaGoToTheOther beside busy processes. A request was placed at the replica whose limit this entry didn't know yet; another entry's news of the limit arrived while its connection was opened; it was withdrawn, and refused 396 ms after its arrival with one unsent attempt, while the other replica ran as many requests as it has slots.

Ruled out for these requests: tokens (they declare none), expired permits, ejection, back-off, the retry budget and the answer's time-out; none is in the entries' logs of the refused requests.

Why it works: the time between the beginning of an attempt and its end as not sent is not part of the wait, so the request waits like one that was never placed. The wait itself stays a fifth of the target, and the deadline and the bound of unsent attempts hold as before. Cost: where no replica gets a slot free, a request that failed to connect is refused later by up to a fifth of its target. The no_place refusals are not mended by this.

UnsentRequestsTest plays it with a clock that stands still. With the wait counted from the arrival, its first test fails: the request is not sent to the other replica's slot when that is released ("Read timed out").

--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -52,6 +52,7 @@
     private final RetryPreparation preparation;
     private final RetryDelays retryDelays;
     private final AttemptHistory attempts = new AttemptHistory();
+    private final SlotWait slotWait;
     private TokenSource.@Nullable Pending pendingTokens;
     private @Nullable AttemptRun currentAttempt;
     private @Nullable Future<?> deadlineTimer;
@@ -91,6 +92,7 @@
         this.liveness = new RequestLiveness(writer::callerPresent, plan.deadlineMillis());
         this.linkUsage = new LinkUsage(services.link(), services.clock(), request.body().length);
         this.builder = new BackendRequestBuilder(services.names(), filter, request, plan);
+        this.slotWait = new SlotWait(request.arrivedMillis());
         this.retryDelays = new RetryDelays(services.random(), plan.callerWaitMillis());
         this.preparation = new RetryPreparation(
                 services.clock(),
@@ -156,8 +158,12 @@
                 ? ServiceUnavailability.linkFull(linkBlockedMillis)
                 : services.fleet().unavailability(plan.service().name(), query);
         long unavailableMillis = unavailability.millis();
-        WaitDecision decision =
-                slots.decide(this, elapsed(), plan.route().targetLatency(), plan.deadlineMillis(), unavailableMillis);
+        WaitDecision decision = slots.decide(
+                this,
+                slotWait.waitedMillis(now()),
+                plan.route().targetLatency(),
+                plan.deadlineMillis(),
+                unavailableMillis);
         if (decision.waits() || attempts.lostItsRun()) {
             return false;
         }
@@ -201,6 +207,7 @@
         attempts.chosen(instance);
         suspect.sent(instance);
         linkUsage.acquire();
+        slotWait.attemptBegan(now());
         AttemptRun attempt = createAttempt(instance);
         currentAttempt = attempt;
         attempt.begin(backendRequest(instance), query);
@@ -288,6 +295,7 @@
         currentAttempt = null;
         if (end.unsent()) {
             linkUsage.release();
+            slotWait.attemptNotSent(now());
         }
         suspect.ended(!end.unsent());
         slots.slotReleased();
--- a/direct/src/test/java/org/streamring/direct/request/PlayedEntry.java
+++ b/direct/src/test/java/org/streamring/direct/request/PlayedEntry.java
@@ -119,7 +119,16 @@
         return begin(id, PATH_WITH_ONE_ATTEMPT);
     }
 
+    /** Begins a request, and runs a task before its connection is opened. */
+    Running beginAndBeforeConnected(String id, Runnable task) throws Exception {
+        return begin(id, PATH, task);
+    }
+
     private Running begin(String id, String path) throws Exception {
+        return begin(id, path, () -> {});
+    }
+
+    private Running begin(String id, String path, Runnable then) throws Exception {
         HttpHeaders headers = new DefaultHttpHeaders()
                 .set("host", "h.example")
                 .set("authorization", "Bearer key")
@@ -127,7 +136,11 @@
                 .set(TestHeaders.NAMES.tokens(), PROMPT_TOKENS + "," + ANSWER_TOKENS);
         CallerRequest request = new CallerRequest(HttpMethod.POST, path, headers, new byte[0], now());
         RecordedAnswer answer = new RecordedAnswer();
-        return new Running(onLoop(() -> router.serve(request, answer)), answer);
+        return onLoop(() -> {
+            RequestSink.ActiveRequest active = router.serve(request, answer);
+            then.run();
+            return new Running(active, answer);
+        });
     }
 
     long now() {
@@ -138,15 +151,25 @@
         onLoop(() -> nowMillis.addAndGet(millis));
     }
 
+    /** Moves the clock; to be called on the event loop. */
+    void advanceOnLoop(long millis) {
+        nowMillis.addAndGet(millis);
+    }
+
     /** Lets a replica announce a limit, so that it receives nothing without a permit of this entry. */
     void announceLimit(String incarnation) throws Exception {
         onLoop(() -> {
-            parts.permits.entries(Set.of(LoneEntry.NAME), Set.of(), now());
-            parts.permits.answered(incarnation, LimitWord.named(REQUESTS_PER_SECOND), now(), now());
+            announceLimitOnLoop(incarnation);
             return true;
         });
     }
 
+    /** Lets a replica announce a limit; to be called on the event loop. */
+    void announceLimitOnLoop(String incarnation) {
+        parts.permits.entries(Set.of(LoneEntry.NAME), Set.of(), now());
+        parts.permits.answered(incarnation, LimitWord.named(REQUESTS_PER_SECOND), now(), now());
+    }
+
     boolean holdsPermit(String incarnation) throws Exception {
         return onLoop(() -> parts.permits.limits().mayBePlaced(incarnation, now()));
     }
