Limit the time of a call that begins behind another one

A call of an entry with sidecars whose begin arrives with the end of the one before had no time limit until more of it arrived: the timer of its connection was stopped when the call before was whole, and the bytes behind that one were already read. A caller could hold memory and its connection for as long as it liked, and got no answer.

RequestCodec and ArrivingRequest, which tell the direct entry at which byte a request ends, move to net.http and serve both kinds of entries. The timer starts after the bytes were decoded, if a part of a call is left.

Line ends between calls no longer start the timer.

--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -32,6 +32,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.streamring.model.route.CallerLimits;
+import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.ContinueExpectedEvent;
 import org.streamring.net.http.LingeringClose;
 import org.streamring.net.process.ArrivedBytes;
--- a/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.streamring.model.route.CallerLimits;
+import org.streamring.net.http.RequestCodec;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.ListeningSocket;
 
--- a/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
+import org.streamring.net.http.ArrivingRequest;
 
 /**
  * Refuses calls that are not received completely within a time limit, so that slow senders can't occupy memory. This
@@ -19,10 +20,10 @@
  */
 final class CallTimeoutHandler extends ChannelInboundHandlerAdapter {
     private final Duration callTimeout;
+    private final ArrivingRequest arriving;
     private final UnwrittenAnswers unwritten;
     private @Nullable ScheduledFuture<?> timer;
     private BooleanSupplier answerInProgress = () -> false;
-    private boolean bytesReceived;
     private boolean refused;
 
     /**
@@ -30,9 +31,11 @@
      *
      * @param callTimeout longest time from the opening of the connection, or from the first byte of a later call, until
      *     the last byte of the call
+     * @param arriving tells whether a part of a call has arrived
      */
-    CallTimeoutHandler(Duration callTimeout, UnwrittenAnswers unwritten) {
+    CallTimeoutHandler(Duration callTimeout, ArrivingRequest arriving, UnwrittenAnswers unwritten) {
         this.callTimeout = callTimeout;
+        this.arriving = arriving;
         this.unwritten = unwritten;
     }
 
@@ -53,11 +56,10 @@
             ReferenceCountUtil.release(bytes);
             return;
         }
-        bytesReceived = true;
-        if (timer == null) {
+        super.channelRead(context, bytes);
+        if (timer == null && arriving.begun()) {
             startTimer(context);
         }
-        super.channelRead(context, bytes);
     }
 
     @Override
@@ -71,7 +73,7 @@
     }
 
     private void timeOut(ChannelHandlerContext context) {
-        if (!bytesReceived) {
+        if (!arriving.begun()) {
             context.close();
             return;
         }
@@ -88,7 +90,6 @@
 
     /** Stops the timer, after a call was received completely or was answered before that. */
     void stopTimer() {
-        bytesReceived = false;
         if (timer != null) {
             timer.cancel(false);
             timer = null;
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -1,10 +1,12 @@
 package org.streamring.entry.caller;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.BodyAggregator;
+import org.streamring.net.http.RequestCodec;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.ListeningSocket;
 
@@ -31,16 +33,22 @@
             CallReceiver receiver)
             throws PeerException {
         listeningSocket = new ListeningSocket(loops, address, accepted -> {
-            CallTimeoutHandler timeoutHandler = new CallTimeoutHandler(callTimeout, unwritten);
+            ArrivingRequest arriving = new ArrivingRequest(CallerServer::nowMillis);
+            CallTimeoutHandler timeoutHandler = new CallTimeoutHandler(callTimeout, arriving, unwritten);
             accepted.pipeline()
                     .addLast(
                             timeoutHandler,
-                            new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                            arriving.beforeDecoder(),
+                            new RequestCodec(arriving, MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                             new BodyAggregator(maxBodyBytes),
                             new CallHandler(receiver, timeoutHandler, unwritten));
         });
     }
 
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     /** Returns the port that the server listens on. */
     public int port() {
         return listeningSocket.port();
--- a/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -87,6 +87,13 @@
         assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 408");
     }
 
+    @Test
+    public void aCallWhoseBeginArrivesWithTheEndOfTheOneBeforeHasATimeLimit() throws Exception {
+        send(CALL + HEAD);
+        answer(0, "first");
+        assertThat(readAll()).containsSubsequence("HTTP/1.1 200", "first", "HTTP/1.1 408");
+    }
+
     @Test
     public void theRefusalOfACallThatIsTooLargeFollowsTheAnswerBeforeIt() throws Exception {
         send(CALL);
--- a/direct/src/main/java/org/streamring/direct/caller/ArrivingRequest.java
+++ b/net/src/main/java/org/streamring/net/http/ArrivingRequest.java
@@ -1,4 +1,4 @@
-package org.streamring.direct.caller;
+package org.streamring.net.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,40 +9,45 @@
 import java.util.function.LongSupplier;
 
 /** Tells whether a part of a request has arrived on a connection. Confined to the event loop. */
-final class ArrivingRequest {
+public final class ArrivingRequest {
     private final LongSupplier clock;
     private Optional<HttpRequest> head = Optional.empty();
     private boolean begun;
     private long begunMillis;
     private long lastReadMillis;
 
-    ArrivingRequest(LongSupplier clock) {
+    /**
+     * Creates the state of a new connection.
+     *
+     * @param clock monotonic clock in milliseconds
+     */
+    public ArrivingRequest(LongSupplier clock) {
         this.clock = clock;
         this.lastReadMillis = clock.getAsLong();
     }
 
-    /** Whether bytes of a request have arrived that is not whole yet. */
-    boolean begun() {
+    /** Returns whether bytes of a request have arrived that is not whole yet. */
+    public boolean begun() {
         return begun;
     }
 
     /** Returns the time at which the first bytes arrived of the request that is not whole yet. */
-    long begunMillis() {
+    public long begunMillis() {
         return begunMillis;
     }
 
     /** Returns the head of the request that is not whole yet; empty if its head has not arrived either. */
-    Optional<HttpRequest> head() {
+    public Optional<HttpRequest> head() {
         return head;
     }
 
     /** Returns the time at which bytes arrived last. */
-    long lastReadMillis() {
+    public long lastReadMillis() {
         return lastReadMillis;
     }
 
     /** Forgets the request that is not whole yet, because it was refused. */
-    void refused() {
+    public void refused() {
         begun = false;
         head = Optional.empty();
     }
@@ -53,7 +58,7 @@
     }
 
     /** Returns the handler that has to precede the decoder. */
-    ChannelInboundHandler beforeDecoder() {
+    public ChannelInboundHandler beforeDecoder() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
--- a/direct/src/main/java/org/streamring/direct/caller/RequestCodec.java
+++ b/net/src/main/java/org/streamring/net/http/RequestCodec.java
@@ -1,4 +1,4 @@
-package org.streamring.direct.caller;
+package org.streamring.net.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,12 +18,13 @@
  * Decodes the requests of a caller and encodes their answers. Unlike the codec of the library, it tells an
  * {@link ArrivingRequest} at which byte each request ends.
  */
-final class RequestCodec extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
+public final class RequestCodec extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
     private final ArrivingRequest arriving;
     /** Methods of the requests without an answer; an answer to HEAD has no body. */
     private final Queue<HttpMethod> methods = new ArrayDeque<>();
 
-    RequestCodec(ArrivingRequest arriving, int maxLineBytes, int maxHeaderBytes, int maxChunkBytes) {
+    /** Creates the codec of a new connection. */
+    public RequestCodec(ArrivingRequest arriving, int maxLineBytes, int maxHeaderBytes, int maxChunkBytes) {
         this.arriving = arriving;
         init(new Decoder(maxLineBytes, maxHeaderBytes, maxChunkBytes), new Encoder());
     }
