Answer the calls that are arriving at an entry with sidecars when it stops

A stop closed the connections on which a part of a call had arrived without an answer, so that their callers could not tell whether it ran. The stop now refuses these calls with 503 and not-run once its leases are settled, and waits for the refusals as for other answers. What has arrived meanwhile is read first. A call behind an answer in progress is left alone, as its refusal would cut that answer.

Evidence: without the refusal (a trial) aCallOfWhichAPartHasArrivedIsAnswered- AtAStop fails: no answer is under way. The test calls the server of callers; that the process calls it at a stop is read only. Not covered: a call that begins between the refusals and the exit.

--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -265,6 +265,7 @@
                 + settings.get(EntrySettings.SETTLE_WAIT).toMillis();
         waitUntil(Math.min(stopDeadlineMillis, settleDeadlineMillis), () -> ledgers.current()
                 .isSettled());
+        callers.refuseArrivingCalls(RequestCoordinator.stoppingRefusal());
         waitUntil(stopDeadlineMillis, () -> callers.unwrittenAnswers() == 0);
         LOGGER.info(
                 "entry_stopped open_requests={} unwritten_answers={} leases={}",
--- a/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
@@ -1,5 +1,6 @@
 package org.streamring.entry.caller;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
@@ -12,6 +13,7 @@
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
 import org.streamring.net.http.ArrivingRequest;
+import org.streamring.net.process.ArrivedBytes;
 
 /**
  * Refuses calls that are not received completely within a time limit, so that slow senders can't occupy memory. This
@@ -81,11 +83,28 @@
             startTimer(context);
             return;
         }
+        refuse(
+                context.channel(),
+                Refusal.of(
+                        RefusalReason.CALL_TOO_SLOW,
+                        "the call was not received completely within " + callTimeout.toMillis() + " ms"));
+    }
+
+    private void refuse(Channel channel, Refusal refusal) {
         refused = true;
-        HttpAnswer answer = HttpAnswer.last(context.channel(), UUID.randomUUID().toString(), unwritten);
-        answer.refuse(Refusal.of(
-                RefusalReason.CALL_TOO_SLOW,
-                "the call was not received completely within " + callTimeout.toMillis() + " ms"));
+        stopTimer();
+        HttpAnswer.last(channel, UUID.randomUUID().toString(), unwritten).refuse(refusal);
+    }
+
+    /** Refuses a call of which only a part has arrived, unless an answer is in progress. */
+    void refuseIfArriving(Channel channel, Refusal refusal) {
+        if (mayRefuseArriving() && ArrivedBytes.isOpenAfterReading(channel) && mayRefuseArriving()) {
+            refuse(channel, refusal);
+        }
+    }
+
+    private boolean mayRefuseArriving() {
+        return !refused && arriving.begun() && !answerInProgress.getAsBoolean();
     }
 
     /** Stops the timer, after a call was received completely or was answered before that. */
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -1,9 +1,16 @@
 package org.streamring.entry.caller;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.streamring.model.request.Refusal;
 import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.BodyAggregator;
 import org.streamring.net.http.RequestCodec;
@@ -17,6 +24,9 @@
     private static final int MAX_CHUNK_BYTES = 16_384;
 
     private final UnwrittenAnswers unwritten = new UnwrittenAnswers();
+    /** Open connections, whose handlers are confined to their event loops. */
+    private final Map<Channel, CallTimeoutHandler> connections = new ConcurrentHashMap<>();
+
     private final ListeningSocket listeningSocket;
 
     /**
@@ -35,6 +45,7 @@
         listeningSocket = new ListeningSocket(loops, address, accepted -> {
             ArrivingRequest arriving = new ArrivingRequest(CallerServer::nowMillis);
             CallTimeoutHandler timeoutHandler = new CallTimeoutHandler(callTimeout, arriving, unwritten);
+            register(accepted, timeoutHandler);
             accepted.pipeline()
                     .addLast(
                             timeoutHandler,
@@ -45,6 +56,11 @@
         });
     }
 
+    private void register(Channel accepted, CallTimeoutHandler timeoutHandler) {
+        connections.put(accepted, timeoutHandler);
+        accepted.closeFuture().addListener(closed -> connections.remove(accepted));
+    }
+
     private static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -62,6 +78,14 @@
         return unwritten.count();
     }
 
+    /** Refuses the calls that have not arrived whole. Must not be called on an event loop. */
+    public void refuseArrivingCalls(Refusal refusal) {
+        List<Future<?>> done = new ArrayList<>();
+        connections.forEach((channel, handler) ->
+                done.add(channel.eventLoop().submit(() -> handler.refuseIfArriving(channel, refusal))));
+        done.forEach(Future::awaitUninterruptibly);
+    }
+
     /** Stops accepting connections. */
     public void close() {
         listeningSocket.close();
--- a/entry/src/main/java/org/streamring/entry/request/RequestCoordinator.java
+++ b/entry/src/main/java/org/streamring/entry/request/RequestCoordinator.java
@@ -36,13 +36,18 @@
         stopping = true;
     }
 
+    /** Returns the refusal of calls that arrive at a stopping entry. */
+    public static Refusal stoppingRefusal() {
+        return Refusal.of(RefusalReason.ENTRY_STOPPING, "this entry is stopping; ask again");
+    }
+
     @Override
     public Runnable receive(String requestId, Call call, AnswerSink sink) {
         open.incrementAndGet();
         RunningRequest request =
                 new RunningRequest(services, new CountingAnswerSink(sink, services.metrics(), open::decrementAndGet));
         if (stopping) {
-            request.refuse(Refusal.of(RefusalReason.ENTRY_STOPPING, "this entry is stopping; ask again"));
+            request.refuse(stoppingRefusal());
             return request::callerGone;
         }
         try {
--- a/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
+import org.streamring.model.request.Refusal;
+import org.streamring.model.request.RefusalReason;
 import org.streamring.net.generated.Wire.Header;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -139,6 +141,27 @@
         assertThat(received).hasSize(1);
     }
 
+    @Test
+    public void aCallOfWhichAPartHasArrivedIsAnsweredAtAStop() throws Exception {
+        send(HEAD);
+        Thread.sleep(100);
+        server.close();
+        server.refuseArrivingCalls(Refusal.of(RefusalReason.ENTRY_STOPPING, "stopping"));
+        assertThat(server.unwrittenAnswers()).isEqualTo(1);
+        assertThat(readAll()).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
+    }
+
+    @Test
+    public void aStopDoesNotRefuseACallBehindAnAnswerInProgress() throws Exception {
+        send(CALL);
+        beginStream();
+        send(HEAD);
+        Thread.sleep(100);
+        server.refuseArrivingCalls(Refusal.of(RefusalReason.ENTRY_STOPPING, "stopping"));
+        endStream();
+        assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 408");
+    }
+
     private void beginStream() {
         Awaitility.await().until(() -> sinks.size() == 1);
         Header type = Header.newBuilder()
