--- a/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -28,6 +29,7 @@
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
 import org.streamring.net.generated.Wire.Header;
+import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.ContinueExpectedEvent;
 import org.streamring.net.http.UnsupportedExpectationException;
 import org.streamring.net.process.ArrivedBytes;
@@ -53,6 +55,8 @@
 
     private final CallReceiver receiver;
     private final CallTimeoutHandler timeoutHandler;
+    private final ArrivingRequest arriving;
+    private final BooleanSupplier stopping;
     private final UnwrittenAnswers unwritten;
     private Runnable onCallerGone = CallHandler::noOp;
     private final Deque<FullHttpRequest> pending = new ArrayDeque<>();
@@ -60,9 +64,22 @@
     /** Whether the caller of the arriving request waits for an interim answer. */
     private boolean continueExpected;
 
-    CallHandler(CallReceiver receiver, CallTimeoutHandler timeoutHandler, UnwrittenAnswers unwritten) {
+    /**
+     * Creates a handler for one connection.
+     *
+     * @param arriving tells whether a part of another call has arrived
+     * @param stopping whether the last answers are to announce the end of their connections
+     */
+    CallHandler(
+            CallReceiver receiver,
+            CallTimeoutHandler timeoutHandler,
+            ArrivingRequest arriving,
+            BooleanSupplier stopping,
+            UnwrittenAnswers unwritten) {
         this.receiver = receiver;
         this.timeoutHandler = timeoutHandler;
+        this.arriving = arriving;
+        this.stopping = stopping;
         this.unwritten = unwritten;
         timeoutHandler.setAnswerInProgress(this::isAnswerInProgress);
     }
@@ -137,6 +154,9 @@
             answer.refuse(refusalOf(request.decoderResult().cause()));
             return;
         }
+        if (stopping.getAsBoolean() && pending.isEmpty() && !arriving.begun()) {
+            answer.announceEnd();
+        }
         try {
             Call call = toCall(request);
             onCallerGone = receiver.receive(requestId, call, answer);
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -28,6 +28,7 @@
     private final Map<Channel, CallTimeoutHandler> connections = new ConcurrentHashMap<>();
 
     private final ListeningSocket listeningSocket;
+    private volatile boolean closed;
 
     /**
      * Starts to listen.
@@ -52,7 +53,7 @@
                             arriving.beforeDecoder(),
                             new RequestCodec(arriving, MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                             new BodyAggregator(maxBodyBytes),
-                            new CallHandler(receiver, timeoutHandler, unwritten));
+                            new CallHandler(receiver, timeoutHandler, arriving, () -> closed, unwritten));
         });
     }
 
@@ -86,8 +87,9 @@
         done.forEach(Future::awaitUninterruptibly);
     }
 
-    /** Stops accepting connections. */
+    /** Stops accepting connections; answers to calls that arrive from now on announce the end of theirs. */
     public void close() {
+        closed = true;
         listeningSocket.close();
     }
 }
--- a/entry/src/main/java/org/streamring/entry/caller/HttpAnswer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/HttpAnswer.java
@@ -37,11 +37,11 @@
             Set.of("connection", "content-length", "transfer-encoding", "keep-alive", "upgrade", "trailer", "te");
 
     private final Channel channel;
-    private final boolean keepAlive;
     private final boolean callerMaySend;
     private final String requestId;
     private final Runnable onNextAllowed;
     private final UnwrittenAnswers unwritten;
+    private boolean keepAlive;
     private int status;
     private List<Header> headers = List.of();
     private ByteString bufferedBody = ByteString.EMPTY;
@@ -76,6 +76,11 @@
         this.unwritten = unwritten;
     }
 
+    /** Ends the connection behind this answer. Takes effect only before the answer begins. */
+    synchronized void announceEnd() {
+        keepAlive = false;
+    }
+
     /** Returns whether the final answer was given and another one may follow. */
     synchronized boolean allowsNext() {
         return done && keepAlive;
--- a/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
@@ -162,6 +163,32 @@
         assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 408");
     }
 
+    @Test
+    public void theAnswerToACallThatArrivesAfterTheStopAnnouncesTheEndOfItsConnection() throws Exception {
+        answerACallAndStop();
+        send(CALL);
+        answer(1, "second");
+        assertThat(readAll()).containsIgnoringCase("connection: close").endsWith("second");
+    }
+
+    @Test
+    public void afterTheStopOnlyTheLastOfSeveralAnswersAnnouncesTheEndOfItsConnection() throws Exception {
+        answerACallAndStop();
+        send(CALL + CALL);
+        answer(1, "second");
+        answer(2, "third");
+        assertThat(readAll().toLowerCase(Locale.ROOT))
+                .containsSubsequence("second", "http/1.1 200", "connection: close", "third")
+                .containsOnlyOnce("connection: close");
+    }
+
+    private void answerACallAndStop() throws Exception {
+        send(CALL);
+        answer(0, "first");
+        assertThat(readUntil("first")).doesNotContainIgnoringCase("connection: close");
+        server.close();
+    }
+
     private void beginStream() {
         Awaitility.await().until(() -> sinks.size() == 1);
         Header type = Header.newBuilder()
