Close connections of callers that read nothing of their answers

A caller of an entry with sidecars that read nothing of a large answer held up a stop until stop.wait, 60 s, as an answer counts until it is written. The new setting limits.read_wait, 30 s, ends its connection; an answer of which a part is read within that time goes on. The measure of the direct entry becomes WriteProgress of net.http and serves both.

Evidence: without the close (a trial) aCallerThatReadsNothingDoesNotHoldUpAStop fails as the answer is not given up within 4 s; with progress ignored (a trial) anAnswerOfWhichAPartIsReadInTimeIsNotCut fails. A stop whose caller reads nothing still takes up to the shorter of limits.read_wait and stop.wait.

--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -35,6 +34,7 @@
 import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.ContinueExpectedEvent;
 import org.streamring.net.http.LingeringClose;
+import org.streamring.net.http.WriteProgress;
 import org.streamring.net.process.ArrivedBytes;
 
 /**
@@ -52,6 +52,7 @@
     private final Supplier<CallerLimits> limits;
     private final IncompleteAnswerReporter reporter;
     private final ArrivingRequest arriving;
+    private final WriteProgress writeProgress = new WriteProgress();
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable Writer writer;
@@ -59,7 +60,6 @@
     private final Deque<Writer> unflushed = new ArrayDeque<>();
 
     private long lastActivityMillis;
-    private long unwrittenBytes;
     private long promisedIdleMillis;
     /** Whether the caller of the arriving request waits for an interim answer. */
     private boolean continueExpected;
@@ -142,13 +142,7 @@
 
     /** Counts it as activity if the caller has read a part of an answer since the last call. */
     private void noteWriteProgress() {
-        ChannelOutboundBuffer buffer = channel().unsafe().outboundBuffer();
-        if (buffer == null) {
-            return;
-        }
-        long bytes = buffer.totalPendingWriteBytes() - buffer.currentProgress();
-        if (bytes != unwrittenBytes) {
-            unwrittenBytes = bytes;
+        if (writeProgress.anySinceLastCall(channel())) {
             lastActivityMillis = clock.getAsLong();
         }
     }
--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -125,6 +125,7 @@
                 new InetSocketAddress(address, settings.get(EntrySettings.PORT)),
                 settings.get(EntrySettings.MAX_BODY),
                 settings.get(EntrySettings.CALL_WAIT),
+                settings.get(EntrySettings.READ_WAIT),
                 coordinator);
         ledgers.setAddress(address + ":" + callers.port());
         admin = new AdminServer(
--- a/entry/src/main/java/org/streamring/entry/EntrySettings.java
+++ b/entry/src/main/java/org/streamring/entry/EntrySettings.java
@@ -70,6 +70,8 @@
             SCHEMA.integer("limits.body_bytes", "1048576", 1024, 4 << 20, "Largest request body.");
     public static final Setting<Duration> CALL_WAIT =
             SCHEMA.duration("limits.call_wait", "30s", "Longest time that a call may take to arrive whole.");
+    public static final Setting<Duration> READ_WAIT =
+            SCHEMA.duration("limits.read_wait", "30s", "Longest time that a caller may read nothing of its answer.");
 
     /** Longest wait for the table during a planned stop. */
     public static final Setting<Duration> SETTLE_WAIT = SCHEMA.duration(
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -35,12 +35,14 @@
      *
      * @param maxBodyBytes size limit of a body, in bytes
      * @param callTimeout longest time from the start of a call until its last byte is received
+     * @param readTimeout longest time for which a caller may read nothing of an answer
      */
     public CallerServer(
             EventLoopGroup loops,
             InetSocketAddress address,
             int maxBodyBytes,
             Duration callTimeout,
+            Duration readTimeout,
             CallReceiver receiver)
             throws PeerException {
         listeningSocket = new ListeningSocket(loops, address, accepted -> {
@@ -49,6 +51,7 @@
             register(accepted, timeoutHandler);
             accepted.pipeline()
                     .addLast(
+                            new ReadTimeoutHandler(readTimeout),
                             timeoutHandler,
                             arriving.beforeDecoder(),
                             new RequestCodec(arriving, MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
--- a/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
@@ -27,6 +27,7 @@
 public class CallerServerTest {
     private static final int MAX_BODY = 1024;
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
     private static final String HEAD = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
     private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -37,7 +38,7 @@
     @BeforeClass
     public void listen() throws PeerException {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, (requestId, call, sink) -> {
+        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, READ_TIMEOUT, (requestId, call, sink) -> {
             received.add(call);
             sink.refuse(Refusal.of(RefusalReason.NO_BACKEND, "test"));
             return () -> {};
--- a/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -26,6 +26,8 @@
 public class PipelinedCallsTest {
     private static final int MAX_BODY = 1024;
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
+    private static final int LARGE_ANSWER = 16_000_000;
     private static final String HEAD = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
     private static final String LAST_CALL_HEAD = HEAD + "Connection: close\r\nContent-Length: 4\r\n";
     private static final String LAST_CALL = LAST_CALL_HEAD + "\r\nnext";
@@ -44,7 +46,7 @@
         sinks.clear();
         loops = new NioEventLoopGroup(1);
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, (requestId, call, sink) -> {
+        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, READ_TIMEOUT, (requestId, call, sink) -> {
             received.add(call);
             sinks.add(sink);
             return () -> {};
@@ -134,7 +136,7 @@
     @Test
     public void aCallThatArrivesWholeAfterItsRefusalIsNotRun() throws Exception {
         send(CALL);
-        answer(0, "x".repeat(16_000_000));
+        answer(0, "x".repeat(LARGE_ANSWER));
         send(HEAD + "Content-Length: 4\r\n\r\n");
         Thread.sleep(2 * CALL_TIMEOUT.toMillis());
         send("late");
@@ -189,6 +191,27 @@
         server.close();
     }
 
+    @Test
+    public void aCallerThatReadsNothingDoesNotHoldUpAStop() throws Exception {
+        send(CALL);
+        answer(0, "x".repeat(LARGE_ANSWER));
+        assertThat(server.unwrittenAnswers()).isEqualTo(1);
+        Awaitility.await().atMost(READ_TIMEOUT.multipliedBy(2)).until(() -> server.unwrittenAnswers() == 0);
+    }
+
+    @Test
+    public void anAnswerOfWhichAPartIsReadInTimeIsNotCut() throws Exception {
+        send(LAST_CALL);
+        answer(0, "x".repeat(LARGE_ANSWER));
+        int read = 0;
+        long startNanos = System.nanoTime();
+        while (System.nanoTime() - startNanos < READ_TIMEOUT.multipliedBy(2).toNanos()) {
+            Thread.sleep(READ_TIMEOUT.toMillis() / 8);
+            read += caller.getInputStream().readNBytes(LARGE_ANSWER / 32).length;
+        }
+        assertThat(read + readAll().length()).isGreaterThan(LARGE_ANSWER);
+    }
+
     private void beginStream() {
         Awaitility.await().until(() -> sinks.size() == 1);
         Header type = Header.newBuilder()
