--- a/entry/src/main/java/org/streamring/entry/EntryProcess.java
+++ b/entry/src/main/java/org/streamring/entry/EntryProcess.java
@@ -125,6 +125,7 @@
                 new InetSocketAddress(address, settings.get(EntrySettings.PORT)),
                 settings.get(EntrySettings.MAX_BODY),
                 settings.get(EntrySettings.CALL_WAIT),
+                settings.get(EntrySettings.READ_WAIT),
                 coordinator);
         ledgers.setAddress(address + ":" + callers.port());
         admin = new AdminServer(
@@ -265,6 +266,7 @@
                 + settings.get(EntrySettings.SETTLE_WAIT).toMillis();
         waitUntil(Math.min(stopDeadlineMillis, settleDeadlineMillis), () -> ledgers.current()
                 .isSettled());
+        callers.refuseArrivingCalls(RequestCoordinator.stoppingRefusal());
         waitUntil(stopDeadlineMillis, () -> callers.unwrittenAnswers() == 0);
         LOGGER.info(
                 "entry_stopped open_requests={} unwritten_answers={} leases={}",
--- a/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
@@ -1,5 +1,6 @@
 package org.streamring.entry.caller;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
@@ -11,6 +12,8 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.model.request.Refusal;
 import org.streamring.model.request.RefusalReason;
+import org.streamring.net.http.ArrivingRequest;
+import org.streamring.net.process.ArrivedBytes;
 
 /**
  * Refuses calls that are not received completely within a time limit, so that slow senders can't occupy memory. This
@@ -19,10 +22,10 @@
  */
 final class CallTimeoutHandler extends ChannelInboundHandlerAdapter {
     private final Duration callTimeout;
+    private final ArrivingRequest arriving;
     private final UnwrittenAnswers unwritten;
     private @Nullable ScheduledFuture<?> timer;
     private BooleanSupplier answerInProgress = () -> false;
-    private boolean bytesReceived;
     private boolean refused;
 
     /**
@@ -30,9 +33,11 @@
      *
      * @param callTimeout longest time from the opening of the connection, or from the first byte of a later call, until
      *     the last byte of the call
+     * @param arriving tells whether a part of a call has arrived
      */
-    CallTimeoutHandler(Duration callTimeout, UnwrittenAnswers unwritten) {
+    CallTimeoutHandler(Duration callTimeout, ArrivingRequest arriving, UnwrittenAnswers unwritten) {
         this.callTimeout = callTimeout;
+        this.arriving = arriving;
         this.unwritten = unwritten;
     }
 
@@ -53,11 +58,10 @@
             ReferenceCountUtil.release(bytes);
             return;
         }
-        bytesReceived = true;
-        if (timer == null) {
+        super.channelRead(context, bytes);
+        if (timer == null && arriving.begun()) {
             startTimer(context);
         }
-        super.channelRead(context, bytes);
     }
 
     @Override
@@ -71,7 +75,7 @@
     }
 
     private void timeOut(ChannelHandlerContext context) {
-        if (!bytesReceived) {
+        if (!arriving.begun()) {
             context.close();
             return;
         }
@@ -79,16 +83,32 @@
             startTimer(context);
             return;
         }
+        refuse(
+                context.channel(),
+                Refusal.of(
+                        RefusalReason.CALL_TOO_SLOW,
+                        "the call was not received completely within " + callTimeout.toMillis() + " ms"));
+    }
+
+    private void refuse(Channel channel, Refusal refusal) {
         refused = true;
-        HttpAnswer answer = HttpAnswer.last(context.channel(), UUID.randomUUID().toString(), unwritten);
-        answer.refuse(Refusal.of(
-                RefusalReason.CALL_TOO_SLOW,
-                "the call was not received completely within " + callTimeout.toMillis() + " ms"));
+        stopTimer();
+        HttpAnswer.last(channel, UUID.randomUUID().toString(), unwritten).refuse(refusal);
+    }
+
+    /** Refuses a call of which only a part has arrived, unless an answer is in progress. */
+    void refuseIfArriving(Channel channel, Refusal refusal) {
+        if (mayRefuseArriving() && ArrivedBytes.isOpenAfterReading(channel) && mayRefuseArriving()) {
+            refuse(channel, refusal);
+        }
+    }
+
+    private boolean mayRefuseArriving() {
+        return !refused && arriving.begun() && !answerInProgress.getAsBoolean();
     }
 
     /** Stops the timer, after a call was received completely or was answered before that. */
     void stopTimer() {
-        bytesReceived = false;
         if (timer != null) {
             timer.cancel(false);
             timer = null;
--- a/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -11,9 +11,12 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
+import org.streamring.model.request.Refusal;
+import org.streamring.model.request.RefusalReason;
 import org.streamring.net.generated.Wire.Header;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -23,6 +26,8 @@
 public class PipelinedCallsTest {
     private static final int MAX_BODY = 1024;
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
+    private static final int LARGE_ANSWER = 16_000_000;
     private static final String HEAD = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
     private static final String LAST_CALL_HEAD = HEAD + "Connection: close\r\nContent-Length: 4\r\n";
     private static final String LAST_CALL = LAST_CALL_HEAD + "\r\nnext";
@@ -41,7 +46,7 @@
         sinks.clear();
         loops = new NioEventLoopGroup(1);
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, (requestId, call, sink) -> {
+        server = new CallerServer(loops, address, MAX_BODY, CALL_TIMEOUT, READ_TIMEOUT, (requestId, call, sink) -> {
             received.add(call);
             sinks.add(sink);
             return () -> {};
@@ -87,6 +92,13 @@
         assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 408");
     }
 
+    @Test
+    public void aCallWhoseBeginArrivesWithTheEndOfTheOneBeforeHasATimeLimit() throws Exception {
+        send(CALL + HEAD);
+        answer(0, "first");
+        assertThat(readAll()).containsSubsequence("HTTP/1.1 200", "first", "HTTP/1.1 408");
+    }
+
     @Test
     public void theRefusalOfACallThatIsTooLargeFollowsTheAnswerBeforeIt() throws Exception {
         send(CALL);
@@ -124,7 +136,7 @@
     @Test
     public void aCallThatArrivesWholeAfterItsRefusalIsNotRun() throws Exception {
         send(CALL);
-        answer(0, "x".repeat(16_000_000));
+        answer(0, "x".repeat(LARGE_ANSWER));
         send(HEAD + "Content-Length: 4\r\n\r\n");
         Thread.sleep(2 * CALL_TIMEOUT.toMillis());
         send("late");
@@ -132,6 +144,74 @@
         assertThat(received).hasSize(1);
     }
 
+    @Test
+    public void aCallOfWhichAPartHasArrivedIsAnsweredAtAStop() throws Exception {
+        send(HEAD);
+        Thread.sleep(100);
+        server.close();
+        server.refuseArrivingCalls(Refusal.of(RefusalReason.ENTRY_STOPPING, "stopping"));
+        assertThat(server.unwrittenAnswers()).isEqualTo(1);
+        assertThat(readAll()).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
+    }
+
+    @Test
+    public void aStopDoesNotRefuseACallBehindAnAnswerInProgress() throws Exception {
+        send(CALL);
+        beginStream();
+        send(HEAD);
+        Thread.sleep(100);
+        server.refuseArrivingCalls(Refusal.of(RefusalReason.ENTRY_STOPPING, "stopping"));
+        endStream();
+        assertThat(readAll()).containsSubsequence("data: 1", "data: 2", "streamring.outcome", "HTTP/1.1 408");
+    }
+
+    @Test
+    public void theAnswerToACallThatArrivesAfterTheStopAnnouncesTheEndOfItsConnection() throws Exception {
+        answerACallAndStop();
+        send(CALL);
+        answer(1, "second");
+        assertThat(readAll()).containsIgnoringCase("connection: close").endsWith("second");
+    }
+
+    @Test
+    public void afterTheStopOnlyTheLastOfSeveralAnswersAnnouncesTheEndOfItsConnection() throws Exception {
+        answerACallAndStop();
+        send(CALL + CALL);
+        answer(1, "second");
+        answer(2, "third");
+        assertThat(readAll().toLowerCase(Locale.ROOT))
+                .containsSubsequence("second", "http/1.1 200", "connection: close", "third")
+                .containsOnlyOnce("connection: close");
+    }
+
+    private void answerACallAndStop() throws Exception {
+        send(CALL);
+        answer(0, "first");
+        assertThat(readUntil("first")).doesNotContainIgnoringCase("connection: close");
+        server.close();
+    }
+
+    @Test
+    public void aCallerThatReadsNothingDoesNotHoldUpAStop() throws Exception {
+        send(CALL);
+        answer(0, "x".repeat(LARGE_ANSWER));
+        assertThat(server.unwrittenAnswers()).isEqualTo(1);
+        Awaitility.await().atMost(READ_TIMEOUT.multipliedBy(2)).until(() -> server.unwrittenAnswers() == 0);
+    }
+
+    @Test
+    public void anAnswerOfWhichAPartIsReadInTimeIsNotCut() throws Exception {
+        send(LAST_CALL);
+        answer(0, "x".repeat(LARGE_ANSWER));
+        int read = 0;
+        long startNanos = System.nanoTime();
+        while (System.nanoTime() - startNanos < READ_TIMEOUT.multipliedBy(2).toNanos()) {
+            Thread.sleep(READ_TIMEOUT.toMillis() / 8);
+            read += caller.getInputStream().readNBytes(LARGE_ANSWER / 32).length;
+        }
+        assertThat(read + readAll().length()).isGreaterThan(LARGE_ANSWER);
+    }
+
     private void beginStream() {
         Awaitility.await().until(() -> sinks.size() == 1);
         Header type = Header.newBuilder()
