--- a/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TokenAllocatorTest.java
@@ -2,47 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.embedded.EmbeddedChannel;
-import java.io.OutputStream;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import org.streamring.direct.log.DecisionLog;
-import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.request.TokenSource.Outcome;
-import org.streamring.kernel.prepaid.AccountKnowledge;
-import org.streamring.kernel.prepaid.Holding;
-import org.streamring.kernel.prepaid.HomeEntries;
-import org.streamring.kernel.prepaid.Mark;
-import org.streamring.kernel.prepaid.MarkRow;
-import org.streamring.kernel.prepaid.PrepaidLedger;
-import org.streamring.kernel.prepaid.PrepaidRow;
-import org.streamring.kernel.prepaid.PrepaidSettings;
-import org.streamring.kernel.route.RouteTable;
 import org.streamring.kernel.store.RowKey;
-import org.streamring.model.route.CallerLimits;
-import org.streamring.model.route.PrepaidAccount;
-import org.streamring.model.route.RoutingConfiguration;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests an entry of a fleet of 33 with a store that takes 30 ms to write, in simulated time. */
-public class TokenAllocatorTest {
-    private static final String ACCOUNT = "hotel";
-    private static final long LIMIT = 10_000_000;
-    /** More than the usage caps allow without another write, and much less than the lease. */
-    private static final long LARGE = 400_000;
+public class TokenAllocatorTest extends SimulatedAllocator {
 
     /** Few enough that an entry that is no home entry keeps them. */
     private static final long KEPT = 1_500;
@@ -50,95 +20,10 @@
     /** Wait of a request for a larger lease. */
     private static final long MAX_WAIT_MILLIS = 130;
 
-    private static final long WRITE_MILLIS = 30;
-    private static final String PREDECESSOR = "entry.dead";
-
     private static final long ANSWER_MILLIS = TestLenders.ANSWER_MILLIS;
-    private static final long MAX_WRITE_PAUSE_MILLIS = 2_000;
-    private static final long LENDER_PAUSE_MILLIS = 300;
     /** Silence after which the connection to a lender is closed. */
     private static final long LATE_LENDER_WAIT_MILLIS = 1_500;
 
-    private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 20;
-    /** Wait for the first lease of a process, one final try and the check interval that ends them. */
-    private static final long REFUSAL_WITHOUT_LENDER_MILLIS = 200 + ANSWER_MILLIS + EXPIRY_CHECK_INTERVAL_MILLIS;
-
-    private EmbeddedChannel time;
-    private EventLoop loop;
-    private long nowMillis;
-    private SlowRows rows;
-    private PrepaidLedger ledger;
-    private TokenAllocator tokenAllocator;
-    private DecisionLog log;
-
-    private TestLenders lenders;
-
-    @BeforeMethod
-    public void setUp() {
-        startEntry(true);
-        advanceUntilAWriteBegins();
-        advance(WRITE_MILLIS);
-    }
-
-    private void startEntry(boolean home) {
-        startEntry(home, List.of(ACCOUNT), List.of());
-    }
-
-    /** Starts an entry with the given accounts. A predecessor on this box left leases of some of them. */
-    private void startEntry(boolean home, List<String> accounts, List<String> accountsWithLeases) {
-        time = new EmbeddedChannel();
-        time.freezeTime();
-        loop = time.eventLoop();
-        nowMillis = 0;
-        rows = new SlowRows(loop, () -> nowMillis, WRITE_MILLIS);
-        log = new DecisionLog(OutputStream.nullOutputStream(), "entry");
-        List<String> names =
-                IntStream.range(0, 33).mapToObj(each -> "entry-" + each).toList();
-        HomeEntries view = new HomeEntries(names.get(0));
-        view.updatePeers(names);
-        String borrower = names.stream()
-                .filter(name -> !view.of(ACCOUNT).contains(name))
-                .findFirst()
-                .orElseThrow();
-        HomeEntries homeEntries = new HomeEntries(home ? view.of(ACCOUNT).get(0) : borrower);
-        homeEntries.updatePeers(names);
-        lenders = new TestLenders(loop);
-        ledger = new PrepaidLedger("entry.a", PrepaidSettings.DEFAULT);
-        List<PrepaidAccount> prepaid = accounts.stream()
-                .map(name ->
-                        new PrepaidAccount(name, List.of("key-" + name), OptionalInt.empty(), OptionalLong.of(LIMIT)))
-                .toList();
-        RouteTable table =
-                new RouteTable(new RoutingConfiguration(1, List.of(), List.of(), prepaid, CallerLimits.DEFAULT));
-        leavePredecessor(accountsWithLeases);
-        tokenAllocator = new TokenAllocator(
-                loop,
-                rows,
-                ledger,
-                "box",
-                () -> Optional.of(table),
-                homeEntries,
-                () -> 33,
-                lenders,
-                new NoWitnesses(),
-                new NoCopies(),
-                new AccountKnowledge(),
-                () -> 0,
-                () -> true,
-                () -> nowMillis,
-                () -> nowMillis,
-                new Random(1),
-                new EntryMetrics(),
-                log);
-        tokenAllocator.start();
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void tearDown() throws InterruptedException {
-        time.close();
-        log.close();
-    }
-
     /** Guards against losing a renewal that is requested during a write: such requests were refused after 190 ms. */
     @Test
     public void aRequestThatArrivesDuringAWriteIsServedByTheNextWrite() {
@@ -388,22 +273,6 @@
         assertThat(outcomes).containsExactly(Outcome.RESERVED);
     }
 
-    private List<Outcome> reserveLarge() {
-        List<Outcome> outcomes = new ArrayList<>();
-        tokenAllocator.reserve(ACCOUNT, LARGE, outcomes::add);
-        return outcomes;
-    }
-
-    private List<Outcome> askLender(OptionalLong answersAfterMillis, long lenderTokens) {
-        startEntry(false);
-        rows.answers = false;
-        lenders.tokens = lenderTokens;
-        lenders.connected = true;
-        lenders.paused = true;
-        lenders.answersAfterMillis = answersAfterMillis;
-        return reserveLarge();
-    }
-
     /**
      * Guards against an entry that is no home of the account and writes leases of its own into the row when it is asked
      * after both home entries: the four waits together exceeded the wait of the borrower.
@@ -450,19 +319,6 @@
         return loans;
     }
 
-    private void leavePredecessor(List<String> accounts) {
-        Map<String, Mark> usageCaps = new HashMap<>();
-        for (String account : accounts) {
-            usageCaps.put(account, Mark.of(1_000));
-            PrepaidRow row = PrepaidRow.EMPTY.withLimit(LIMIT, 1).withHolding(PREDECESSOR, new Holding(500_000, 0));
-            rows.put(new RowKey(LeaseRows.ACCOUNTS, "", account), PrepaidRowCodec.write(row));
-        }
-        if (!accounts.isEmpty()) {
-            MarkRow row = new MarkRow(PREDECESSOR, 0, usageCaps, Set.of(), 10_000);
-            rows.put(new RowKey(LeaseRows.USAGE_CAPS, "", "box"), PrepaidRowCodec.writeUsageCaps(row));
-        }
-    }
-
     private long heldByPredecessor(List<String> accounts) {
         return accounts.stream()
                 .map(account -> rows.value(new RowKey(LeaseRows.ACCOUNTS, "", account)))
@@ -470,28 +326,4 @@
                 .filter(row -> row.holding(PREDECESSOR).isPresent())
                 .count();
     }
-
-    private void advanceUntilTheStoreIsLost() {
-        rows.answers = false;
-        for (int millis = 0; !tokenAllocator.storeUnreachable() && millis < 2 * MAX_WRITE_PAUSE_MILLIS; millis++) {
-            advance(1);
-        }
-        assertThat(tokenAllocator.storeUnreachable()).isTrue();
-    }
-
-    private void advanceUntilAWriteBegins() {
-        int before = rows.writes.size();
-        for (int millis = 0; rows.writes.size() == before && millis < MAX_WRITE_PAUSE_MILLIS; millis++) {
-            advance(1);
-        }
-        assertThat(rows.writes).hasSizeGreaterThan(before);
-    }
-
-    private void advance(long millis) {
-        for (long each = 0; each < millis; each++) {
-            nowMillis++;
-            time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
-            time.runPendingTasks();
-        }
-    }
 }
