Ask a lender again that lent a part late and promises more

Cause: `Answers` is the state at the end of a round. A late answer passed on its tokens, but not that its lender may soon have more, and ended the wait, as no answer was expected any more. In time the same answer leads to another question.

Mend: a round tells late promises of home entries. The request then asks again as after an answer in time, within 200 ms, and within the 1.5 s for which it waits for late lenders altogether. While another lender is late, nobody is asked again after the first 200 ms, as before: a late lender would lend for each question.

Nothing is lent in another way than before, so the count of lent tokens doesn't change.

--- a/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/Lenders.java
@@ -13,8 +13,10 @@
      * @param lacking supplies the number of tokens that are still missing
      * @param lent receives the number of tokens of each loan
      * @param atEnd called once, when the last entry has answered or has timed out
+     * @param promisedLate called for each answer after the end of an entry that holds leases of the account and may
+     *     soon have more tokens; the tokens that it lent are passed on before
      */
-    void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd);
+    void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd, Runnable promisedLate);
 
     /** Returns whether an entry that holds leases of the account is connected, so that tokens can be returned to it. */
     boolean canReturn(String account);
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -44,11 +44,6 @@
     private static final long FIRST_CONNECTION_MILLIS = 5_000;
 
     private static final long FINAL_TRY_MILLIS = 60;
-    /** Within this time lenders are asked again, and leases and rising usage caps serve the request as well. */
-    private static final long MIN_LATE_LENDER_WAIT_MILLIS = 200;
-    /** As long as the silence after which the connection to a lender is closed. */
-    private static final long MAX_LATE_LENDER_WAIT_MILLIS = 1_500;
-
     private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 20;
     /** A write of a lender takes about 10 to 20 ms. */
     private static final long ASK_AGAIN_DELAY_MILLIS = 20;
@@ -274,13 +269,12 @@
         private final Consumer<Outcome> then;
         private long expiresMillis = clock.getAsLong() + maxWaitMillis();
         private boolean asked;
-        private Lenders.Answers answers = Lenders.Answers.NONE;
+        private final LenderWait lenderWait = new LenderWait();
         private boolean leasing;
         private long lackingBeforeLoans;
         private long borrowed;
         private boolean noLenderConnected;
-        private boolean allLendersAsked;
-        private OptionalLong lateLenderSinceMillis = OptionalLong.empty();
+        private boolean askingAgain;
 
         private Waiter(String account, long tokens, Consumer<Outcome> then) {
             this.account = account;
@@ -334,26 +328,25 @@
         private void askLenders() {
             lackingBeforeLoans = lacking();
             borrowed = 0;
-            lenders.ask(account, this::lacking, this::lent, this::continueAfterLoans);
+            lenders.ask(account, this::lacking, this::lent, this::continueAfterLoans, this::promisedLate);
         }
 
         /**
          * Continues after all lenders were asked. An entry that is no home of the account takes a lease only as a last
          * resort.
          */
-        private void continueAfterLoans(Lenders.Answers received) {
-            answers = received;
-            allLendersAsked = true;
-            noLenderConnected = received.asked() == 0;
+        private void continueAfterLoans(Lenders.Answers answers) {
+            lenderWait.ended(answers);
+            noLenderConnected = answers.asked() == 0;
             if (!isWaiting()) {
                 return;
             }
             if (loansUsedByOthers()) {
-                loop.schedule(this::askAgain, random.nextLong(MAX_ASK_AGAIN_JITTER_MILLIS), TimeUnit.MILLISECONDS);
+                askAgainAfter(random.nextLong(MAX_ASK_AGAIN_JITTER_MILLIS));
             } else if (answers.asked() == 0 && mayStillConnect()) {
-                loop.schedule(this::askAgain, ASK_AGAIN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                askAgainAfter(ASK_AGAIN_DELAY_MILLIS);
             } else if (answers.moreSoon()) {
-                loop.schedule(this::askAgain, ASK_AGAIN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                askAgainAfter(ASK_AGAIN_DELAY_MILLIS);
             } else if (renewer.storeUnreachable() && becomesAvailableInTime()) {
                 return;
             } else if (leasing) {
@@ -379,10 +372,25 @@
             return ledger.availableAfter(account, leftMillis) >= tokens;
         }
 
-        /** Asks other entries again. A request that may also be served by a lease does not wait longer for loans. */
+        /** A lender that answered after the end of the question may soon have more tokens. */
+        private void promisedLate() {
+            if (isWaiting() && lacking() > 0) {
+                expiresMillis = lenderWait.extendForLatePromise(clock.getAsLong(), expiresMillis);
+                askAgainAfter(ASK_AGAIN_DELAY_MILLIS);
+            }
+        }
+
+        private void askAgainAfter(long delayMillis) {
+            if (!askingAgain) {
+                askingAgain = true;
+                loop.schedule(this::askAgain, delayMillis, TimeUnit.MILLISECONDS);
+            }
+        }
+
         private void askAgain() {
-            if (mayAskAgain()) {
-                allLendersAsked = leasing;
+            askingAgain = false;
+            if (isWaiting() && lenderWait.mayAskAgain(clock.getAsLong(), expiresMillis)) {
+                lenderWait.askingAgain(leasing);
                 askLenders();
             }
         }
@@ -399,28 +407,14 @@
         /** Ends the wait without tokens, unless a lender that was asked may still answer. */
         private void giveUp(String reason) {
             tryServe();
-            long now = clock.getAsLong();
-            if (!lenderMayAnswer() || now > lateLenderSinceMillis.orElse(now) + MAX_LATE_LENDER_WAIT_MILLIS) {
-                end(Outcome.UNAVAILABLE, reason);
-            } else if (lateLenderSinceMillis.isEmpty()) {
-                lateLenderSinceMillis = OptionalLong.of(now);
-                expiresMillis = now + MIN_LATE_LENDER_WAIT_MILLIS;
+            OptionalLong extended = lenderWait.extend(clock.getAsLong());
+            if (extended.isPresent()) {
+                expiresMillis = extended.getAsLong();
             } else {
-                expiresMillis = now;
+                end(Outcome.UNAVAILABLE, reason);
             }
         }
 
-        /** A late lender is not asked again and again, as it would lend for each question once it goes on. */
-        private boolean mayAskAgain() {
-            return isWaiting()
-                    && clock.getAsLong()
-                            <= lateLenderSinceMillis.orElse(Long.MAX_VALUE / 2) + MIN_LATE_LENDER_WAIT_MILLIS;
-        }
-
-        private boolean lenderMayAnswer() {
-            return !allLendersAsked || answers.lateAnswerExpected().getAsBoolean();
-        }
-
         private long lacking() {
             return isWaiting() ? tokens - ledger.available(account) : 0;
         }
@@ -446,6 +440,7 @@
 
         private void logRefusal(String reason) {
             metrics.tokensRefused(reason);
+            Lenders.Answers answers = lenderWait.answers();
             PrepaidRow row = row(account);
             log.line(
                     "tokens_refused",
--- a/direct/src/main/java/org/streamring/direct/peer/TokenLending.java
+++ b/direct/src/main/java/org/streamring/direct/peer/TokenLending.java
@@ -75,8 +75,9 @@
     }
 
     @Override
-    public void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
-        new LoanRound(account, lacking, lent, atEnd).askNext();
+    public void ask(
+            String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd, Runnable promisedLate) {
+        new LoanRound(account, lacking, lent, atEnd, promisedLate).askNext();
     }
 
     @Override
@@ -128,18 +129,26 @@
         private final LongSupplier lacking;
         private final LongConsumer lent;
         private final Consumer<Answers> atEnd;
+        private final Runnable promisedLate;
         private final Deque<PeerConnection> remainingLenders;
         private final Set<PeerConnection> unanswered = new HashSet<>();
         private int askedCount;
         private int answeredCount;
         private boolean homeAnswered;
         private boolean moreSoon;
+        private boolean ended;
 
-        private LoanRound(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
+        private LoanRound(
+                String account,
+                LongSupplier lacking,
+                LongConsumer lent,
+                Consumer<Answers> atEnd,
+                Runnable promisedLate) {
             this.account = account;
             this.lacking = lacking;
             this.lent = lent;
             this.atEnd = atEnd;
+            this.promisedLate = promisedLate;
             this.remainingLenders = new ArrayDeque<>(lenders(account));
         }
 
@@ -147,6 +156,7 @@
             long tokens = lacking.getAsLong();
             PeerConnection next = tokens > 0 ? remainingLenders.pollFirst() : null;
             if (next == null) {
+                ended = true;
                 atEnd.accept(new Answers(askedCount, answeredCount, homeAnswered, moreSoon, this::lateAnswerExpected));
                 return;
             }
@@ -179,6 +189,9 @@
             if (loan.tokens() > 0) {
                 lent.accept(loan.tokens());
             }
+            if (ended && home && loan.moreSoon()) {
+                promisedLate.run();
+            }
         }
     }
 
--- a/direct/src/test/java/org/streamring/direct/ledger/TestLenders.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TestLenders.java
@@ -29,11 +29,12 @@
     }
 
     @Override
-    public void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
+    public void ask(
+            String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd, Runnable promisedLate) {
         if (paused) {
             lateAnswerExpected = true;
-            answersAfterMillis.ifPresent(
-                    millis -> loop.schedule(() -> answerLate(lacking, lent), millis, TimeUnit.MILLISECONDS));
+            answersAfterMillis.ifPresent(millis ->
+                    loop.schedule(() -> answerLate(lacking, lent, promisedLate), millis, TimeUnit.MILLISECONDS));
             Answers none = new Answers(1, 0, false, false, () -> lateAnswerExpected);
             loop.schedule(() -> atEnd.accept(none), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
             return;
@@ -54,9 +55,12 @@
         }
     }
 
-    private void answerLate(LongSupplier lacking, LongConsumer borrower) {
+    private void answerLate(LongSupplier lacking, LongConsumer borrower, Runnable promisedLate) {
         lateAnswerExpected = false;
         borrower.accept(Math.min(tokens, lacking.getAsLong()));
+        if (moreSoon) {
+            promisedLate.run();
+        }
     }
 
     private void lendLater(long asked, LongConsumer borrower, Consumer<Answers> atEnd) {
--- a/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
+++ b/direct/src/test/java/org/streamring/direct/peer/SilentPeersTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.awaitility.Awaitility;
@@ -50,7 +51,13 @@
     /** A silent connection is detected after 1.5 s. A pause, the new connection and its handshake follow. */
     private static final Duration RECONNECT_TIMEOUT = Duration.ofSeconds(3);
 
+    /** Longer than the time after which the next lender is asked. */
+    private static final long LATE_MILLIS = 200;
+
+    private static final Lenders.Loan LATE_PART = new Lenders.Loan(LOAN / 2, true);
+
     private NioEventLoopGroup loops;
+    private volatile boolean lendsLate;
     private Entry borrower;
     private Entry lender;
     private FaultProxy proxy;
@@ -58,6 +65,7 @@
     /** Connections and token lending of one entry. */
     private final class Entry {
         private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+        private final AtomicInteger latePromises = new AtomicInteger();
         private final InetSocketAddress address;
         private final EntryPeers peers;
         private final TokenLending lending;
@@ -72,7 +80,7 @@
             HomeEntries homeEntries = new HomeEntries(name);
             homeEntries.updatePeers(List.of(other));
             lending = new TokenLending(loops.next(), peers, homeEntries, new Random(1), metrics, lines);
-            lending.start(new AlwaysLends());
+            lending.start(new TestLender());
         }
 
         private void start(List<MemberRegister.Member> others) {
@@ -90,7 +98,8 @@
 
         private Lenders.Answers ask(AtomicLong lent) throws Exception {
             CompletableFuture<Lenders.Answers> ended = new CompletableFuture<>();
-            run(() -> lending.ask(ACCOUNT, () -> LOAN - lent.get(), lent::addAndGet, ended::complete));
+            run(() -> lending.ask(
+                    ACCOUNT, () -> LOAN - lent.get(), lent::addAndGet, ended::complete, latePromises::incrementAndGet));
             return ended.get(10, TimeUnit.SECONDS);
         }
 
@@ -106,10 +115,15 @@
         }
     }
 
-    private static final class AlwaysLends implements Lenders.Lender {
+    /** Lends all tokens, or lends a part late and promises more. */
+    private final class TestLender implements Lenders.Lender {
         @Override
         public void lend(String account, long asked, Consumer<Lenders.Loan> then) {
-            then.accept(new Lenders.Loan(asked, false));
+            if (lendsLate) {
+                loops.next().schedule(() -> then.accept(LATE_PART), LATE_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                then.accept(new Lenders.Loan(asked, false));
+            }
         }
 
         @Override
@@ -139,6 +153,7 @@
 
     @BeforeMethod
     public void connect() throws Exception {
+        lendsLate = false;
         loops = new NioEventLoopGroup(1);
         borrower = new Entry("entry-1", "entry-2");
         lender = new Entry("entry-2", "entry-1");
@@ -182,6 +197,16 @@
         Awaitility.await().atMost(RECONNECT_TIMEOUT).until(() -> !borrower.expectsLateAnswer(answers));
     }
 
+    @Test
+    public void aBorrowerHearsThatALenderWhichLentAPartLateMaySoonHaveMore() throws Exception {
+        lendsLate = true;
+        AtomicLong lent = new AtomicLong();
+        Lenders.Answers answers = borrower.ask(lent);
+        assertThat(answers.answered()).isZero();
+        Awaitility.await().atMost(RECONNECT_TIMEOUT).until(() -> borrower.latePromises.get() == 1);
+        assertThat(lent).hasValue(LOAN / 2);
+    }
+
     @Test
     public void anIdleConnectionIsKept() throws Exception {
         Thread.sleep(RECONNECT_TIMEOUT.toMillis() + 1_000);
