Wait for the answer to a question that is open at the end of the wait

Cause: when lenders were asked again, a request that also waited for a lease counted all of them as asked already (`allLendersAsked = leasing`), so that an open question kept only the first question of a home entry, and every one of another entry, from refusing.

Mend: an open question is an open question, whoever asks; its answer is waited for as that of a late lender, 200 ms, once. The refusal of a request that also waits for a lease stays in time otherwise: it begins no question after the end of its wait.

Cost: where a lender only promises and a question happens to be open at the end, a home entry refuses up to 0.2 s later, as other entries did.

--- a/direct/src/main/java/org/streamring/direct/ledger/LenderWait.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/LenderWait.java
@@ -18,9 +18,9 @@
         return answers;
     }
 
-    /** Lenders are asked again. A request that may also be served by a lease does not wait longer for loans. */
-    void askingAgain(boolean leasing) {
-        allLendersAsked = leasing;
+    /** Lenders are asked from now on, and may answer until the question has ended. */
+    void asking() {
+        allLendersAsked = false;
     }
 
     /** All lenders were asked and have answered, or their time is over. */
@@ -49,10 +49,13 @@
         return Math.max(expiresMillis, Math.min(now + MIN_LATE_LENDER_WAIT_MILLIS, latestEndMillis(now)));
     }
 
-    /** A late lender is not asked again and again, as it would lend for each question once it goes on. */
-    boolean mayAskAgain(long now, long expiresMillis) {
+    /**
+     * Returns whether lenders may be asked again. A request that may also be served by a lease asks nobody after its
+     * wait is over. A late lender is not asked again and again, as it would lend for each question once it goes on.
+     */
+    boolean mayAskAgain(long now, long expiresMillis, boolean leasing) {
         if (lateLenderSinceMillis.isEmpty()) {
-            return true;
+            return !leasing || now <= expiresMillis;
         }
         long soonMillis = lateLenderSinceMillis.getAsLong() + MIN_LATE_LENDER_WAIT_MILLIS;
         return now <= soonMillis || (now <= expiresMillis && !lenderMayAnswer());
--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -328,6 +328,7 @@
         private void askLenders() {
             lackingBeforeLoans = lacking();
             borrowed = 0;
+            lenderWait.asking();
             lenders.ask(account, this::lacking, this::lent, this::continueAfterLoans, this::promisedLate);
         }
 
@@ -389,8 +390,7 @@
 
         private void askAgain() {
             askingAgain = false;
-            if (isWaiting() && lenderWait.mayAskAgain(clock.getAsLong(), expiresMillis)) {
-                lenderWait.askingAgain(leasing);
+            if (isWaiting() && lenderWait.mayAskAgain(clock.getAsLong(), expiresMillis, leasing)) {
                 askLenders();
             }
         }
