End waits for tokens only after all connections were read once more

Callers saw 503 (lease_not_in_time) from an entry that was late itself: an event loop that was held up runs its timers before it reads what has arrived, so that `expireWaiters` refused requests whose loan lay unread on the connection.

Mend: as in SilenceCheck and BackendPool, a wait that is over ends 1 ms later, after all connections were read, and only if it still is over. The check runs 1 ms earlier, so that waits end when they ended before.

--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -45,6 +45,8 @@
 
     private static final long FINAL_TRY_MILLIS = 60;
     private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 20;
+    /** A timer that is set while others run fires after the event loop has read its connections. */
+    private static final long READING_DELAY_MILLIS = 1;
     /** A write of a lender takes about 10 to 20 ms. */
     private static final long ASK_AGAIN_DELAY_MILLIS = 20;
     /** Entries that ask each other at the same moment exchange their tokens. A random delay lets one ask first. */
@@ -141,7 +143,10 @@
         usageRecorder.start();
         tokenLender.start();
         loop.scheduleAtFixedRate(
-                this::expireWaiters, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                this::expireWaiters,
+                EXPIRY_CHECK_INTERVAL_MILLIS - READING_DELAY_MILLIS,
+                EXPIRY_CHECK_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Returns whether the store is currently not answering. */
@@ -243,17 +248,28 @@
         tokenLender.serveWaiting();
     }
 
-    /** Ends waits that are over. Usage caps rise with time, so that waiting requests may be served without an event. */
+    /**
+     * Ends waits that are over. Usage caps rise with time, so that waiting requests may be served without an event. An
+     * event loop that was held up runs its timers before it reads what has arrived in the meantime, so that waits end
+     * only after all connections were read once more.
+     */
     private void expireWaiters() {
         serveWaiters();
-        long now = clock.getAsLong();
-        for (Waiter waiter : List.copyOf(waiters)) {
-            if (now > waiter.expiresMillis) {
-                waiter.expire();
-            }
+        if (!overdue().isEmpty()) {
+            loop.schedule(this::expireOverdue, READING_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void expireOverdue() {
+        serveWaiters();
+        overdue().forEach(Waiter::expire);
+    }
+
+    private List<Waiter> overdue() {
+        long now = clock.getAsLong();
+        return waiters.stream().filter(waiter -> now > waiter.expiresMillis).toList();
+    }
+
     private long maxWaitMillis() {
         return renewer.renewedOnce() ? MAX_WAIT_MILLIS : FIRST_LEASE_WAIT_MILLIS;
     }
--- a/direct/src/test/java/org/streamring/direct/ledger/SimulatedAllocator.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/SimulatedAllocator.java
@@ -179,4 +179,11 @@
             time.runPendingTasks();
         }
     }
+
+    /** The event loop does not run for some time, then runs its timers, and reads nothing yet. */
+    void holdUp(long millis) {
+        nowMillis += millis;
+        time.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        time.runPendingTasks();
+    }
 }
--- a/direct/src/test/java/org/streamring/direct/ledger/TestLenders.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TestLenders.java
@@ -22,6 +22,9 @@
     long lent;
     boolean paused;
     boolean lateAnswerExpected;
+    /** Passes on the answer of a paused lender. */
+    Runnable unread = () -> {};
+
     OptionalLong answersAfterMillis = OptionalLong.empty();
 
     TestLenders(EventLoop loop) {
@@ -33,6 +36,7 @@
             String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd, Runnable promisedLate) {
         if (paused) {
             lateAnswerExpected = true;
+            unread = () -> answerLate(lacking, lent, promisedLate);
             answersAfterMillis.ifPresent(millis ->
                     loop.schedule(() -> answerLate(lacking, lent, promisedLate), millis, TimeUnit.MILLISECONDS));
             Answers none = new Answers(1, 0, false, false, () -> lateAnswerExpected);
