--- a/direct/src/test/java/org/streamring/direct/ledger/TestLenders.java
+++ b/direct/src/test/java/org/streamring/direct/ledger/TestLenders.java
@@ -22,6 +22,9 @@
     long lent;
     boolean paused;
     boolean lateAnswerExpected;
+    /** Passes on the answer of a paused lender. */
+    Runnable unread = () -> {};
+
     OptionalLong answersAfterMillis = OptionalLong.empty();
 
     TestLenders(EventLoop loop) {
@@ -29,11 +32,13 @@
     }
 
     @Override
-    public void ask(String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd) {
+    public void ask(
+            String account, LongSupplier lacking, LongConsumer lent, Consumer<Answers> atEnd, Runnable promisedLate) {
         if (paused) {
             lateAnswerExpected = true;
-            answersAfterMillis.ifPresent(
-                    millis -> loop.schedule(() -> answerLate(lacking, lent), millis, TimeUnit.MILLISECONDS));
+            unread = () -> answerLate(lacking, lent, promisedLate);
+            answersAfterMillis.ifPresent(millis ->
+                    loop.schedule(() -> answerLate(lacking, lent, promisedLate), millis, TimeUnit.MILLISECONDS));
             Answers none = new Answers(1, 0, false, false, () -> lateAnswerExpected);
             loop.schedule(() -> atEnd.accept(none), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
             return;
@@ -54,9 +59,12 @@
         }
     }
 
-    private void answerLate(LongSupplier lacking, LongConsumer borrower) {
+    private void answerLate(LongSupplier lacking, LongConsumer borrower, Runnable promisedLate) {
         lateAnswerExpected = false;
         borrower.accept(Math.min(tokens, lacking.getAsLong()));
+        if (moreSoon) {
+            promisedLate.run();
+        }
     }
 
     private void lendLater(long asked, LongConsumer borrower, Consumer<Answers> atEnd) {
