--- a/net/src/main/java/org/streamring/net/peer/FrameCodec.java
+++ b/net/src/main/java/org/streamring/net/peer/FrameCodec.java
@@ -30,16 +30,14 @@
      */
     static final int HEARTBEAT_INTERVAL_MILLIS = 500;
     /**
-     * Number of heartbeat intervals without a frame after which a connection is replaced, that is 1.5 s.
-     * Without this timeout, entries kept using unresponsive connections: when the connections of 30 entries stopped
-     * responding, 30 to 39 of 100 requests completed instead of 95. Pauses of a healthy process stay far below two
-     * heartbeat intervals.
+     * Number of heartbeat intervals without a frame after which a connection is replaced, that is 1.5 s, so that
+     * unresponsive connections are not used for long.
      */
     private static final int MISSED_HEARTBEATS_UNTIL_TIMEOUT = 3;
 
     /**
-     * Time after the read timeout for which a connection with work in progress is kept. Most pauses of a healthy
-     * process end within a few seconds.
+     * Time after the read timeout for which a connection with work in progress is kept, as a process that pauses
+     * goes on with it.
      */
     static final long MAX_SILENCE_MILLIS = 8_000;
 
