Refuse streams that arrive too late in a stop to run

Cause: streams were accepted as long as the balancer may send connections, 2.5 s, whether or not time is left; calls were asked for 2 s. With 3 s both ends coincide.

With grace periods from 5 s up nothing changes.

--- a/direct/src/main/java/org/streamring/direct/GracefulStop.java
+++ b/direct/src/main/java/org/streamring/direct/GracefulStop.java
@@ -14,20 +14,13 @@
 
 /** Lets the running requests finish within the grace period when the entry stops. Confined to the event loop. */
 final class GracefulStop {
-    private static final Duration MARGIN = Duration.ofMillis(500);
-    private static final Duration MIN_TIME_FOR_NEW_CALL = Duration.ofSeconds(2);
     private static final long CHECK_INTERVAL_MILLIS = 50;
     /** Longest wait, within the margin, for the store to take back the leases and for callers to read last answers. */
     private static final long MAX_EXIT_WAIT_MILLIS = 400;
-    /**
-     * Time within which the load balancer stops sending new connections to this entry. It checks the readiness every
-     * second and removes an entry after two failed checks.
-     */
-    private static final Duration BALANCER_DETECTION_TIME = Duration.ofMillis(2_500);
 
     private final EventLoop loop;
     private final LongSupplier clock;
-    private final Supplier<Duration> gracePeriod;
+    private final StopSchedule schedule;
     private final DecisionLog log;
     private boolean stopping;
     private boolean rejectingAll;
@@ -41,7 +34,7 @@
     GracefulStop(EventLoop loop, LongSupplier clock, Supplier<Duration> gracePeriod, DecisionLog log) {
         this.loop = loop;
         this.clock = clock;
-        this.gracePeriod = gracePeriod;
+        this.schedule = new StopSchedule(gracePeriod);
         this.log = log;
     }
 
@@ -56,18 +49,7 @@
 
     /** Returns whether a new request is accepted. A stopping entry rejects requests that could not finish in time. */
     boolean accepts(Route route) {
-        if (!stopping) {
-            return true;
-        }
-        long elapsed = elapsedMillis();
-        boolean canFinishInTime = route.stream()
-                ? elapsed < BALANCER_DETECTION_TIME.toMillis()
-                : timeForRequestsMillis() - elapsed > MIN_TIME_FOR_NEW_CALL.toMillis();
-        return canFinishInTime && !rejectingAll;
-    }
-
-    private long timeForRequestsMillis() {
-        return gracePeriod.get().minus(MARGIN).toMillis();
+        return !stopping || (!rejectingAll && schedule.leavesTimeFor(route.stream(), elapsedMillis()));
     }
 
     /**
@@ -81,7 +63,7 @@
         startedMillis = clock.getAsLong();
         log.line("stopping", "requests", callers.connectionsWithRequest());
         callers.closeConnectionsWithoutRequest();
-        loop.schedule(tokens::release, BALANCER_DETECTION_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        loop.schedule(tokens::release, StopSchedule.BALANCER_DETECTION_TIME.toMillis(), TimeUnit.MILLISECONDS);
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         waitForRequests(callers, runningStreams, tokens, stopped);
         return stopped;
@@ -90,9 +72,9 @@
     private void waitForRequests(
             CallerServer callers, IntSupplier runningStreams, TokenAllocator tokens, CompletableFuture<Void> stopped) {
         long elapsed = elapsedMillis();
-        rejectingAll |= runningStreams.getAsInt() == 0 && elapsed >= BALANCER_DETECTION_TIME.toMillis();
+        rejectingAll |= runningStreams.getAsInt() == 0 && elapsed >= StopSchedule.BALANCER_DETECTION_TIME.toMillis();
         boolean allFinished = rejectingAll && callers.connectionsWithRequest() == 0;
-        if (!allFinished && elapsed < timeForRequestsMillis()) {
+        if (!allFinished && elapsed < schedule.millisForRequests()) {
             loop.schedule(
                     () -> waitForRequests(callers, runningStreams, tokens, stopped),
                     CHECK_INTERVAL_MILLIS,
