--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -39,7 +39,7 @@
     private static final List<Sent> SENT = new CopyOnWriteArrayList<>();
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !"0".equals(arguments[1]);
         Record record = new Record(Path.of(arguments[0]));
         Store store = new Store();
         List<Replica> replicas = new ArrayList<>();
--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -34,7 +34,7 @@
     private static final List<String> WHOLE = new CopyOnWriteArrayList<>();
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !"0".equals(arguments[1]);
         Record record = new Record(Path.of(arguments[0]));
         Store store = new Store();
         store.put("op", "config", Config.text(1, 1_000_000, 10_000, "{}"));
--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -34,7 +34,7 @@
     private record Seen(String id, int status, List<Integer> events, String end) {}
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !"0".equals(arguments[1]);
         Record record = new Record(Path.of(arguments[0]));
         Store store = new Store();
         store.put("op", "config", Config.text(1, 100_000_000));
