--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -21,7 +21,10 @@
 import standin.Replica;
 import standin.Store;
 
-/** Clients send bodies of max_body_bytes, five at a time; in a burst twelve at a time. Others send small requests. */
+/**
+ * Clients send bodies of max_body_bytes, five at a time, and twelve others send small requests; in a burst, 2.4 times as
+ * many of both.
+ */
 public final class Case2 {
     private static final int BODY_BYTES = 4_194_304;
     /** Each client sends at 8 MB/s at most, so that twelve of them stay below link_mbps. */
@@ -33,6 +36,7 @@
     private static final int ROUNDS = 6;
     private static final int BURST_ROUND = 4;
     private static final int SMALL_CLIENTS = 12;
+    private static final int SMALL_CLIENTS_MORE = 16;
 
     private record Sent(String id, boolean onKeptConnection, String end) {}
 
@@ -62,9 +66,16 @@
             threads.add(Daemon.start(() -> small(entry, number, over)));
         }
         for (int round = 0; round < ROUNDS && entry.process.isAlive(); round++) {
-            int count = trouble && round == BURST_ROUND ? BURST : USUAL;
+            boolean burst = trouble && round == BURST_ROUND;
+            int count = burst ? BURST : USUAL;
             record.line("round " + round + ": " + count + " bodies of " + BODY_BYTES + " bytes");
+            AtomicBoolean burstOver = new AtomicBoolean();
+            for (int i = 0; burst && i < SMALL_CLIENTS_MORE; i++) {
+                int number = SMALL_CLIENTS + i;
+                threads.add(Daemon.start(() -> small(entry, number, burstOver)));
+            }
             round(entry, round, count);
+            burstOver.set(true);
             Thread.sleep(1_000);
         }
         over.set(true);
