--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -22,21 +22,21 @@
 import standin.Store;
 
 /**
- * Clients send bodies of max_body_bytes, five at a time, and twelve others send small requests; in a burst, 2.4 times as
+ * Clients send bodies of max_body_bytes, seven at a time, and twelve others send small requests; in a burst, 1.6 times as
  * many of both.
  */
 public final class Case2 {
     private static final int BODY_BYTES = 4_194_304;
-    /** Each client sends at 8 MB/s at most, so that twelve of them stay below link_mbps. */
+    /** Each client sends at 8 MB/s at most, so that eleven of them stay below link_mbps. */
     private static final int PIECE_BYTES = 65_536;
 
     private static final int PIECE_MILLIS = 8;
-    private static final int USUAL = 5;
-    private static final int BURST = 12;
+    private static final int USUAL = 7;
+    private static final int BURST = 11;
     private static final int ROUNDS = 6;
     private static final int BURST_ROUND = 4;
     private static final int SMALL_CLIENTS = 12;
-    private static final int SMALL_CLIENTS_MORE = 16;
+    private static final int SMALL_CLIENTS_MORE = 8;
 
     private record Sent(String id, boolean onKeptConnection, String end) {}
 
