Keep all bodies of requests and answers within one budget of memory

Cause: each kept body had a limit of its own, and nothing bounded their sum. A body was collected, copied when it was served, copied outside the heap when it was written in one piece, and kept for a second attempt; answers and events of streams were collected without any limit.

Change: MemoryBudget (kernel) reserves the whole size of a body before it is read, in order of arrival; what can't have space in time is refused, an upload that stalls while others wait gives its memory back. BodyMemory logs and counts each refusal. Bodies are written in pieces as their peer reads them.

--- a/core/src/main/java/org/streamring/kernel/placement/PlacementForecast.java
+++ b/core/src/main/java/org/streamring/kernel/placement/PlacementForecast.java
@@ -10,4 +10,12 @@
  *     {@link PauseCalibration}
  */
 public record PlacementForecast(
-        long uncachedTokens, long pendingPromptTokens, long firstEventMillis, double pauseProbability) {}
+        long uncachedTokens, long pendingPromptTokens, long firstEventMillis, double pauseProbability) {
+    /** A healthy replica sends its first event within this multiple of the forecast time. */
+    private static final int TOLERANCE_FACTOR = 3;
+
+    /** Whether a healthy replica may still be processing the prompt; it sends nothing meanwhile. */
+    public boolean mayBeReadingPrompt(long sincePlacementMillis) {
+        return sincePlacementMillis < TOLERANCE_FACTOR * firstEventMillis;
+    }
+}
--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -25,6 +25,7 @@
 import org.streamring.direct.feed.WatchLog;
 import org.streamring.direct.ledger.TokenAllocator;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.memory.BodyMemory;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.metrics.EventLoopDelayMonitor;
 import org.streamring.direct.metrics.LinkBacklogMonitor;
@@ -49,6 +50,7 @@
 import org.streamring.kernel.admission.LinkBacklog;
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.limit.FleetShare;
+import org.streamring.kernel.memory.MemoryLimits;
 import org.streamring.kernel.permit.PermitCoordinator;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.placement.ReportPace;
@@ -123,6 +125,7 @@
     private final SuspectExchange suspectExchange;
     private final RequestRouter router;
     private final LinkBacklog link;
+    private final BodyMemory memory;
     private final CallerServer callers;
     private final EventLoopDelayMonitor eventLoopDelayMonitor;
     private final GracefulStop gracefulStop;
@@ -172,6 +175,8 @@
         this.fleet = createFleet(permits.coordinator(), cold, share, random);
         this.backends = new BackendFeed(platform.operatorRows(), registry, cold, fleet.placement(), clock, log);
         this.link = new LinkBacklog(() -> this.settings.linkBytesPerSecond());
+        MemoryLimits memoryLimits = MemoryLimits.ofHeap(Runtime.getRuntime().maxMemory());
+        this.memory = new BodyMemory(loop, clock, memoryLimits, metrics, log);
         ReportPace reportPace = new ReportPace(() -> this.settings.linkBytesPerSecond());
         this.placementExchange = new PlacementExchange(
                 loop, peers, fleet.placement(), members::live, this::memoryTokensOf, link, reportPace, clock);
@@ -210,6 +215,7 @@
                 settings.callers(),
                 router,
                 this::limits,
+                memory,
                 clock,
                 gracefulStop::stopping,
                 platform.headers().requestId(),
@@ -305,6 +311,7 @@
                 new CrashSuspectGuard(digests, suspects, suspectExchange, registry, clock, metrics, log),
                 gracefulStop::accepts,
                 link,
+                memory,
                 metrics,
                 log);
     }
@@ -373,6 +380,8 @@
     private void registerGauges(EntryMetrics metrics) {
         metrics.gauge("requests.running", callers::connectionsWithRequest);
         metrics.gauge("link.queued.ms", () -> link.queuedMillis(clock.getAsLong()));
+        metrics.gauge("memory.held.bytes", memory::heldBytes);
+        metrics.gauge("memory.waiting", memory::waitingCount);
         metrics.gauge("store.away", () -> tokens.storeUnreachable() ? 1 : 0);
         metrics.gauge("store.era", store::era);
         metrics.gauge("entries.live", members::live);
@@ -476,6 +485,7 @@
         streams.update();
         softwareVersions.check();
         viewAges.check();
+        memory.refuseOverdue();
         callers.closeOverdue();
     }
 }
--- a/direct/src/main/java/org/streamring/direct/backend/AnswerHead.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AnswerHead.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.OptionalLong;
 
 /**
  * Status and headers of a backend server's answer.
@@ -11,6 +12,20 @@
  * @param headers headers as received
  */
 public record AnswerHead(int status, HttpHeaders headers) {
+    /** Returns the length of the body in bytes; empty if the head does not tell. */
+    public OptionalLong length() {
+        String length = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+        boolean chunked = headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
+        if (length == null || chunked) {
+            return OptionalLong.empty();
+        }
+        try {
+            return OptionalLong.of(Long.parseLong(length.trim()));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
     /**
      * Returns whether the answer has neither a length nor chunks, so that only the end of its connection shows where it
      * ends. The process of a server that crashes ends its connections in the same way.
--- a/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendAttempt.java
@@ -9,6 +9,8 @@
     private @Nullable BackendConnection connection;
     private OptionalLong sentMillis = OptionalLong.empty();
     private boolean finished;
+    private boolean pausedByCaller;
+    private boolean pausedForMemory;
 
     BackendAttempt(AttemptListener listener) {
         this.listener = listener;
@@ -33,10 +35,21 @@
         }
     }
 
-    /** Pauses or resumes reading the answer. */
+    /** Pauses or resumes reading the answer, because the caller does not read it or reads it again. */
     public void pauseReading(boolean paused) {
+        pausedByCaller = paused;
+        updateReading();
+    }
+
+    /** Pauses or resumes reading the answer, because there is no memory for it or there is some again. */
+    public void pauseForMemory(boolean paused) {
+        pausedForMemory = paused;
+        updateReading();
+    }
+
+    private void updateReading() {
         if (connection != null) {
-            connection.pauseReading(paused);
+            connection.pauseReading(pausedByCaller || pausedForMemory);
         }
     }
 
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -1,14 +1,13 @@
 package org.streamring.direct.backend;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -18,6 +17,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.http.Body;
+import org.streamring.net.http.BodyWriter;
 
 /**
  * A connection to a backend server that carries one request at a time.
@@ -42,6 +43,7 @@
     private boolean paused;
     private boolean draining;
     private int requests;
+    private @Nullable BodyWriter unwritten;
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
         this.pool = pool;
@@ -106,13 +108,30 @@
         skipping = false;
         startedMillis = nowMillis;
         requests++;
-        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, next.method(), next.target(), Unpooled.wrappedBuffer(next.body()));
-        message.headers().set(next.headers());
+        DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, next.method(), next.target());
+        head.headers().set(next.headers());
         if (next.body().length > 0 || next.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, next.body().length);
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, next.body().length);
         }
-        open.writeAndFlush(message);
+        open.write(head);
+        unwritten = new BodyWriter(open, Body.of(next.body()));
+        writeMore();
+    }
+
+    private void writeMore() {
+        BodyWriter pieces = unwritten;
+        if (pieces != null && busy() && pieces.writeMore()) {
+            Objects.requireNonNull(channel).writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        writeMore();
+    }
+
+    private boolean requestWritten() {
+        return unwritten == null || unwritten.ended();
     }
 
     /**
@@ -138,7 +157,7 @@
     void drain() {
         draining = true;
         pauseReading(false);
-        if (channel instanceof DuplexChannel duplex && hasWrittenAll(duplex)) {
+        if (channel instanceof DuplexChannel duplex && requestWritten() && hasWrittenAll(duplex)) {
             duplex.shutdownOutput().addListener(done -> {
                 if (!done.isSuccess()) {
                     fail(AttemptFailure.BROKEN, "the sending side of the connection could not be closed");
@@ -255,7 +274,9 @@
         request = null;
         lastUseMillis = pool.nowMillis();
         pauseReading(false);
-        if (reusable && answerHasLength && !draining) {
+        boolean written = requestWritten();
+        unwritten = null;
+        if (reusable && answerHasLength && !draining && written) {
             pool.returnIdle(this);
         } else {
             close();
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -1,5 +1,6 @@
 package org.streamring.direct.backend;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
@@ -279,11 +280,7 @@
         BackendConnection connection = new BackendConnection(this, requestIdHeader);
         long beganMillis = clock.getAsLong();
         ChannelFuture connecting =
-                TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, created -> created.pipeline()
-                        .addLast(
-                                new HttpRequestEncoder(),
-                                new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
-                                connection));
+                TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, created -> prepare(created, connection));
         connecting.addListener(done -> {
             if (done.isSuccess() || done.cause() instanceof ConnectTimeoutException) {
                 onConnecting.accept(clock.getAsLong() - beganMillis);
@@ -299,6 +296,14 @@
         });
     }
 
+    private static void prepare(Channel created, BackendConnection connection) {
+        created.pipeline()
+                .addLast(
+                        new HttpRequestEncoder(),
+                        new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
+                        connection);
+    }
+
     private void send(
             BackendConnection opened, BackendRequest request, BooleanSupplier mayBeSent, BackendAttempt attempt) {
         if (mayBeSent.getAsBoolean()) {
--- a/direct/src/main/java/org/streamring/direct/caller/AnswerWriter.java
+++ b/direct/src/main/java/org/streamring/direct/caller/AnswerWriter.java
@@ -1,12 +1,23 @@
 package org.streamring.direct.caller;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.streamring.net.http.Body;
 
-/** Writes the answer to one request. Exactly one call of {@link #writeFull}, {@link #end} or {@link #abort} ends it. */
+/** Writes the answer to one request. Exactly one call of {@code writeFull}, {@link #end} or {@link #abort} ends it. */
 public interface AnswerWriter {
     /** Sends a complete answer. */
     void writeFull(int status, HttpHeaders headers, byte[] body);
 
+    /**
+     * Sends a complete answer as fast as the caller reads it.
+     *
+     * @param written called once when the body is written or the connection was closed
+     */
+    default void writeFull(int status, HttpHeaders headers, Body body, Runnable written) {
+        writeFull(status, headers, body.toByteArray());
+        written.run();
+    }
+
     /** Sends the head of an answer of unknown length. */
     void writeHead(int status, HttpHeaders headers);
 
--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -6,22 +6,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.nio.channels.ClosedChannelException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
@@ -32,9 +27,10 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.net.http.ArrivingRequest;
+import org.streamring.net.http.Body;
+import org.streamring.net.http.BodyWriter;
 import org.streamring.net.http.ContinueExpectedEvent;
 import org.streamring.net.http.LingeringClose;
-import org.streamring.net.http.WriteProgress;
 import org.streamring.net.process.ArrivedBytes;
 
 /**
@@ -52,15 +48,14 @@
     private final Supplier<CallerLimits> limits;
     private final IncompleteAnswerReporter reporter;
     private final ArrivingRequest arriving;
-    private final WriteProgress writeProgress = new WriteProgress();
-    private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+    private final ReadGate readGate = new ReadGate();
+    private final Deque<ArrivedRequest> pipelined = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable Writer writer;
     /** Answers that were handed over whole and are not yet written to the socket. */
     private final Deque<Writer> unflushed = new ArrayDeque<>();
 
-    private long lastActivityMillis;
-    private long promisedIdleMillis;
+    private final ConnectionActivity activity;
     /** Whether the caller of the arriving request waits for an interim answer. */
     private boolean continueExpected;
 
@@ -88,8 +83,7 @@
         this.limits = limits;
         this.reporter = new IncompleteAnswerReporter(requestIdHeader, incompleteAnswers);
         this.arriving = new ArrivingRequest(clock);
-        this.lastActivityMillis = clock.getAsLong();
-        this.promisedIdleMillis = idleTimeoutMillis();
+        this.activity = new ConnectionActivity(clock, limits);
     }
 
     @Override
@@ -97,6 +91,10 @@
         context = added;
     }
 
+    ReadGate readGate() {
+        return readGate;
+    }
+
     ArrivingRequest arriving() {
         return arriving;
     }
@@ -122,29 +120,20 @@
 
     /** A head that arrives behind another request has its time from the answer to that one on. */
     private boolean isHeadOverdue() {
-        long begunMillis = Math.max(arriving.begunMillis(), lastActivityMillis);
+        long begunMillis = Math.max(arriving.begunMillis(), activity.lastMillis());
         long headerMillis = limits.get().headerTimeout().toMillis();
         return mayRefuseArriving() && arriving.head().isEmpty() && clock.getAsLong() - begunMillis > headerMillis;
     }
 
-    private long idleTimeoutMillis() {
-        return limits.get().idleTimeout().toMillis();
-    }
-
-    /** A caller relies on the idle timeout that was in force at its last answer; a longer one applies at once. */
     private boolean isIdle() {
-        noteWriteProgress();
-        long idleMillis = Math.max(promisedIdleMillis, idleTimeoutMillis());
-        long lastMillis = Math.max(lastActivityMillis, arriving.lastReadMillis());
-        boolean waiting = writer == null && (pipelined.isEmpty() || lastAnswerGiven);
-        return waiting && clock.getAsLong() - lastMillis > idleMillis;
+        activity.noteWriteProgress(channel());
+        boolean waiting = !awaitsAnswer() && (pipelined.isEmpty() || lastAnswerGiven);
+        boolean read = !readGate.isClosedBy(ReadGate.Reason.NO_MEMORY);
+        return waiting && read && activity.idleSince(arriving.lastReadMillis());
     }
 
-    /** Counts it as activity if the caller has read a part of an answer since the last call. */
-    private void noteWriteProgress() {
-        if (writeProgress.anySinceLastCall(channel())) {
-            lastActivityMillis = clock.getAsLong();
-        }
+    private boolean awaitsAnswer() {
+        return writer != null && writer.remaining == null;
     }
 
     /** Closes the connection if no request is in progress or arriving. */
@@ -170,7 +159,7 @@
         refusal.disableKeepAlive();
         writer = refusal;
         arriving.refused();
-        refusal.writeText(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not arrive whole");
+        refusal.writeRefusal(UnreadableRequest.NOT_WHOLE);
     }
 
     /** Serves a request that arrived while the event loop was busy, and returns whether the connection is open. */
@@ -213,7 +202,7 @@
         if (served != null) {
             served.reportIncomplete();
         }
-        pipelined.forEach(request -> reporter.reportNotServed(request, true));
+        pipelined.forEach(request -> reporter.reportNotServed(request.head(), true));
         arriving.head().ifPresent(request -> reporter.reportNotServed(request, false));
     }
 
@@ -237,15 +226,15 @@
 
     @Override
     public void channelRead(ChannelHandlerContext reading, Object message) {
-        lastActivityMillis = clock.getAsLong();
-        if (!(message instanceof FullHttpRequest request)) {
+        activity.note();
+        if (!(message instanceof ArrivedRequest request)) {
             ReferenceCountUtil.release(message);
             return;
         }
         continueExpected = false;
         pipelined.addLast(request);
         if (pipelined.size() >= MAX_PIPELINED) {
-            reading.channel().config().setAutoRead(false);
+            readGate.close(reading.channel(), ReadGate.Reason.PIPELINE_FULL);
         }
     }
 
@@ -264,47 +253,47 @@
         if (writer != null || lastAnswerGiven) {
             return;
         }
-        FullHttpRequest next = pipelined.pollFirst();
+        ArrivedRequest next = pipelined.pollFirst();
         if (next == null) {
-            channel().config().setAutoRead(true);
+            readGate.open(channel(), ReadGate.Reason.PIPELINE_FULL);
             writeInterimAnswer();
             return;
         }
-        try {
-            serve(next);
-        } finally {
-            next.release();
-        }
+        serve(next);
     }
 
     private void writeInterimAnswer() {
         if (continueExpected) {
             continueExpected = false;
-            channel().writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            channel().writeAndFlush(AnswerMessages.interim());
         }
     }
 
-    private void serve(FullHttpRequest request) {
-        Optional<UnreadableRequest> unreadable = UnreadableRequest.of(request);
-        Writer created = new Writer(reporter.idOf(request), unreadable.isPresent() || HttpUtil.isKeepAlive(request));
+    private void serve(ArrivedRequest arrived) {
+        HttpRequest head = arrived.head();
+        Optional<UnreadableRequest> unreadable = UnreadableRequest.of(head);
+        Writer created = new Writer(reporter.idOf(head), unreadable.isPresent() || HttpUtil.isKeepAlive(head));
         writer = created;
         if (unreadable.isPresent()) {
+            arrived.release();
             arriving.refused();
             created.disableKeepAlive();
-            created.writeText(unreadable.get().status(), unreadable.get().text());
+            created.writeRefusal(unreadable.get());
             return;
         }
-        byte[] body = new byte[request.content().readableBytes()];
-        request.content().readBytes(body);
+        created.served = arrived;
+        long arrivedMillis = clock.getAsLong() - arrived.waitedMillis();
         CallerRequest callerRequest =
-                new CallerRequest(request.method(), request.uri(), request.headers(), body, clock.getAsLong());
+                new CallerRequest(head.method(), head.uri(), head.headers(), arrived.body(), arrivedMillis);
         created.request = sink.serve(callerRequest, created);
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
         Writer current = writer;
-        if (current != null && current.request != null) {
+        if (current != null && current.remaining != null) {
+            current.writeRemaining();
+        } else if (current != null && current.request != null) {
             current.request.writabilityChanged(changed.channel().isWritable());
         }
     }
@@ -312,12 +301,15 @@
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         reportIncomplete();
-        pipelined.forEach(FullHttpRequest::release);
+        pipelined.forEach(ArrivedRequest::release);
         pipelined.clear();
         Writer current = writer;
         if (current != null && current.request != null) {
             current.request.callerGone();
         }
+        if (current != null) {
+            current.releaseMemory();
+        }
     }
 
     @Override
@@ -332,6 +324,12 @@
         private final String requestId;
         private final boolean callerMaySend;
         private RequestSink.@Nullable ActiveRequest request;
+        /** The request that is answered, which occupies memory until its answer is made. */
+        private @Nullable ArrivedRequest served;
+        /** The rest of a large answer; null if the answer is not handed over yet, or was handed over whole. */
+        private @Nullable BodyWriter remaining;
+
+        private Runnable afterWriting = () -> {};
         private boolean keepAlive;
         private int writes;
         private long bytes;
@@ -362,29 +360,44 @@
             keepAlive = false;
         }
 
-        private void writeText(HttpResponseStatus status, String text) {
-            HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-            writeFull(status.code(), headers, (text + "\n").getBytes(StandardCharsets.UTF_8));
+        private void writeRefusal(UnreadableRequest refused) {
+            writeFull(refused.status().code(), refused.headers(), refused.body());
         }
 
         @Override
         public void writeFull(int status, HttpHeaders headers, byte[] body) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-            response.headers().set(headers);
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            FullHttpResponse response = AnswerMessages.whole(status, headers, body);
             setConnectionHeader(response.headers());
             writes++;
             bytes += body.length;
             finish(response);
         }
 
+        @Override
+        public void writeFull(int status, HttpHeaders headers, Body body, Runnable written) {
+            HttpResponse response = AnswerMessages.head(status, headers, body.length());
+            setConnectionHeader(response.headers());
+            writes++;
+            bytes += body.length();
+            afterWriting = written;
+            releaseRequest();
+            channel().write(response);
+            remaining = new BodyWriter(channel(), body);
+            writeRemaining();
+        }
+
+        /** Hands over what the connection takes of a large answer. The next answer may only follow its last piece. */
+        private void writeRemaining() {
+            BodyWriter pieces = Objects.requireNonNull(remaining);
+            if (pieces.writeMore()) {
+                remaining = null;
+                finish(LastHttpContent.EMPTY_LAST_CONTENT);
+            }
+        }
+
         @Override
         public void writeHead(int status, HttpHeaders headers) {
-            DefaultHttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            response.headers().set(headers);
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            HttpResponse response = AnswerMessages.headOfChunks(status, headers);
             setConnectionHeader(response.headers());
             channel().write(response);
         }
@@ -449,25 +462,33 @@
 
         private void afterLastWrite(Future<?> written) {
             unflushed.remove(this);
+            releaseMemory();
             if (!written.isSuccess()) {
-                noteWriteFailure(written.cause());
+                reporter.noteWriteFailure(written.cause());
                 reportIncomplete();
             } else if (!keepAlive) {
                 endAfterLastAnswer(callerMaySend);
             }
         }
 
-        /** A write also fails because the connection was closed, for which the cause is known or is the caller. */
-        private void noteWriteFailure(Throwable cause) {
-            if (!(cause instanceof ClosedChannelException)) {
-                reporter.noteEnd(ConnectionEnd.WRITE_FAILED, cause.toString());
+        private void releaseMemory() {
+            releaseRequest();
+            Runnable release = afterWriting;
+            afterWriting = () -> {};
+            release.run();
+        }
+
+        private void releaseRequest() {
+            if (served != null) {
+                served.release();
+                served = null;
             }
         }
 
         private void answerFinished() {
             writer = null;
-            promisedIdleMillis = idleTimeoutMillis();
-            lastActivityMillis = clock.getAsLong();
+            releaseRequest();
+            activity.answerFinished();
         }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
@@ -11,6 +11,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.streamring.direct.memory.BodyMemory;
 import org.streamring.model.route.CallerLimits;
 import org.streamring.net.http.RequestCodec;
 import org.streamring.net.peer.PeerException;
@@ -23,11 +24,15 @@
 
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Supplier<CallerLimits> limits;
+    private final LongSupplier clock;
+    private final BodyMemory memory;
+    private final String requestIdHeader;
     private final ListeningSocket listeningSocket;
 
     /**
      * Opens the server socket.
      *
+     * @param memory memory for the bodies of requests
      * @param requestIdHeader name of the header in which callers identify their requests
      */
     public CallerServer(
@@ -35,12 +40,16 @@
             InetSocketAddress address,
             RequestSink sink,
             Supplier<CallerLimits> limits,
+            BodyMemory memory,
             LongSupplier clock,
             BooleanSupplier stopping,
             String requestIdHeader,
             IncompleteAnswer.Listener incompleteAnswers)
             throws PeerException {
         this.limits = limits;
+        this.clock = clock;
+        this.memory = memory;
+        this.requestIdHeader = requestIdHeader;
         this.listeningSocket = new ListeningSocket(
                 loops,
                 address,
@@ -95,7 +104,7 @@
     private void prepare(SocketChannel accepted, CallerConnection connection) {
         // The codec has state that can't be handed over, so the limit on heads is that at the begin of the connection.
         int maxHeaderBytes = limits.get().maxHeaderBytes();
-        BodyLimitHandler bodyLimit = new BodyLimitHandler(limits);
+        RequestBodyReader bodies = new RequestBodyReader(limits, memory, connection.readGate(), requestIdHeader, clock);
         accepted.config().setTcpNoDelay(true);
         accepted.pipeline()
                 .addLast(
@@ -105,8 +114,7 @@
                                 Math.max(MAX_LINE_BYTES, maxHeaderBytes),
                                 maxHeaderBytes,
                                 CHUNK_BYTES),
-                        bodyLimit,
-                        bodyLimit.aggregator(),
+                        bodies,
                         connection,
                         new Registration(connection));
     }
--- a/direct/src/main/java/org/streamring/direct/caller/IncompleteAnswerReporter.java
+++ b/direct/src/main/java/org/streamring/direct/caller/IncompleteAnswerReporter.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.caller;
 
 import io.netty.handler.codec.http.HttpRequest;
+import java.nio.channels.ClosedChannelException;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
@@ -32,6 +33,16 @@
         }
     }
 
+    /**
+     * Records a failed write. Writes also fail because the connection was closed, for which the cause is known or is
+     * the caller.
+     */
+    void noteWriteFailure(Throwable cause) {
+        if (!(cause instanceof ClosedChannelException)) {
+            noteEnd(ConnectionEnd.WRITE_FAILED, cause.toString());
+        }
+    }
+
     /** Returns the identifier that the caller gave; empty if there is none. */
     String idOf(HttpRequest request) {
         return Objects.requireNonNullElse(request.headers().get(requestIdHeader), "");
--- /dev/null
+++ b/direct/src/main/java/org/streamring/direct/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Memory of an entry for the bodies of requests and answers. */
+package org.streamring.direct.memory;
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -147,6 +147,15 @@
                 .increment();
     }
 
+    /** Counts a body that got no memory or had to give it back, by kind and reason. */
+    public void memoryRefused(String kind, String reason) {
+        Counter.builder("streamring.direct.memory.refused")
+                .tag("body", kind)
+                .tag("reason", reason)
+                .register(registry)
+                .increment();
+    }
+
     /** Records the delay of a timer on the event loop. */
     public void loopDelay(long millis) {
         Timer.builder("streamring.direct.loop.delay")
--- a/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
+++ b/direct/src/main/java/org/streamring/direct/request/AnswerRelay.java
@@ -1,6 +1,5 @@
 package org.streamring.direct.request;
 
-import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.streamring.direct.backend.AnswerHead;
@@ -71,19 +70,24 @@
 
     /** Passes the events that are complete on to the caller; returns their number. */
     int streamData(byte[] data) {
-        List<EventSplitter.Event> events = splitter.add(data);
-        for (EventSplitter.Event event : events) {
+        EventSplitter.Events events = splitter.add(data);
+        if (events.count() > 0) {
             sendHeadOnce();
-            event.id().ifPresent(id -> lastEventId = Optional.of(id));
-            writer.writeData(event.bytes());
+            events.lastId().ifPresent(id -> lastEventId = Optional.of(id));
+            writer.writeData(events.bytes());
             timing.recordEvent();
         }
-        return events.size();
+        return events.count();
     }
 
     /** Returns the number of events that are complete with this data, which is not passed on. */
     int skipData(byte[] data) {
-        return splitter.add(data).size();
+        return splitter.add(data).count();
+    }
+
+    /** Returns the size in bytes of the event that has not arrived whole. */
+    int partialBytes() {
+        return splitter.partialBytes();
     }
 
     /** Whether the stream received so far ends at an event boundary. */
@@ -101,7 +105,10 @@
         BufferedAnswer buffered = bufferedAnswer;
         if (buffered != null && !started) {
             writer.writeFull(
-                    buffered.head().status(), filter.forCaller(buffered.head().headers()), buffered.body());
+                    buffered.head().status(),
+                    filter.forCaller(buffered.head().headers()),
+                    buffered.body(),
+                    buffered.release());
             return;
         }
         sendHeadOnce();
--- a/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptHistory.java
@@ -33,6 +33,7 @@
 
     /** Records how an attempt ended. */
     void ended(AttemptEnd end) {
+        releaseAnswer();
         lastEnd = Optional.of(end);
         switch (end.kind()) {
             case NOT_SENT -> unsent++;
@@ -59,6 +60,11 @@
         }
     }
 
+    /** Gives back the memory of the failure answer that ended the last attempt, as it will not be passed on. */
+    void releaseAnswer() {
+        lastEnd.flatMap(AttemptEnd::answer).ifPresent(answer -> answer.release().run());
+    }
+
     /** Returns the identifiers of the replicas that are excluded from further attempts. */
     Set<String> excludedReplicas() {
         return excludedReplicas;
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -1,7 +1,6 @@
 package org.streamring.direct.request;
 
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,8 +32,6 @@
     private static final long SILENCE_TIMEOUT_MILLIS = 1_000;
     /** Shorter than the half second after which a replica should no longer work for a caller that left. */
     private static final long MAX_DRAIN_MILLIS = 250;
-    /** A healthy replica sends its first event within this multiple of the forecast time. */
-    private static final int FORECAST_TOLERANCE_FACTOR = 3;
 
     private final RequestServices services;
     private final RequestPlan plan;
@@ -43,7 +40,8 @@
     private final AnswerRelay relay;
     private final Owner owner;
     private SendListener sendListener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerBody body;
+    private final SilentMark silentMark;
     private @Nullable BackendAttempt attempt;
     private @Nullable AnswerHead head;
     private final SilenceCheck silenceCheck;
@@ -57,8 +55,10 @@
     private int drainedEvents;
     private @Nullable Future<?> drainTimer;
     private boolean finished;
+    /** Whether the answer is kept after the attempt, together with its memory. */
+    private boolean answerKept;
+
     private @Nullable SilentAttempt silent;
-    private boolean countedAsSilent;
     private boolean foundReplicaSilent;
 
     /** A way to begin an attempt at a replica. */
@@ -109,6 +109,8 @@
         this.relay = relay;
         this.owner = owner;
         this.sendListener = owner;
+        this.silentMark = new SilentMark(state);
+        this.body = new AnswerBody(new AnswerMemory(services.memory(), plan.id(), this::pauseForMemory));
         this.silenceCheck = new SilenceCheck(services.loop(), this::silence, this::silenceChecked);
     }
 
@@ -178,6 +180,12 @@
         }
     }
 
+    private void pauseForMemory(boolean paused) {
+        if (attempt != null) {
+            attempt.pauseForMemory(paused);
+        }
+    }
+
     /** Cancels the attempt. {@link Owner#attemptEnded} is not called afterwards. */
     void cancel() {
         if (sent()) {
@@ -240,7 +248,7 @@
             noteHeard();
             return;
         }
-        noteSilent();
+        silentMark.set();
         if (!plan.route().repeatable()) {
             return;
         }
@@ -257,7 +265,7 @@
         if (before != null && !heardSince(before)) {
             return;
         }
-        noteNotSilent();
+        silentMark.clear();
         if (before != null) {
             silent = null;
             foundReplicaSilent = false;
@@ -265,20 +273,6 @@
         }
     }
 
-    private void noteSilent() {
-        if (!countedAsSilent) {
-            countedAsSilent = true;
-            state.attemptSilent();
-        }
-    }
-
-    private void noteNotSilent() {
-        if (countedAsSilent) {
-            countedAsSilent = false;
-            state.attemptNoLongerSilent();
-        }
-    }
-
     private SilentAttempt silentAttempt(BackendAttempt waiting, Silence silence) {
         long now = services.clock().getAsLong();
         return new SilentAttempt(
@@ -311,10 +305,11 @@
         return silence == Silence.BACKEND ? AttemptEnd.silent() : AttemptEnd.unheard();
     }
 
-    /** Whether the replica may still be processing the prompt; it sends nothing while it processes long prompts. */
     private boolean mayStillReadPrompt() {
-        long expected = forecast().map(PlacementForecast::firstEventMillis).orElse(0L);
-        return services.clock().getAsLong() - beganMillis < FORECAST_TOLERANCE_FACTOR * expected;
+        long sinceBegunMillis = services.clock().getAsLong() - beganMillis;
+        return forecast()
+                .filter(each -> each.mayBeReadingPrompt(sinceBegunMillis))
+                .isPresent();
     }
 
     @Override
@@ -324,6 +319,18 @@
         streaming = relay.isStreamed(answerHead) && sealed(answerHead);
         if (streaming) {
             relay.streamStarted(answerHead);
+        } else if (!draining && !body.expect(answerHead)) {
+            endUnread("answer_too_large");
+        }
+    }
+
+    /** Ends the attempt without reading the rest of the answer. */
+    private void endUnread(String reason) {
+        Objects.requireNonNull(attempt).cancel();
+        if (draining) {
+            endDraining(false);
+        } else {
+            endBroken(reason);
         }
     }
 
@@ -331,12 +338,14 @@
     public void onData(byte[] data) {
         state.heard();
         services.link().addBytes(Traffic.ANSWERS, data.length, services.clock().getAsLong());
-        if (!streaming) {
-            body.writeBytes(data);
+        if (draining) {
+            skip(data);
             return;
         }
-        if (draining) {
-            drainedEvents += relay.skipData(data);
+        if (!streaming) {
+            if (!body.add(data)) {
+                endUnread("answer_without_end");
+            }
             return;
         }
         int events = relay.streamData(data);
@@ -345,6 +354,16 @@
             eventsDelivered += events;
             owner.eventsDelivered(events);
         }
+        if (!finished && !body.admitsEvent(relay.partialBytes())) {
+            endUnread("event_without_end");
+        }
+    }
+
+    private void skip(byte[] data) {
+        drainedEvents += streaming ? relay.skipData(data) : 0;
+        if (relay.partialBytes() > AnswerMemory.MAX_EVENT_BYTES) {
+            endUnread("event_without_end");
+        }
     }
 
     @Override
@@ -358,7 +377,7 @@
             endStream();
             return;
         }
-        BufferedAnswer answer = new BufferedAnswer(answeredHead, body.toByteArray());
+        BufferedAnswer answer = body.whole(answeredHead);
         if (answeredHead.headers().contains(services.names().notRun()) || answeredHead.status() == 421) {
             endNotRun(answeredHead);
             return;
@@ -372,6 +391,7 @@
         } else {
             state.succeeded();
         }
+        answerKept = true;
         endAfterSending(AttemptEnd.failed(answer));
     }
 
@@ -398,6 +418,7 @@
             return;
         }
         state.succeeded();
+        answerKept = true;
         relay.buffer(answer);
         endAfterSending(AttemptEnd.whole());
     }
@@ -468,7 +489,10 @@
             return;
         }
         finished = true;
-        noteNotSilent();
+        if (!answerKept) {
+            body.release();
+        }
+        silentMark.clear();
         ifPlaced(PlacedPrompt::ended);
         silenceCheck.stop();
     }
--- a/direct/src/main/java/org/streamring/direct/request/BufferedAnswer.java
+++ b/direct/src/main/java/org/streamring/direct/request/BufferedAnswer.java
@@ -1,15 +1,16 @@
 package org.streamring.direct.request;
 
 import org.streamring.direct.backend.AnswerHead;
+import org.streamring.net.http.Body;
 
 /**
  * A complete, non-streamed answer of a backend server.
  *
  * @param head status and headers
  * @param body complete body
+ * @param release gives back the memory of the body; may be called more than once
  */
-@SuppressWarnings("ArrayRecordComponent") // the array is passed on without being copied
-record BufferedAnswer(AnswerHead head, byte[] body) {
+record BufferedAnswer(AnswerHead head, Body body, Runnable release) {
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
     private static final int TIMEOUT = 408;
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -404,6 +404,7 @@
         if (attempt != null) {
             cancelAttempt(attempt);
         }
+        attempts.releaseAnswer();
         terminate("caller_gone", 0);
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/FinalAnswers.java
+++ b/direct/src/main/java/org/streamring/direct/request/FinalAnswers.java
@@ -35,6 +35,7 @@
 
     /** Returns an answer that the entry generates itself. */
     FinalAnswer local(LocalAnswer answer) {
+        attempts.releaseAnswer();
         return new FinalAnswer(answer.reason(), answer.status(), () -> answer.write(writer, names, plan.id()));
     }
 
@@ -59,7 +60,8 @@
         return new FinalAnswer(
                 "failure_passed_on",
                 status,
-                () -> writer.writeFull(status, filter.forCaller(failure.head().headers()), failure.body()));
+                () -> writer.writeFull(
+                        status, filter.forCaller(failure.head().headers()), failure.body(), failure.release()));
     }
 
     /** Returns the answer to a request that is ended while it waits or runs. */
--- a/direct/src/main/java/org/streamring/direct/request/RequestServices.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestServices.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.memory.BodyMemory;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.kernel.admission.LinkBacklog;
 import org.streamring.kernel.route.RouteTable;
@@ -28,6 +29,7 @@
  * @param suspects blocks requests that crash the servers which run them
  * @param canFinishBeforeStop whether a request that starts on a route now can finish before a planned stop
  * @param link backlog of this box's own network link
+ * @param memory memory for the bodies of requests and answers
  * @param metrics metrics of this entry
  * @param log decision log
  */
@@ -44,5 +46,6 @@
         CrashSuspectGuard suspects,
         Predicate<Route> canFinishBeforeStop,
         LinkBacklog link,
+        BodyMemory memory,
         EntryMetrics metrics,
         DecisionLog log) {}
--- a/direct/src/test/java/org/streamring/direct/caller/CallerServerTestBase.java
+++ b/direct/src/test/java/org/streamring/direct/caller/CallerServerTestBase.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -18,6 +19,10 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.memory.BodyMemory;
+import org.streamring.direct.metrics.EntryMetrics;
+import org.streamring.kernel.memory.MemoryLimits;
 import org.streamring.model.route.CallerLimits;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -32,6 +37,7 @@
     final List<IncompleteAnswer> incomplete = new CopyOnWriteArrayList<>();
     private NioEventLoopGroup loops;
     private EventLoop loop;
+    private DecisionLog log;
     CallerServer server;
     Socket caller;
     volatile Duration headerTimeout;
@@ -53,13 +59,15 @@
         headerTimeout = Duration.ofSeconds(3);
         idleTimeout = IDLE_TIMEOUT;
         loops = new NioEventLoopGroup(1);
+        log = new DecisionLog(OutputStream.nullOutputStream(), "entry");
         loop = loops.next();
         server = new CallerServer(
                 loops,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 this::serve,
                 () -> new CallerLimits(16_384, maxBodyBytes, headerTimeout, idleTimeout),
-                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                new BodyMemory(loop, CallerServerTestBase::nowMillis, memoryLimits(), new EntryMetrics(), log),
+                CallerServerTestBase::nowMillis,
                 () -> stopping,
                 "X-Request-Id",
                 incomplete::add);
@@ -72,6 +80,16 @@
     public final void stopServer() throws Exception {
         caller.close();
         loops.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+        log.close();
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Returns the limits on the memory for bodies. */
+    MemoryLimits memoryLimits() {
+        return new MemoryLimits(100_000_000);
     }
 
     private RequestSink.ActiveRequest serve(CallerRequest request, AnswerWriter writer) {
--- a/direct/src/test/java/org/streamring/direct/request/LoneEntry.java
+++ b/direct/src/test/java/org/streamring/direct/request/LoneEntry.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import org.streamring.direct.TestHeaders;
 import org.streamring.direct.log.DecisionLog;
+import org.streamring.direct.memory.BodyMemory;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.PermitExchange;
@@ -22,6 +23,7 @@
 import org.streamring.kernel.admission.LinkBacklog;
 import org.streamring.kernel.availability.BackendAvailability;
 import org.streamring.kernel.limit.FleetShare;
+import org.streamring.kernel.memory.MemoryLimits;
 import org.streamring.kernel.permit.PermitCoordinator;
 import org.streamring.kernel.placement.ColdReplicas;
 import org.streamring.kernel.prepaid.HomeEntries;
@@ -101,6 +103,7 @@
                 crashSuspectGuard(loop, store, peers, metrics),
                 route -> true,
                 new LinkBacklog(OptionalLong::empty),
+                new BodyMemory(loop, clock, new MemoryLimits(100_000_000), metrics, log),
                 metrics,
                 log);
     }
--- a/net/src/main/java/org/streamring/net/http/UnsupportedExpectationException.java
+++ b/net/src/main/java/org/streamring/net/http/UnsupportedExpectationException.java
@@ -4,7 +4,8 @@
 public final class UnsupportedExpectationException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    UnsupportedExpectationException(String expectation) {
+    /** Creates the cause for an expectation as it was sent. */
+    public UnsupportedExpectationException(String expectation) {
         super("the expectation is not supported: " + expectation);
     }
 }
