End answers whose bytes never end, before they hold up others

What callers saw: a server that sends bytes without end that are no answer ended the process (as a body), or calls beside it took longer than their target latency (interim heads, line ends before a head, an answer to another request, chunks of a byte, events without data), and requests that may be repeated were not answered by another server.

Cause: what the decoder passes on piece by piece, and the entry skips, was limited by nothing; since something always arrives, no check for silence sees it.

Change: AnswerVolume compares what arrives with what is passed on as a body, and ends the attempt like other broken answers: its connection is reset, its server counts as failed. A connection to a server has two reads in a turn of the event loop.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -44,6 +45,7 @@
     private boolean draining;
     private int requests;
     private @Nullable BodyWriter unwritten;
+    private final AnswerVolume volume = new AnswerVolume();
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
         this.pool = pool;
@@ -108,6 +110,7 @@
         skipping = false;
         startedMillis = nowMillis;
         requests++;
+        volume.requestSent();
         DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, next.method(), next.target());
         head.headers().set(next.headers());
         if (next.body().length > 0 || next.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -190,6 +193,22 @@
         }
     }
 
+    /** Returns the handler that has to precede the decoder. */
+    ChannelInboundHandler beforeDecoder() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+                if (!(message instanceof ByteBuf bytes) || volume.admits(bytes.readableBytes())) {
+                    super.channelRead(context, message);
+                    return;
+                }
+                ReferenceCountUtil.release(message);
+                discardUnsentBytes();
+                fail("received bytes without end that are no answer");
+            }
+        };
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -261,6 +280,7 @@
         if (bytes.isReadable()) {
             byte[] data = new byte[bytes.readableBytes()];
             bytes.readBytes(data);
+            volume.passedOn(data.length);
             current().onData(data);
         }
         if (last && listener != null) {
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -1,5 +1,6 @@
 package org.streamring.direct.backend;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
@@ -27,6 +28,9 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
+    /** A server that sends without end takes no more than this part of a turn of the event loop. */
+    private static final int MAX_READS_PER_TURN = 2;
+
     private static final long MAX_FRESH_IDLE_MILLIS = 1_500;
     /** A connection that was used a moment ago has most likely not failed together with a silent one. */
     private static final long MAX_REPLACEMENT_IDLE_MILLIS = 300;
@@ -297,8 +301,11 @@
     }
 
     private static void prepare(Channel created, BackendConnection connection) {
+        created.config()
+                .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN));
         created.pipeline()
                 .addLast(
+                        connection.beforeDecoder(),
                         new HttpRequestEncoder(),
                         new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
                         connection);
