Tell the end of an answer from a failed connection

Cause: the decoder ends such an answer whenever its connection becomes inactive. A reset was noticed only by the read that fails. While a part of the request is unwritten, the write meets the reset first and consumes the error; the connection then becomes inactive without a failed read. The store's client had the same end, and a cancelled attempt whose connection failed so counted as received to its end.

Change: AnswerEndCheck around the decoder. Only a read that returned the end of the stream is a proper end (half-closure tells it apart), and not behind a failed write.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.http.Body;
 import org.streamring.net.http.BodyWriter;
 
@@ -45,6 +46,7 @@
     private boolean draining;
     private int requests;
     private @Nullable BodyWriter unwritten;
+    private @Nullable AnswerEndCheck ends;
     private final AnswerVolume volume = new AnswerVolume();
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
@@ -52,6 +54,11 @@
         this.requestIdHeader = requestIdHeader;
     }
 
+    /** Sets what tells a proper end of the connection from a failure. */
+    void checkEnds(AnswerEndCheck check) {
+        ends = check;
+    }
+
     void opened(Channel opened) {
         channel = opened;
     }
@@ -161,6 +168,7 @@
         draining = true;
         pauseReading(false);
         if (channel instanceof DuplexChannel duplex && requestWritten() && hasWrittenAll(duplex)) {
+            Objects.requireNonNull(ends).closesOutput();
             duplex.shutdownOutput().addListener(done -> {
                 if (!done.isSuccess()) {
                     fail(AttemptFailure.BROKEN, "the sending side of the connection could not be closed");
@@ -329,6 +337,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.removeClosed(this);
-        fail(AttemptFailure.CLOSED, "the connection was closed before the answer was complete");
+        if (Objects.requireNonNull(ends).endReceived()) {
+            fail(AttemptFailure.CLOSED, "the connection was closed before the answer was complete");
+        } else {
+            fail("the connection failed before the answer was complete");
+        }
     }
 }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -20,6 +20,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.process.TcpClient;
 import org.streamring.platform.node.ForwardingHeaders;
 
@@ -27,6 +28,7 @@
 public final class BackendPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAX_HEAD_BYTES = 65_536;
+    private static final String DECODER = "decoder";
     private static final int MAX_CHUNK_BYTES = 65_536;
     /** A server that sends without end takes no more than this part of a turn of the event loop. */
     private static final int MAX_READS_PER_TURN = 2;
@@ -304,11 +306,10 @@
         created.config()
                 .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN));
         created.pipeline()
-                .addLast(
-                        connection.beforeDecoder(),
-                        new HttpRequestEncoder(),
-                        new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
-                        connection);
+                .addLast(connection.beforeDecoder(), new HttpRequestEncoder())
+                .addLast(DECODER, new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection);
+        connection.checkEnds(AnswerEndCheck.around(created, DECODER));
     }
 
     private void send(
--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -35,6 +35,7 @@
  */
 public final class HttpCaller {
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
+    private static final String CODEC = "codec";
     private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024;
     /**
      * Timeout for the complete response, as a multiple of the idle timeout. The largest response takes 6.7 s at
@@ -101,13 +102,7 @@
     }
 
     private void connect(Call call) {
-        ChannelFuture connecting =
-                TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, created -> created.pipeline()
-                        .addLast(
-                                new ReceivedBytesHandler(),
-                                new HttpClientCodec(),
-                                new HttpObjectAggregator(MAX_REPLY_BYTES),
-                                new ReplyHandler()));
+        ChannelFuture connecting = TcpClient.connect(loop, address, CONNECT_TIMEOUT_MILLIS, this::prepare);
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 call.fail(String.valueOf(done.cause()));
@@ -119,6 +114,14 @@
         });
     }
 
+    private void prepare(Channel created) {
+        created.pipeline()
+                .addLast(new ReceivedBytesHandler())
+                .addLast(CODEC, new HttpClientCodec())
+                .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES), new ReplyHandler());
+        AnswerEndCheck.around(created, CODEC);
+    }
+
     /** Request in progress; its timeout includes the time to connect. */
     private final class Call {
         private final HttpMethod method;
--- a/net/src/test/java/org/streamring/net/http/HttpCallerTest.java
+++ b/net/src/test/java/org/streamring/net/http/HttpCallerTest.java
@@ -23,6 +23,8 @@
     private static final long IDLE_TIMEOUT_MILLIS = 800;
     private static final long BYTE_INTERVAL_MILLIS = 80;
     private static final int CONTENT_LENGTH = 40;
+    /** Longer than the buffers of the sockets. */
+    private static final int LONG_BODY_BYTES = 8_000_000;
 
     private NioEventLoopGroup loops;
     private ServerSocket serverSocket;
@@ -73,6 +75,46 @@
         assertThat(elapsedMillis).isGreaterThan(IDLE_TIMEOUT_MILLIS * HttpCaller.TOTAL_TIMEOUT_FACTOR - 50);
     }
 
+    /** Guards against a part of a response that counts as whole because a failed write closed its connection. */
+    @Test
+    public void aResponseWithoutALengthWhoseConnectionIsResetWhileTheRequestIsWrittenFails() throws Exception {
+        respondWithoutLength(true);
+        assertThatThrownBy(() -> send(new byte[LONG_BODY_BYTES]).get(5, TimeUnit.SECONDS))
+                .isInstanceOf(ExecutionException.class);
+    }
+
+    @Test
+    public void aResponseWithoutALengthIsWholeWhenItsConnectionIsClosed() throws Exception {
+        respondWithoutLength(false);
+        assertThat(send(new byte[0]).get(5, TimeUnit.SECONDS).body()).hasSize(4);
+    }
+
+    private void respondWithoutLength(boolean reset) {
+        Thread server = new Thread(() -> {
+            try (Socket socket = serverSocket.accept()) {
+                socket.getInputStream().read();
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(StandardCharsets.UTF_8));
+                Thread.sleep(200);
+                if (reset) {
+                    socket.setSoLinger(true, 0);
+                } else {
+                    socket.shutdownOutput();
+                    socket.getInputStream().readAllBytes();
+                }
+            } catch (IOException e) {
+                // the client closed the connection
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        server.setDaemon(true);
+        server.start();
+    }
+
+    private CompletableFuture<HttpReply> send(byte[] body) throws InterruptedException, ExecutionException {
+        return call(body, 10_000);
+    }
+
     /** Sends a response of this many bytes, one by one. The content length is at least {@code CONTENT_LENGTH}. */
     private void respondWith(int bytes) {
         Thread server = new Thread(() -> {
@@ -97,10 +139,15 @@
     }
 
     private CompletableFuture<HttpReply> call(long idleTimeoutMillis) throws InterruptedException, ExecutionException {
+        return call(new byte[0], idleTimeoutMillis);
+    }
+
+    private CompletableFuture<HttpReply> call(byte[] body, long idleTimeoutMillis)
+            throws InterruptedException, ExecutionException {
         HttpCaller caller = new HttpCaller(
                 loops.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), serverSocket.getLocalPort()));
         return CompletableFuture.supplyAsync(
-                        () -> caller.call(HttpMethod.GET, "/", new byte[0], idleTimeoutMillis), loops.next())
+                        () -> caller.call(HttpMethod.GET, "/", body, idleTimeoutMillis), loops.next())
                 .get();
     }
 }
