Resume waiting requests one after the other, behind the answer that frees them

Cause: a request that ends stopped its deadline timer, then resumed others, and only then wrote its answer. A request that was refused when it was resumed did the same within that call, so that the depth was the number of requests that end at once. The StackOverflowError unwound them all before their answers. Tokens that are given back resume requests in the same way.

Change: a pass over waiting requests that is asked for during a pass follows it (RepeatedPass), for slots and for tokens. The answer is written before anything is released. A retry that throws is logged and does not keep the others from theirs.

--- a/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
+++ b/direct/src/main/java/org/streamring/direct/ledger/TokenAllocator.java
@@ -17,6 +17,7 @@
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.request.TokenSource;
+import org.streamring.kernel.admission.RepeatedPass;
 import org.streamring.kernel.prepaid.AccountKnowledge;
 import org.streamring.kernel.prepaid.HomeEntries;
 import org.streamring.kernel.prepaid.PrepaidLedger;
@@ -66,6 +67,7 @@
     private final EntryMetrics metrics;
     private final DecisionLog log;
     private final List<Waiter> waiters = new ArrayList<>();
+    private final RepeatedPass serving = new RepeatedPass(this::serveAll);
 
     /**
      * Creates an allocator; nothing is read or written before {@link #start}.
@@ -242,6 +244,10 @@
     }
 
     private void serveWaiters() {
+        serving.run();
+    }
+
+    private void serveAll() {
         for (Waiter waiter : List.copyOf(waiters)) {
             waiter.tryServe();
         }
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -435,16 +435,22 @@
         }
     }
 
+    /** Writes the final answer before other requests are resumed, as a failure of these must not prevent it. */
     private void finish(FinalAnswer answer) {
-        terminate(answer.outcome(), answer.status());
-        answer.writing().run();
+        markFinished();
+        try {
+            answer.writing().run();
+        } finally {
+            release(answer.outcome(), answer.status());
+        }
     }
 
-    /**
-     * Marks the request as finished before it releases its tokens and its slot. Releasing them resumes other requests
-     * synchronously, and what those release may call back into this request, which would then be answered twice.
-     */
     private void terminate(String outcome, int status) {
+        markFinished();
+        release(outcome, status);
+    }
+
+    private void markFinished() {
         finished = true;
         preparation.cancel();
         onFinished.run();
@@ -455,6 +461,10 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
+    }
+
+    /** Releases tokens and slot, which resumes other requests. What those release may call back into this request. */
+    private void release(String outcome, int status) {
         retries.giveBack();
         tokens.close();
         services.metrics().requestEnded(outcome, plan.rank(), elapsed());
--- a/direct/src/main/java/org/streamring/direct/request/SlotQueue.java
+++ b/direct/src/main/java/org/streamring/direct/request/SlotQueue.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.streamring.kernel.admission.RepeatedPass;
 import org.streamring.kernel.admission.SlotReleaseRate;
 import org.streamring.kernel.admission.WaitDecision;
 import org.streamring.kernel.admission.WaitPolicy;
@@ -25,6 +26,7 @@
     private final WaitPolicy policy;
     private final SlotReleaseRate releaseRate = new SlotReleaseRate();
     private final List<Waiting> waiting = new ArrayList<>();
+    private final RepeatedPass retries = new RepeatedPass(this::retryAll);
     private boolean tickScheduled;
 
     /** A waiting request. */
@@ -60,9 +62,9 @@
     }
 
     private int requestsAhead(Waiting request) {
-        int position = waiting.indexOf(request);
-        return position >= 0
-                ? position
+        int found = waiting.indexOf(request);
+        return found >= 0
+                ? found
                 : (int) waiting.stream()
                         .filter(each -> each.rank() <= request.rank())
                         .count();
@@ -86,8 +88,15 @@
         waiting.remove(request);
     }
 
-    /** Retries all waiting requests, for which a slot may have become free. */
+    /**
+     * Retries all waiting requests, for which a slot may have become free. A request that ends thereby may call this
+     * method; the requests are then retried once more when all were retried.
+     */
     void retryWaiting() {
+        retries.run();
+    }
+
+    private void retryAll() {
         for (Waiting request : List.copyOf(waiting)) {
             if (waiting.contains(request)) {
                 retry(request);
@@ -103,6 +112,8 @@
         boolean stillWaiting = false;
         try {
             stillWaiting = !request.tryPlace();
+        } catch (RuntimeException e) {
+            LOGGER.error("retrying a request that waits for a slot failed", e);
         } finally {
             if (!stillWaiting) {
                 waiting.remove(request);
