Refuse requests of prepaid accounts whose token counts can't be read

Cause: the sum overflowed. Counts that can't be read at all counted as none.

Change: counts above 10^12 can't be read, and requests of prepaid accounts whose counts can't be read are refused with 400.

--- a/direct/src/main/java/org/streamring/direct/request/DeclaredTokens.java
+++ b/direct/src/main/java/org/streamring/direct/request/DeclaredTokens.java
@@ -10,7 +10,10 @@
  * @param maxAnswer maximum tokens of the answer
  */
 record DeclaredTokens(long prompt, long maxAnswer) {
-    /** Parses the header; returns empty if it is missing or malformed. */
+    /** Largest count; the sum over all runs of a request does not overflow. */
+    private static final long MAX_TOKENS = 1_000_000_000_000L;
+
+    /** Parses the header; returns empty if it is missing, malformed or holds counts that no request can have. */
     static Optional<DeclaredTokens> parse(@Nullable String header) {
         if (header == null) {
             return Optional.empty();
@@ -22,12 +25,18 @@
         try {
             long prompt = Long.parseLong(header.substring(0, comma).trim());
             long answer = Long.parseLong(header.substring(comma + 1).trim());
-            return prompt < 0 || answer < 0 ? Optional.empty() : Optional.of(new DeclaredTokens(prompt, answer));
+            return isCount(prompt) && isCount(answer)
+                    ? Optional.of(new DeclaredTokens(prompt, answer))
+                    : Optional.empty();
         } catch (NumberFormatException e) {
             return Optional.empty();
         }
     }
 
+    private static boolean isCount(long tokens) {
+        return tokens >= 0 && tokens <= MAX_TOKENS;
+    }
+
     /** Returns the maximum number of tokens that the request may use, prompt and answer together. */
     long maxTotal() {
         return prompt + maxAnswer;
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -52,6 +52,9 @@
                 return refuse(request, writer, LocalAnswer.refusal(401, "unknown_key"));
             }
         }
+        if (hasUnreadableTokens(request, account)) {
+            return refuse(request, writer, LocalAnswer.refusal(400, "token_counts_unreadable"));
+        }
         if (!services.canFinishBeforeStop().test(route)) {
             return refuse(request, writer, LocalAnswer.retryLater("entry_stops", OTHER_ENTRY_RETRY_AFTER));
         }
@@ -64,6 +67,13 @@
         return start(arrival, service, Optional.empty());
     }
 
+    /** Whether tokens that a prepaid account has to cover are declared, but can't be read. */
+    private boolean hasUnreadableTokens(CallerRequest request, Optional<PrepaidAccount> account) {
+        String declared = request.headers().get(services.names().tokens());
+        boolean prepaid = account.filter(each -> each.prepaid().isPresent()).isPresent();
+        return prepaid && declared != null && DeclaredTokens.parse(declared).isEmpty();
+    }
+
     /** A request whose route and account are known. */
     private record Arrival(
             CallerRequest request,
--- a/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/RequestRouterTest.java
@@ -93,6 +93,23 @@
         assertThat(tokens.settled).isEqualTo(4);
     }
 
+    @DataProvider
+    public Object[][] unreadableTokenCounts() {
+        return new Object[][] {{"9223372036854775807,1"}, {"1,9223372036854775807"}, {"-1,20"}, {"100"}, {"many,20"}};
+    }
+
+    /** Guards against prepaid tokens used without a reservation, as the sum of the declared counts overflows. */
+    @Test(dataProvider = "unreadableTokenCounts")
+    public void aRequestOfAPrepaidAccountWhoseTokenCountsCannotBeReadIsRefused(String counts) {
+        CallerRequest request = request("r-0");
+        request.headers().set(TestHeaders.NAMES.tokens(), counts);
+        RecordingWriter writer = new RecordingWriter();
+        router.serve(request, writer);
+        advance(2 * WINDOW_MILLIS);
+        assertThat(writer.statuses).containsExactly(400);
+        assertThat(tokens.reserved).isZero();
+    }
+
     @Test
     public void aRequestWhoseCallerHasDisconnectedReservesNoTokens() {
         RecordingWriter disconnected = new RecordingWriter();
