Write request targets byte by byte as they were received

What callers saw: a path with bytes above 127 reached the server changed.

Cause: targets are read by ISO 8859-1 and were written by UTF-8.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
@@ -306,7 +305,7 @@
         created.config()
                 .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN));
         created.pipeline()
-                .addLast(connection.beforeDecoder(), new HttpRequestEncoder())
+                .addLast(connection.beforeDecoder(), new BackendRequestEncoder())
                 .addLast(DECODER, new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
                 .addLast(connection);
         connection.checkEnds(AnswerEndCheck.around(created, DECODER));
