Write small bodies together with their heads

A body in a message of its own costs a second flush for each request and each answer. Only bodies above 32 KiB are written in pieces. A body in chunks reserves no more than the largest body that may be kept, so that a higher limit does not refuse all of them.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.backend;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
@@ -8,9 +9,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -118,16 +121,27 @@
         startedMillis = nowMillis;
         requests++;
         volume.requestSent();
-        DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, next.method(), next.target());
-        head.headers().set(next.headers());
-        if (next.body().length > 0 || next.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, next.body().length);
+        if (next.body().length <= BodyWriter.PIECE_BYTES) {
+            unwritten = null;
+            open.writeAndFlush(withHeaders(
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1, next.method(), next.target(), Unpooled.wrappedBuffer(next.body())),
+                    next));
+            return;
         }
-        open.write(head);
+        open.write(withHeaders(new DefaultHttpRequest(HttpVersion.HTTP_1_1, next.method(), next.target()), next));
         unwritten = new BodyWriter(open, Body.of(next.body()));
         writeMore();
     }
 
+    private static HttpRequest withHeaders(HttpRequest message, BackendRequest next) {
+        message.headers().set(next.headers());
+        if (next.body().length > 0 || next.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, next.body().length);
+        }
+        return message;
+    }
+
     private void writeMore() {
         BodyWriter pieces = unwritten;
         if (pieces != null && busy() && pieces.writeMore()) {
--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -375,11 +375,15 @@
 
         @Override
         public void writeFull(int status, HttpHeaders headers, Body body, Runnable written) {
+            afterWriting = written;
+            if (body.length() <= BodyWriter.PIECE_BYTES) {
+                writeFull(status, headers, body.toByteArray());
+                return;
+            }
             HttpResponse response = AnswerMessages.head(status, headers, body.length());
             setConnectionHeader(response.headers());
             writes++;
             bytes += body.length();
-            afterWriting = written;
             releaseRequest();
             channel().write(response);
             remaining = new BodyWriter(channel(), body);
--- a/direct/src/main/java/org/streamring/direct/caller/RequestBodyReader.java
+++ b/direct/src/main/java/org/streamring/direct/caller/RequestBodyReader.java
@@ -190,7 +190,7 @@
     /** The memory held so far is not waited for by others: it is as little as that of a small body. */
     private void reserveForLongBody() {
         reservations.get(0).wholeWith(MemoryLimits.SMALL_BYTES);
-        reserve((long) COPIES_OF_CHUNKED_BODY * maxBytes);
+        reserve(Math.min((long) COPIES_OF_CHUNKED_BODY * maxBytes, memory.maxBytes(BodyKind.REQUEST)));
     }
 
     private boolean isOfUnknownLength() {
--- a/net/src/main/java/org/streamring/net/http/BodyWriter.java
+++ b/net/src/main/java/org/streamring/net/http/BodyWriter.java
@@ -10,7 +10,8 @@
  * a buffer outside the heap. Confined to the event loop.
  */
 public final class BodyWriter {
-    private static final int PIECE_BYTES = 32_768;
+    /** Largest number of bytes that are written at once; a body up to this size can be written with its head. */
+    public static final int PIECE_BYTES = 32_768;
 
     private final Channel channel;
     private final Body body;
