Leave no refused reservation behind for the next body of a connection

A reservation that was refused at once was kept in the list of the next request's body on that connection, whose memory would then not have been reserved beyond its first part. Such a connection ends with the refusal, so that no caller saw it; found on rereading, without a test of its own.

--- a/direct/src/main/java/org/streamring/direct/caller/RequestBodyReader.java
+++ b/direct/src/main/java/org/streamring/direct/caller/RequestBodyReader.java
@@ -113,7 +113,6 @@
             refuse(new TooLongHttpContentException("the body exceeds " + maxBytes + " bytes"));
             return;
         }
-        body = new byte[0];
         reserve(chunked ? MemoryLimits.SMALL_BYTES : declared);
     }
 
@@ -131,10 +130,10 @@
                 memoryRefused(reserved, reason);
             }
         });
-        reservations.add(reservation);
         if (head != reserved) {
             return;
         }
+        reservations.add(reservation);
         if (reservation.waiting()) {
             gate.close(Objects.requireNonNull(context).channel(), ReadGate.Reason.NO_MEMORY);
         } else {
