Log and count merged heads, stray bytes and why an answer broke

attempt_failed has a detail now (what failed, and how); merged_head names a head that contains a second status line; stray_bytes names bytes that belong to no request, where they were found and the last request of their connection. Each has a counter or a histogram. No answer is treated differently yet: MergedHeadCheck only reports.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -26,6 +26,7 @@
 import org.streamring.direct.ledger.TokenAllocator;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.memory.BodyMemory;
+import org.streamring.direct.metrics.AnswerDefectLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.metrics.EventLoopDelayMonitor;
 import org.streamring.direct.metrics.LinkBacklogMonitor;
@@ -172,7 +173,7 @@
                 new PrepaidLedger(incarnation, PrepaidSettings.DEFAULT), homeEntries, random, metrics);
         this.permits = new PermitExchange(
                 loop, peers, settings.nodeName(), this::permitOwners, clock, metrics, log, new LimitLog(log, metrics));
-        this.fleet = createFleet(permits.coordinator(), cold, share, random);
+        this.fleet = createFleet(permits.coordinator(), cold, share, random, metrics);
         this.backends = new BackendFeed(platform.operatorRows(), registry, cold, fleet.placement(), clock, log);
         this.link = new LinkBacklog(() -> this.settings.linkBytesPerSecond());
         MemoryLimits memoryLimits = MemoryLimits.ofHeap(Runtime.getRuntime().maxMemory());
@@ -266,7 +267,11 @@
     }
 
     private BackendFleet createFleet(
-            PermitCoordinator permitCoordinator, ColdReplicas cold, FleetShare share, Random random) {
+            PermitCoordinator permitCoordinator,
+            ColdReplicas cold,
+            FleetShare share,
+            Random random,
+            EntryMetrics metrics) {
         return new BackendFleet(
                 loop,
                 registry,
@@ -279,7 +284,8 @@
                 members::live,
                 share,
                 () -> this.settings.retries(),
-                () -> this.settings.cold());
+                () -> this.settings.cold(),
+                replica -> new AnswerDefectLog(log, metrics, replica));
     }
 
     private TableWatch watch(
--- a/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
@@ -11,6 +11,12 @@
      * and everything that it sent was received.
      */
     CLOSED,
+    /** The head or the body of the answer can't be decoded. */
+    UNREADABLE,
+    /** The answer does not carry the identifier of the request. */
+    UNIDENTIFIED,
+    /** More bytes arrived than belong to an answer. */
+    ENDLESS,
     /** The attempt failed after the request was sent, so the backend server may have run the request. */
     BROKEN
 }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -21,9 +21,11 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.http.Body;
 import org.streamring.net.http.BodyWriter;
+import org.streamring.net.http.MergedHeadCheck;
 
 /**
  * A connection to a backend server that carries one request at a time.
@@ -50,6 +52,10 @@
     private int requests;
     private @Nullable BodyWriter unwritten;
     private @Nullable AnswerEndCheck ends;
+    private @Nullable AnswerDecoder decoder;
+    /** Identifier of the last request that was sent; empty before the first one. */
+    private String lastRequestId = "";
+
     private final AnswerVolume volume = new AnswerVolume();
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
@@ -62,6 +68,10 @@
         ends = check;
     }
 
+    void decodedBy(AnswerDecoder answerDecoder) {
+        decoder = answerDecoder;
+    }
+
     void opened(Channel opened) {
         channel = opened;
     }
@@ -120,6 +130,7 @@
         skipping = false;
         startedMillis = nowMillis;
         requests++;
+        lastRequestId = next.id();
         volume.requestSent();
         if (next.body().length <= BodyWriter.PIECE_BYTES) {
             unwritten = null;
@@ -220,13 +231,16 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+                if (listener == null && message instanceof ByteBuf stray) {
+                    reportStray(StrayBytes.Place.IDLE, stray.readableBytes(), "");
+                }
                 if (!(message instanceof ByteBuf bytes) || volume.admits(bytes.readableBytes())) {
                     super.channelRead(context, message);
                     return;
                 }
                 ReferenceCountUtil.release(message);
                 discardUnsentBytes();
-                fail("received bytes without end that are no answer");
+                fail(AttemptFailure.ENDLESS, "more bytes than an answer has");
             }
         };
     }
@@ -261,7 +275,9 @@
 
     private void readHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            fail("received bytes that are not an HTTP response");
+            fail(
+                    AttemptFailure.UNREADABLE,
+                    "the head: " + response.decoderResult().cause());
             return;
         }
         if (response.status().code() < 200) {
@@ -272,10 +288,12 @@
         skipping = id != null && request != null && !id.equals(request.id());
         pool.reportNotices(response, skipping ? 0 : startedMillis);
         if (skipping) {
+            reportStray(StrayBytes.Place.BEFORE_ANSWER, 0, Objects.requireNonNull(id));
             return;
         }
+        MergedHeadCheck.defectOf(response).ifPresent(defect -> pool.defects().onMergedHead(lastRequestId, defect));
         if (id == null && response.status().code() < 300) {
-            fail("successful answer without the identifier of the request");
+            fail(AttemptFailure.UNIDENTIFIED, "a success without the identifier of the request");
             return;
         }
         headSeen = true;
@@ -288,7 +306,9 @@
 
     private void readContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            fail("the body of the answer cannot be decoded");
+            fail(
+                    AttemptFailure.UNREADABLE,
+                    "the body: " + content.decoderResult().cause());
             return;
         }
         boolean last = content instanceof LastHttpContent;
@@ -312,6 +332,10 @@
 
     private void finish() {
         AttemptListener finished = current();
+        int undecoded = Objects.requireNonNull(decoder).undecodedBytes();
+        if (undecoded > 0) {
+            reportStray(StrayBytes.Place.BEHIND_ANSWER, undecoded, "");
+        }
         listener = null;
         request = null;
         lastUseMillis = pool.nowMillis();
@@ -326,6 +350,10 @@
         finished.onEnd();
     }
 
+    private void reportStray(StrayBytes.Place place, long bytes, String answerId) {
+        pool.defects().onStrayBytes(new StrayBytes(place, bytes, lastRequestId, answerId));
+    }
+
     private void fail(String reason) {
         fail(AttemptFailure.BROKEN, reason);
     }
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,6 +18,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.process.TcpClient;
 import org.streamring.platform.node.ForwardingHeaders;
@@ -46,6 +46,7 @@
     private final NoticeReader notices;
     private final LimitReader limits;
     private final NoticeListener noticeListener;
+    private final AnswerDefectListener defects;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
     private final RecentAnswers answers = new RecentAnswers();
@@ -61,6 +62,7 @@
      * @param clock monotonic clock in milliseconds
      * @param onConnecting receives the milliseconds that each connection attempt took until it succeeded or timed out
      * @param noticeListener receives the notices that the server sends about itself
+     * @param defects receives what the server sends that is no part of a sound answer
      */
     public BackendPool(
             EventLoop loop,
@@ -68,7 +70,8 @@
             ForwardingHeaders headers,
             LongSupplier clock,
             LongConsumer onConnecting,
-            NoticeListener noticeListener) {
+            NoticeListener noticeListener,
+            AnswerDefectListener defects) {
         this.loop = loop;
         this.address = address;
         this.requestIdHeader = headers.requestId();
@@ -77,6 +80,7 @@
         this.notices = new NoticeReader(headers.leaving());
         this.limits = new LimitReader(headers.limit());
         this.noticeListener = noticeListener;
+        this.defects = defects;
         this.lastActivityMillis = clock.getAsLong();
         this.lastDataMillis = lastActivityMillis;
         this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> open);
@@ -260,6 +264,10 @@
         noticeListener.onAnswerHead(status, notices.read(status, headers), limits.read(headers), sentMillis);
     }
 
+    AnswerDefectListener defects() {
+        return defects;
+    }
+
     void returnIdle(BackendConnection connection) {
         idle.addFirst(connection);
     }
@@ -302,11 +310,13 @@
     }
 
     private static void prepare(Channel created, BackendConnection connection) {
+        AnswerDecoder decoder = new AnswerDecoder(MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        connection.decodedBy(decoder);
         created.config()
                 .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN));
         created.pipeline()
                 .addLast(connection.beforeDecoder(), new BackendRequestEncoder())
-                .addLast(DECODER, new HttpResponseDecoder(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                .addLast(DECODER, decoder)
                 .addLast(connection);
         connection.checkEnds(AnswerEndCheck.around(created, DECODER));
     }
--- a/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
+++ b/direct/src/main/java/org/streamring/direct/metrics/EntryMetrics.java
@@ -48,6 +48,29 @@
                 .increment();
     }
 
+    /** Counts an answer that did not arrive whole, by what failed. */
+    public void answerBroken(String failure) {
+        Counter.builder("streamring.direct.answer.broken")
+                .tag("failure", failure)
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts a head that was read from two answers. */
+    public void mergedHead() {
+        Counter.builder("streamring.direct.answer.merged.heads")
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts bytes of backend servers that belong to no request, by where they were found. */
+    public void strayBytes(String place, long bytes) {
+        DistributionSummary.builder("streamring.direct.stray.bytes")
+                .tag("place", place)
+                .register(registry)
+                .record((double) bytes);
+    }
+
     /** Counts an attempt that did not succeed, by the kind of its end. */
     public void attemptFailed(String kind) {
         Counter.builder("streamring.direct.attempt.failed")
--- a/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptEnd.java
@@ -8,9 +8,12 @@
  * @param kind kind of the result
  * @param reason short name of the cause
  * @param answer failure answer of the backend server, if it sent one
+ * @param detail what failed in the connection or the answer; empty if the reason tells it all
  * @param progress progress of the answer, for an attempt that broke off
  */
-record AttemptEnd(Kind kind, String reason, Optional<BufferedAnswer> answer, AttemptProgress progress) {
+record AttemptEnd(Kind kind, String reason, String detail, Optional<BufferedAnswer> answer, AttemptProgress progress) {
+    private static final String NO_DETAIL = "";
+
     enum Kind {
         /** The complete answer arrived. */
         WHOLE,
@@ -39,35 +42,39 @@
     }
 
     static AttemptEnd whole() {
-        return new AttemptEnd(Kind.WHOLE, "answered", Optional.empty(), AttemptProgress.NONE);
+        return of(Kind.WHOLE, "answered");
     }
 
     static AttemptEnd notSent(String reason) {
-        return new AttemptEnd(Kind.NOT_SENT, reason, Optional.empty(), AttemptProgress.NONE);
+        return of(Kind.NOT_SENT, reason);
     }
 
     static AttemptEnd withdrawn() {
-        return new AttemptEnd(Kind.WITHDRAWN, "replica_takes_nothing", Optional.empty(), AttemptProgress.NONE);
+        return of(Kind.WITHDRAWN, "replica_takes_nothing");
     }
 
     static AttemptEnd notRun(String reason) {
-        return new AttemptEnd(Kind.NOT_RUN, reason, Optional.empty(), AttemptProgress.NONE);
+        return of(Kind.NOT_RUN, reason);
     }
 
     static AttemptEnd failed(BufferedAnswer answer) {
         return new AttemptEnd(
-                Kind.FAILED, "status_" + answer.head().status(), Optional.of(answer), AttemptProgress.NONE);
+                Kind.FAILED, "status_" + answer.head().status(), NO_DETAIL, Optional.of(answer), AttemptProgress.NONE);
     }
 
     static AttemptEnd unheard() {
-        return new AttemptEnd(Kind.UNHEARD, "connection_silent", Optional.empty(), AttemptProgress.NONE);
+        return of(Kind.UNHEARD, "connection_silent");
     }
 
     static AttemptEnd silent() {
-        return new AttemptEnd(Kind.SILENT, "replica_silent", Optional.empty(), AttemptProgress.NONE);
+        return of(Kind.SILENT, "replica_silent");
+    }
+
+    static AttemptEnd broken(String reason, String detail, AttemptProgress progress) {
+        return new AttemptEnd(Kind.BROKEN, reason, detail, Optional.empty(), progress);
     }
 
-    static AttemptEnd broken(String reason, AttemptProgress progress) {
-        return new AttemptEnd(Kind.BROKEN, reason, Optional.empty(), progress);
+    private static AttemptEnd of(Kind kind, String reason) {
+        return new AttemptEnd(kind, reason, NO_DETAIL, Optional.empty(), AttemptProgress.NONE);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -38,8 +38,8 @@
     private final BackendInstance instance;
     private final ReplicaState state;
     private final AnswerRelay relay;
-    private final Owner owner;
-    private SendListener sendListener;
+    private final AttemptOwner owner;
+    private AttemptSendListener sendListener;
     private final AnswerBody body;
     private final SilentMark silentMark;
     private @Nullable BackendAttempt attempt;
@@ -66,42 +66,12 @@
         BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener);
     }
 
-    /** Callbacks until the request is written to a connection, or the attempt ends before that. */
-    interface SendListener {
-        /** Whether the request is still worth sending; called when the connection is established. */
-        boolean isStillLive();
-
-        /** Called when the request is about to be written to a connection, or was just written. */
-        void attemptWritten(BackendInstance instance);
-
-        /** Called once when the attempt has ended, unless it was cancelled. */
-        void attemptEnded(AttemptEnd end);
-    }
-
-    /** Callbacks of the request that the attempt belongs to. */
-    interface Owner extends SendListener {
-        /** Called regularly while an attempt is silent whose request may be sent again. */
-        void attemptSilent(AttemptRun run, SilentAttempt silence);
-
-        /** Called when an attempt that was silent is heard again. */
-        void attemptHeard(SilentAttempt before);
-
-        /** Called when the request was sent and may run. */
-        void attemptSent();
-
-        /** Called when events were passed on to the caller. */
-        void eventsDelivered(int events);
-
-        /**
-         * Called once after {@link AttemptRun#cancelAndDrain}.
-         *
-         * @param events events that arrived after the cancellation, also an incomplete one
-         * @param toItsEnd whether the answer was received up to the point where the replica ended it
-         */
-        void attemptDrained(int events, boolean toItsEnd);
-    }
-
-    AttemptRun(RequestServices services, RequestPlan plan, BackendInstance instance, AnswerRelay relay, Owner owner) {
+    AttemptRun(
+            RequestServices services,
+            RequestPlan plan,
+            BackendInstance instance,
+            AnswerRelay relay,
+            AttemptOwner owner) {
         this.services = services;
         this.plan = plan;
         this.instance = instance;
@@ -121,10 +91,10 @@
     /**
      * Begins an attempt whose owner is called only once its request is written.
      *
-     * @param listener called until then; its {@link SendListener#attemptWritten} immediately before the request is
-     *     written
+     * @param listener called until then; its {@link AttemptSendListener#attemptWritten} immediately before the request
+     *     is written
      */
-    void beginReplacing(BackendRequest request, PlacementQuery query, SendListener listener) {
+    void beginReplacing(BackendRequest request, PlacementQuery query, AttemptSendListener listener) {
         sendListener = listener;
         begin(request, query, services.fleet().pool(instance)::beginReplacing);
     }
@@ -186,7 +156,7 @@
         }
     }
 
-    /** Cancels the attempt. {@link Owner#attemptEnded} is not called afterwards. */
+    /** Cancels the attempt. {@link AttemptOwner#attemptEnded} is not called afterwards. */
     void cancel() {
         if (sent()) {
             owner.attemptSent();
@@ -202,7 +172,7 @@
     /**
      * Cancels the attempt and counts the events that arrive until the replica closes the connection, for a short time.
      * A silent attempt is reset at once: its replica learns of it when it goes on, though it may still read what came.
-     * {@link Owner#attemptDrained} is called at the end instead of {@link Owner#attemptEnded}.
+     * {@link AttemptOwner#attemptDrained} is called at the end instead of {@link AttemptOwner#attemptEnded}.
      */
     void cancelAndDrain() {
         owner.attemptSent();
@@ -297,7 +267,7 @@
         return heardSince(before) || (replicaHeard && silence() == Silence.NONE);
     }
 
-    /** Ends a silent attempt without a call of {@link Owner#attemptEnded}, and returns its end. */
+    /** Ends a silent attempt without a call of {@link AttemptOwner#attemptEnded}, and returns its end. */
     AttemptEnd endSilent(Silence silence) {
         Objects.requireNonNull(attempt).cancel();
         release();
@@ -432,8 +402,12 @@
     }
 
     private void endBroken(String reason) {
+        endBroken(reason, "");
+    }
+
+    private void endBroken(String reason, String detail) {
         state.failed(services.clock().getAsLong());
-        endAfterSending(AttemptEnd.broken(reason, progress()));
+        endAfterSending(AttemptEnd.broken(reason, detail, progress()));
     }
 
     @Override
@@ -457,7 +431,8 @@
             sendListener.attemptEnded(AttemptEnd.notSent("not_connected"));
             return;
         }
-        endBroken(streaming ? "stream_broken" : "no_whole_answer");
+        services.metrics().answerBroken(failure.name());
+        endBroken(streaming ? "stream_broken" : "no_whole_answer", failure + ": " + reason);
     }
 
     private boolean sealed(AnswerHead answeredHead) {
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -9,10 +9,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.streamring.direct.backend.AnswerDefectListener;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.kernel.admission.OwnLateness;
 import org.streamring.kernel.admission.WaitQuery;
@@ -63,6 +65,7 @@
     private final FleetShare share;
     private final Supplier<NodeSettings.RetryLimit> retryLimit;
     private final Supplier<NodeSettings.ColdMargin> coldMargin;
+    private final Function<String, AnswerDefectListener> defects;
     private final Map<Destination, BackendPool> pools = new HashMap<>();
     private final Map<String, FleetRetryBudget> retries = new HashMap<>();
 
@@ -86,6 +89,7 @@
      * @param entries number of live entries
      * @param share this entry's part of what all entries together may do
      * @param coldMargin requests that a cold replica tolerates above its rate
+     * @param defects returns what receives the defects of the answers of a replica, given by its identifier
      */
     public BackendFleet(
             EventLoop loop,
@@ -99,10 +103,12 @@
             IntSupplier entries,
             FleetShare share,
             Supplier<NodeSettings.RetryLimit> retryLimit,
-            Supplier<NodeSettings.ColdMargin> coldMargin) {
+            Supplier<NodeSettings.ColdMargin> coldMargin,
+            Function<String, AnswerDefectListener> defects) {
         this.loop = loop;
         this.cold = cold;
         this.coldMargin = coldMargin;
+        this.defects = defects;
         this.registry = registry;
         this.availability = availability;
         this.permits = permits;
@@ -281,7 +287,8 @@
                         clock,
                         took -> boxDelay.recordConnectTime(instance.id(), took, clock.getAsLong()),
                         (status, notice, limit, sentMillis) ->
-                                answered(destination.incarnation(), status, notice, limit, sentMillis)));
+                                answered(destination.incarnation(), status, notice, limit, sentMillis),
+                        defects.apply(instance.id())));
     }
 
     private void answered(String incarnation, int status, BackendNotice notice, LimitWord limit, long sentMillis) {
--- a/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
+++ b/direct/src/main/java/org/streamring/direct/request/DirectRequest.java
@@ -251,7 +251,7 @@
 
     @Override
     public void beginReplacing(
-            AttemptRun next, BackendInstance instance, PlacementQuery query, AttemptRun.SendListener listener) {
+            AttemptRun next, BackendInstance instance, PlacementQuery query, AttemptSendListener listener) {
         next.beginReplacing(backendRequest(instance), query, listener);
     }
 
--- a/direct/src/main/java/org/streamring/direct/request/RequestLog.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestLog.java
@@ -85,6 +85,8 @@
                 end.kind(),
                 "reason",
                 end.reason(),
+                "detail",
+                end.detail(),
                 "replica",
                 replica,
                 "software",
--- a/direct/src/main/java/org/streamring/direct/request/RetryPreparation.java
+++ b/direct/src/main/java/org/streamring/direct/request/RetryPreparation.java
@@ -31,13 +31,13 @@
     private @Nullable Replacement replacement;
 
     /** The request that the attempts belong to. */
-    interface Request extends AttemptRun.Owner {
+    interface Request extends AttemptOwner {
         /** Creates an attempt at another replica. */
         AttemptRun createAttempt(BackendInstance instance);
 
         /** Begins an attempt, which takes the place of a silent one when it is written. */
         void beginReplacing(
-                AttemptRun next, BackendInstance instance, PlacementQuery query, AttemptRun.SendListener listener);
+                AttemptRun next, BackendInstance instance, PlacementQuery query, AttemptSendListener listener);
 
         /** Ends the silent attempt; the next one is about to be written. */
         void replaceAttempt(AttemptRun silent, AttemptRun next, BackendInstance instance, Silence silence);
@@ -157,7 +157,7 @@
     }
 
     /** Another attempt, from its choice until it is written. */
-    private final class Replacement implements AttemptRun.SendListener {
+    private final class Replacement implements AttemptSendListener {
         private final AttemptRun silent;
         private final SilentAttempt state;
         private final BackendInstance instance;
--- a/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/BackendPoolTest.java
@@ -51,7 +51,8 @@
                 TestHeaders.NAMES,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                 took -> {},
-                (status, notice, limit, sentMillis) -> notices.add(notice));
+                (status, notice, limit, sentMillis) -> notices.add(notice),
+                new NoDefects());
     }
 
     @AfterMethod(alwaysRun = true)
@@ -145,7 +146,8 @@
                 TestHeaders.NAMES,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                 took -> {},
-                (status, notice, limit, sentMillis) -> {});
+                (status, notice, limit, sentMillis) -> {},
+                new NoDefects());
         loops.next().execute(() -> checked.checkProcessExited(exited::complete));
         return exited.get(5, TimeUnit.SECONDS);
     }
--- a/direct/src/test/java/org/streamring/direct/backend/SilentServerTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/SilentServerTest.java
@@ -55,7 +55,8 @@
                 TestHeaders.NAMES,
                 nowMillis::get,
                 took -> onConnected.get().run(),
-                (status, notice, limit, sentMillis) -> {});
+                (status, notice, limit, sentMillis) -> {},
+                new NoDefects());
     }
 
     @AfterMethod(alwaysRun = true)
--- a/direct/src/test/java/org/streamring/direct/request/LoneEntry.java
+++ b/direct/src/test/java/org/streamring/direct/request/LoneEntry.java
@@ -14,6 +14,7 @@
 import org.streamring.direct.TestHeaders;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.memory.BodyMemory;
+import org.streamring.direct.metrics.AnswerDefectLog;
 import org.streamring.direct.metrics.EntryMetrics;
 import org.streamring.direct.peer.EntryPeers;
 import org.streamring.direct.peer.PermitExchange;
@@ -81,7 +82,7 @@
         permits = new PermitExchange(loop, peers, NAME, Set::of, clock, metrics, log, new LimitLog(log, metrics))
                 .coordinator();
         cold = new ColdReplicas(NAME, () -> Set.of(NAME), onlyEntry(() -> 0));
-        fleet = fleet(loop);
+        fleet = fleet(loop, metrics);
         suspects = new SuspectTable(SuspectLimits.DEFAULT, digest -> true, new SuspectLog(log));
         StreamOrigins streams = new StreamOrigins(
                 new StreamOriginExchange(loop, peers, new HomeEntries(NAME), clock, metrics),
@@ -108,7 +109,7 @@
                 log);
     }
 
-    private BackendFleet fleet(EventLoop loop) {
+    private BackendFleet fleet(EventLoop loop, EntryMetrics metrics) {
         return new BackendFleet(
                 loop,
                 registry,
@@ -121,7 +122,8 @@
                 () -> 1,
                 onlyEntry(clock),
                 () -> new NodeSettings.RetryLimit(0.2, 10, Duration.ofSeconds(10)),
-                () -> new NodeSettings.ColdMargin(1, 1));
+                () -> new NodeSettings.ColdMargin(1, 1),
+                replica -> new AnswerDefectLog(log, metrics, replica));
     }
 
     private static FleetShare onlyEntry(LongSupplier sinceStart) {
--- a/direct/src/test/java/org/streamring/direct/request/SilenceCheckTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/SilenceCheckTest.java
@@ -25,6 +25,7 @@
 import org.streamring.direct.backend.BackendAttempt;
 import org.streamring.direct.backend.BackendPool;
 import org.streamring.direct.backend.BackendRequest;
+import org.streamring.direct.backend.NoDefects;
 import org.streamring.direct.backend.Silence;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -101,7 +102,8 @@
                 TestHeaders.NAMES,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                 took -> {},
-                (status, notice, limit, sentMillis) -> {});
+                (status, notice, limit, sentMillis) -> {},
+                new NoDefects());
     }
 
     /** Begins an attempt on a connection that has served another request, and checks it for silence. */
--- /dev/null
+++ b/net/src/main/java/org/streamring/net/http/AnswerDecoder.java
@@ -0,0 +1,21 @@
+package org.streamring.net.http;
+
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/** Decodes answers, and tells how many bytes arrived behind the answer that was decoded last. */
+public final class AnswerDecoder extends HttpResponseDecoder {
+    /**
+     * Creates the decoder of a new connection.
+     *
+     * @param maxHeadBytes longest status line, and longest headers
+     * @param maxChunkBytes longest part of a body that is passed on at once
+     */
+    public AnswerDecoder(int maxHeadBytes, int maxChunkBytes) {
+        super(maxHeadBytes, maxHeadBytes, maxChunkBytes);
+    }
+
+    /** Returns the number of bytes that were received and not decoded yet. */
+    public int undecodedBytes() {
+        return actualReadableBytes();
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
@@ -0,0 +1,39 @@
+package org.streamring.net.http;
+
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Finds heads that were read from two answers. If the head of an answer breaks off inside its reason phrase or a header
+ * value, the decoder reads the head of the next answer on the connection as its continuation: the status is that of the
+ * first answer, the other headers and the body are those of the second.
+ */
+public final class MergedHeadCheck {
+    /** The status line of RFC 9112, section 4. Neither a reason phrase nor a header value contains one. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+ +\\d{3}(?!\\d)");
+
+    private MergedHeadCheck() {}
+
+    /** Returns what shows that a head was read from two answers; empty if it is the head of one. */
+    public static Optional<String> defectOf(HttpResponse response) {
+        Optional<String> inReason = statusLineIn(response.status().reasonPhrase());
+        if (inReason.isPresent()) {
+            return inReason.map(line -> "the reason phrase contains the status line " + line);
+        }
+        for (Map.Entry<String, String> header : response.headers()) {
+            Optional<String> inValue = statusLineIn(header.getValue());
+            if (inValue.isPresent()) {
+                return inValue.map(line -> "the header " + header.getKey() + " contains the status line " + line);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> statusLineIn(String text) {
+        Matcher found = STATUS_LINE.matcher(text);
+        return found.find() ? Optional.of(found.group()) : Optional.empty();
+    }
+}
