Reject heads that were read from two answers

What callers saw: a success where the server had answered with a failure, and the other way round: the status line of one answer with the signature, identifier and body of another.

Cause: the decoder reads a head until its empty line. If a server breaks off inside the reason phrase or a header value and answers again on the same connection, the status line of the second answer is read as the end of that phrase or value, and its headers as those of the first. The check for the identifier passes, as the second answer carries it.

Evidence: in a trial with the decoder alone, of each byte of a head behind the status code, just the cuts inside the reason and inside values (folded ones too) gave a head without an error; between lines, in names and in the numbers the decoder fails by itself. MergedAnswersTest, seven kinds of routes and statuses, failed in six on the code before.

Change: a head whose reason or one of whose values contains a status line, or that repeats a header which an answer has once, is no answer: the attempt is broken, the connection is closed, and nothing that such a head says about the server is believed. MergedHeadCheckTest cuts eight heads at each byte before three forms of a second answer, and lets whole heads through that arrive in two parts. It can't tell a cut before the first byte, which leaves one whole answer.

MergedAnswersTest passes in all seven; off the known reds.

--- a/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
@@ -13,6 +13,8 @@
     CLOSED,
     /** The head or the body of the answer can't be decoded. */
     UNREADABLE,
+    /** The answer holds parts of two answers. */
+    MERGED,
     /** The answer does not carry the identifier of the request. */
     UNIDENTIFIED,
     /** More bytes arrived than belong to an answer. */
--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -20,12 +20,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Objects;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.http.Body;
 import org.streamring.net.http.BodyWriter;
-import org.streamring.net.http.MergedHeadCheck;
 
 /**
  * A connection to a backend server that carries one request at a time.
@@ -268,11 +268,19 @@
 
     /** Reports the notices in an answer that no request waits for; they still describe the state of the server. */
     private void reportSurplusAnswer(Object message) {
-        if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+        if (message instanceof HttpResponse response
+                && response.decoderResult().isSuccess()
+                && mergedHead(response).isEmpty()) {
             pool.reportNotices(response, 0);
         }
     }
 
+    private Optional<String> mergedHead(HttpResponse response) {
+        Optional<String> defect = pool.headCheck().defectOf(response);
+        defect.ifPresent(each -> pool.defects().onMergedHead(lastRequestId, each));
+        return defect;
+    }
+
     private void readHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
             fail(
@@ -280,6 +288,11 @@
                     "the head: " + response.decoderResult().cause());
             return;
         }
+        Optional<String> merged = mergedHead(response);
+        if (merged.isPresent()) {
+            fail(AttemptFailure.MERGED, merged.get());
+            return;
+        }
         if (response.status().code() < 200) {
             skipping = true;
             return;
@@ -291,7 +304,6 @@
             reportStray(StrayBytes.Place.BEFORE_ANSWER, 0, Objects.requireNonNull(id));
             return;
         }
-        MergedHeadCheck.defectOf(response).ifPresent(defect -> pool.defects().onMergedHead(lastRequestId, defect));
         if (id == null && response.status().code() < 300) {
             fail(AttemptFailure.UNIDENTIFIED, "a success without the identifier of the request");
             return;
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -20,6 +21,7 @@
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
+import org.streamring.net.http.MergedHeadCheck;
 import org.streamring.net.process.TcpClient;
 import org.streamring.platform.node.ForwardingHeaders;
 
@@ -47,6 +49,7 @@
     private final LimitReader limits;
     private final NoticeListener noticeListener;
     private final AnswerDefectListener defects;
+    private final MergedHeadCheck headCheck;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> open = new HashSet<>();
     private final RecentAnswers answers = new RecentAnswers();
@@ -79,6 +82,7 @@
         this.onConnecting = onConnecting;
         this.notices = new NoticeReader(headers.leaving());
         this.limits = new LimitReader(headers.limit());
+        this.headCheck = new MergedHeadCheck(List.of(headers.requestId(), headers.signature(), headers.notRun()));
         this.noticeListener = noticeListener;
         this.defects = defects;
         this.lastActivityMillis = clock.getAsLong();
@@ -264,6 +268,10 @@
         noticeListener.onAnswerHead(status, notices.read(status, headers), limits.read(headers), sentMillis);
     }
 
+    MergedHeadCheck headCheck() {
+        return headCheck;
+    }
+
     AnswerDefectListener defects() {
         return defects;
     }
--- a/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
+++ b/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
@@ -1,6 +1,10 @@
 package org.streamring.net.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -15,15 +19,28 @@
     /** The status line of RFC 9112, section 4. Neither a reason phrase nor a header value contains one. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+ +\\d{3}(?!\\d)");
 
-    private MergedHeadCheck() {}
+    private final List<CharSequence> single = new ArrayList<>(
+            List.of(HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.CONTENT_TYPE, HttpHeaderNames.RETRY_AFTER));
+
+    /**
+     * Creates a check.
+     *
+     * @param singleHeaders names of headers that an answer has at most once, beside those of HTTP
+     */
+    public MergedHeadCheck(List<String> singleHeaders) {
+        single.addAll(singleHeaders);
+    }
 
     /** Returns what shows that a head was read from two answers; empty if it is the head of one. */
-    public static Optional<String> defectOf(HttpResponse response) {
-        Optional<String> inReason = statusLineIn(response.status().reasonPhrase());
-        if (inReason.isPresent()) {
-            return inReason.map(line -> "the reason phrase contains the status line " + line);
-        }
-        for (Map.Entry<String, String> header : response.headers()) {
+    public Optional<String> defectOf(HttpResponse response) {
+        return statusLineIn(response.status().reasonPhrase())
+                .map(line -> "the reason phrase contains the status line " + line)
+                .or(() -> statusLineInHeader(response.headers()))
+                .or(() -> repeatedHeader(response.headers()));
+    }
+
+    private static Optional<String> statusLineInHeader(HttpHeaders headers) {
+        for (Map.Entry<String, String> header : headers) {
             Optional<String> inValue = statusLineIn(header.getValue());
             if (inValue.isPresent()) {
                 return inValue.map(line -> "the header " + header.getKey() + " contains the status line " + line);
@@ -36,4 +53,11 @@
         Matcher found = STATUS_LINE.matcher(text);
         return found.find() ? Optional.of(found.group()) : Optional.empty();
     }
+
+    private Optional<String> repeatedHeader(HttpHeaders headers) {
+        return single.stream()
+                .filter(name -> headers.getAll(name).size() > 1)
+                .findFirst()
+                .map(name -> "the header " + name + " is repeated");
+    }
 }
--- a/net/src/test/java/org/streamring/net/http/MergedHeadCheckTest.java
+++ b/net/src/test/java/org/streamring/net/http/MergedHeadCheckTest.java
@@ -17,6 +17,7 @@
 
 public class MergedHeadCheckTest {
     private static final int HEAD_BYTES = 65_536;
+    private static final MergedHeadCheck CHECK = new MergedHeadCheck(List.of("X-Request-Id", "X-Response-Seal"));
     private static final String END = "\r\n\r\n";
     private static final String SECOND = "HTTP/1.1 500 Failed\r\nX-Request-Id: r-1\r\nContent-Length: 0" + END;
 
@@ -44,8 +45,7 @@
         for (int cut = 1; cut < head.length() - 1; cut++) {
             for (String second : List.of(SECOND, SECOND.replace(" Failed", ""), SECOND.replace("1.1", "1.0"))) {
                 Optional<HttpResponse> read = read(head.substring(0, cut), second);
-                assertThat(read.filter(
-                                response -> MergedHeadCheck.defectOf(response).isEmpty()))
+                assertThat(read.filter(response -> CHECK.defectOf(response).isEmpty()))
                         .as("broken off behind <%s>", head.substring(Math.max(0, cut - 20), cut))
                         .isEmpty();
             }
@@ -57,10 +57,25 @@
         for (int cut = 1; cut < head.length(); cut++) {
             HttpResponse read =
                     read(head.substring(0, cut), head.substring(cut)).orElseThrow();
-            assertThat(MergedHeadCheck.defectOf(read)).isEmpty();
+            assertThat(CHECK.defectOf(read)).isEmpty();
         }
     }
 
+    @DataProvider
+    public Object[][] repeatedHeaders() {
+        return new Object[][] {
+            {"X-Request-Id: r-1\r\nx-request-id: r-1"},
+            {"X-Response-Seal: a\r\nX-Response-Seal: b"},
+            {"Content-Type: text/plain\r\nContent-Type: text/plain"}
+        };
+    }
+
+    @Test(dataProvider = "repeatedHeaders")
+    public void aHeadThatRepeatsAHeaderWhichAnAnswerHasOnceIsMerged(String headers) {
+        HttpResponse read = read("HTTP/1.1 200 OK\r\n" + headers, END).orElseThrow();
+        assertThat(CHECK.defectOf(read)).isPresent();
+    }
+
     @DataProvider
     public Object[][] soundHeaders() {
         return new Object[][] {
@@ -75,7 +90,7 @@
     public void aHeaderThatNamesTheProtocolIsSound(String header) {
         HttpResponse read = read("HTTP/1.1 505 HTTP Version Not Supported\r\n" + header, END)
                 .orElseThrow();
-        assertThat(MergedHeadCheck.defectOf(read)).isEmpty();
+        assertThat(CHECK.defectOf(read)).isEmpty();
     }
 
     /** Returns the first head that can be decoded. */
