Take no answer without an identifier for the answer to a request

What callers saw: the failure that a server sent a second time, behind a whole answer, as the answer to the next request of the connection; with X-Not-Executed or 421 also a refusal of a request that runs.

Cause: an answer without an identifier counted as the answer to the request in progress if its status was 300 or above. Servers carry the identifier back in each answer.

Change: such an answer breaks the attempt, whatever its status, and its notices are not believed. A request that may not be repeated gets 502 then, others are repeated elsewhere. To skip it and wait was weighed: if the server has sent it in place of the answer, its caller would be held until the deadline.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -298,14 +298,14 @@
             return;
         }
         String id = response.headers().get(requestIdHeader);
-        skipping = id != null && request != null && !id.equals(request.id());
-        pool.reportNotices(response, skipping ? 0 : startedMillis);
-        if (skipping) {
-            reportStray(StrayBytes.Place.BEFORE_ANSWER, 0, Objects.requireNonNull(id));
+        if (id == null) {
+            fail(AttemptFailure.UNIDENTIFIED, "status " + response.status().code() + " without an identifier");
             return;
         }
-        if (id == null && response.status().code() < 300) {
-            fail(AttemptFailure.UNIDENTIFIED, "a success without the identifier of the request");
+        skipping = request != null && !id.equals(request.id());
+        pool.reportNotices(response, skipping ? 0 : startedMillis);
+        if (skipping) {
+            reportStray(StrayBytes.Place.BEFORE_ANSWER, 0, id);
             return;
         }
         headSeen = true;
