Use no connection again on which bytes arrived that belong to no request

What callers could see: the next request of such a connection fails, or its answer is read as the continuation of a head that arrived in part behind the answer before.

Cause: bytes behind an answer were noticed only once they formed a whole head. A part of one stayed in the decoder while the connection was idle, and bytes that came in one read with the end of an answer were still undecoded when the next request was sent.

Change: undecoded bytes at the end of an answer, any bytes while no request is in progress, and a skipped answer to another request keep the connection from being used again. Whole heads among them are still read for notices.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -30,8 +30,9 @@
 /**
  * A connection to a backend server that carries one request at a time.
  *
- * <p>An answer with an identifier other than that of the request in progress is surplus and skipped. Bytes received
- * while no request is in progress close the connection. Confined to the event loop of the channel.
+ * <p>An answer with an identifier other than that of the request in progress is surplus and skipped. Bytes that
+ * belong to no request close the connection, as those that follow would be read as their continuation. Confined to the
+ * event loop of the channel.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     private final BackendPool pool;
@@ -49,6 +50,7 @@
     private long lastReadMillis;
     private boolean paused;
     private boolean draining;
+    private boolean strayReceived;
     private int requests;
     private @Nullable BodyWriter unwritten;
     private @Nullable AnswerEndCheck ends;
@@ -233,6 +235,9 @@
             public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
                 if (listener == null && message instanceof ByteBuf stray) {
                     reportStray(StrayBytes.Place.IDLE, stray.readableBytes(), "");
+                    super.channelRead(context, message);
+                    close();
+                    return;
                 }
                 if (!(message instanceof ByteBuf bytes) || volume.admits(bytes.readableBytes())) {
                     super.channelRead(context, message);
@@ -354,7 +359,7 @@
         pauseReading(false);
         boolean written = requestWritten();
         unwritten = null;
-        if (reusable && answerHasLength && !draining && written) {
+        if (reusable && answerHasLength && !draining && written && !strayReceived) {
             pool.returnIdle(this);
         } else {
             close();
@@ -363,6 +368,7 @@
     }
 
     private void reportStray(StrayBytes.Place place, long bytes, String answerId) {
+        strayReceived = true;
         pool.defects().onStrayBytes(new StrayBytes(place, bytes, lastRequestId, answerId));
     }
 
--- a/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
+++ b/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
@@ -16,6 +16,7 @@
  * first answer, the other headers and the body are those of the second.
  */
 public final class MergedHeadCheck {
+    private static final String PROTOCOL = "HTTP/";
     /** The status line of RFC 9112, section 4. Neither a reason phrase nor a header value contains one. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+ +\\d{3}(?!\\d)");
 
@@ -50,6 +51,9 @@
     }
 
     private static Optional<String> statusLineIn(String text) {
+        if (!text.contains(PROTOCOL)) {
+            return Optional.empty();
+        }
         Matcher found = STATUS_LINE.matcher(text);
         return found.find() ? Optional.of(found.group()) : Optional.empty();
     }
