Refuse a call at a stop whose bytes have arrived and are not read yet

What callers saw: a caller whose call was arriving while its entry stopped could lose its connection without an answer, where a 503 is promised.

Cause: at the end of a stop, the entry refuses each call of which a part has arrived (`CallTimeoutHandler.refuseIfArriving`). It asked whether a part was *read*, and read what had arrived only if so. An event loop that was held up has the bytes in its socket and runs the refusals before it reads them; then the stop counts no answer under way, and the process exits.

Evidence: the new test holds the event loop up while the first bytes of a call arrive, and lets the refusal run behind that. On the code before (15 tests run, 1 failed): PipelinedCallsTest.aCallOfWhichAPartHasArrivedButIsNotReadIsAnsweredAtAStop, "expected: 1 but was: 0". The call timeout of 400 ms, which was suspected, is excluded by reading: a call that it refuses counts as an answer under way for the 2 s for which its connection lingers, and would have failed the next check.

Why it works: the connection is read first, and the question is asked behind that, as before. A call that is whole by then is served as any other one.

--- a/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallTimeoutHandler.java
@@ -98,13 +98,13 @@
 
     /** Refuses a call of which only a part has arrived, unless an answer is in progress. */
     void refuseIfArriving(Channel channel, Refusal refusal) {
-        if (mayRefuseArriving() && ArrivedBytes.isOpenAfterReading(channel) && mayRefuseArriving()) {
+        if (mayRefuse() && ArrivedBytes.isOpenAfterReading(channel) && mayRefuse() && arriving.begun()) {
             refuse(channel, refusal);
         }
     }
 
-    private boolean mayRefuseArriving() {
-        return !refused && arriving.begun() && !answerInProgress.getAsBoolean();
+    private boolean mayRefuse() {
+        return !refused && !answerInProgress.getAsBoolean();
     }
 
     /** Stops the timer, after a call was received completely or was answered before that. */
--- a/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/PipelinedCallsTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -12,7 +13,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.streamring.model.request.Refusal;
@@ -154,6 +157,39 @@
         assertThat(readAll()).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
     }
 
+    /** The event loop was held up, and the stop passed over a call whose first bytes were not read yet. */
+    @Test
+    public void aCallOfWhichAPartHasArrivedButIsNotReadIsAnsweredAtAStop() throws Exception {
+        send(CALL);
+        answer(0, "first");
+        readUntil("first");
+        CountDownLatch continued = holdUpLoop();
+        send(HEAD);
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(
+                () -> server.refuseArrivingCalls(Refusal.of(RefusalReason.ENTRY_STOPPING, "stopping")));
+        Awaitility.await().until(() -> loop().pendingTasks() > 0);
+        continued.countDown();
+        stop.get(5, TimeUnit.SECONDS);
+        assertThat(server.unwrittenAnswers()).isEqualTo(1);
+        assertThat(readAll()).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
+    }
+
+    /** Keeps the event loop from reading until the latch that is returned is counted down. */
+    private CountDownLatch holdUpLoop() throws InterruptedException {
+        CountDownLatch heldUp = new CountDownLatch(1);
+        CountDownLatch continued = new CountDownLatch(1);
+        loop().submit(() -> {
+            heldUp.countDown();
+            return continued.await(5, TimeUnit.SECONDS);
+        });
+        heldUp.await();
+        return continued;
+    }
+
+    private SingleThreadEventLoop loop() {
+        return (SingleThreadEventLoop) loops.next();
+    }
+
     @Test
     public void aStopDoesNotRefuseACallBehindAnAnswerInProgress() throws Exception {
         send(CALL);
