Load the classes of HttpCallerTest without its slow answer

Before each of its five tests HttpCallerTest loads the client's classes by a call whose answer comes byte by byte, 40 bytes 80 ms apart: 3.1 to 3.4 s each time, while nothing else runs, as all other modules but one wait for net.

Change: the answer to that call comes at once. The slow answers under test, their timeouts and all checks stay as they are.

--- a/net/src/test/java/org/streamring/net/http/HttpCallerTest.java
+++ b/net/src/test/java/org/streamring/net/http/HttpCallerTest.java
@@ -38,7 +38,7 @@
 
     /** The first call of a process loads the client classes, which may take longer than the idle timeout under test. */
     private void loadClasses() throws Exception {
-        respondWith(CONTENT_LENGTH);
+        respondWith(CONTENT_LENGTH, 0);
         call(10_000).get(20, TimeUnit.SECONDS);
     }
 
@@ -117,6 +117,10 @@
 
     /** Sends a response of this many bytes, one by one. The content length is at least {@code CONTENT_LENGTH}. */
     private void respondWith(int bytes) {
+        respondWith(bytes, BYTE_INTERVAL_MILLIS);
+    }
+
+    private void respondWith(int bytes, long byteIntervalMillis) {
         Thread server = new Thread(() -> {
             try (Socket socket = serverSocket.accept()) {
                 OutputStream out = socket.getOutputStream();
@@ -125,7 +129,7 @@
                         ("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
                 for (int i = 0; i < bytes; i++) {
                     out.write('x');
-                    Thread.sleep(BYTE_INTERVAL_MILLIS);
+                    Thread.sleep(byteIntervalMillis);
                 }
                 Thread.sleep(10_000);
             } catch (IOException e) {
