Read no row of the store from two answers, and no stray bytes as an answer

What was seen: calls of the store got the status of one answer with the headers and the body of another, and a call got bytes that a connection had brought before it was sent, as its answer or as the begin of it. A write could count as refused (503: nothing was done) by the status line of an answer that broke off. The store's answers carry no identifier.

Cause: the same as with backend servers: the decoder reads the rest of a broken-off head, or bytes behind an answer, together with the head that follows. Bytes behind an answer were not seen as long as they formed no head; and a reply was completed within the decoding of a read, so that the next call could be sent before the rest of that read was looked at.

A connection is not used again once bytes arrive that belong to no call; they are not decoded, and are logged as stray_bytes. A reply is completed once all that has arrived is read, and an idle connection is read before it is used.

Both faults are mended together, as they need the same change of the pipeline.

Not told apart: a whole second answer that arrives after the next call was written.

--- a/net/src/main/java/org/streamring/net/http/HttpCaller.java
+++ b/net/src/main/java/org/streamring/net/http/HttpCaller.java
@@ -11,19 +11,25 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamring.net.process.ArrivedBytes;
 import org.streamring.net.process.TcpClient;
 
 /**
@@ -31,11 +37,17 @@
  *
  * <p>A call that times out closes its connection, since a late response could not be matched to a call. The main limit
  * is an idle timeout between bytes: with a limit on the complete response alone, boxes with 10 Mbit/s links could not
- * read a 2 MB response within 1.8 s, however often they retried. Confined to its event loop.
+ * read a 2 MB response within 1.8 s, however often they retried.
+ *
+ * <p>Responses do not name their call. Hence a connection is not used again once bytes arrived on it that belong to no
+ * call, and a response whose head was read from two is a failed call of unknown outcome. Confined to its event loop.
  */
 public final class HttpCaller {
+    private static final Logger LOGGER = LoggerFactory.getLogger(HttpCaller.class);
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
-    private static final String CODEC = "codec";
+    private static final String DECODER = "decoder";
+    private static final int MAX_HEAD_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 8_192;
     private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024;
     /**
      * Timeout for the complete response, as a multiple of the idle timeout. The largest response takes 6.7 s at
@@ -44,13 +56,19 @@
     static final int TOTAL_TIMEOUT_FACTOR = 8;
 
     private final EventLoop loop;
+    private final MergedHeadCheck headCheck;
     private InetSocketAddress address;
     private final Deque<Channel> idle = new ArrayDeque<>();
 
-    /** Creates a client; connections are opened on demand. */
-    public HttpCaller(EventLoop loop, InetSocketAddress address) {
+    /**
+     * Creates a client; connections are opened on demand.
+     *
+     * @param singleHeaders names of headers that a response has at most once, beside those of HTTP
+     */
+    public HttpCaller(EventLoop loop, InetSocketAddress address, List<String> singleHeaders) {
         this.loop = loop;
         this.address = address;
+        this.headCheck = new MergedHeadCheck(singleHeaders);
     }
 
     /** Sets the address of the service for subsequent calls; closes idle connections if it differs. */
@@ -85,7 +103,7 @@
         Call call = new Call(method, target, body, idleTimeoutMillis, totalTimeoutMillis);
         call.scheduleTimeout(idleTimeoutMillis);
         Channel pooled = idle.pollFirst();
-        while (pooled != null && !pooled.isActive()) {
+        while (pooled != null && !ArrivedBytes.isOpenAfterReading(pooled)) {
             pooled = idle.pollFirst();
         }
         if (pooled == null) {
@@ -115,11 +133,13 @@
     }
 
     private void prepare(Channel created) {
+        AnswerDecoder decoder = new AnswerDecoder(MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        ReplyHandler replies = new ReplyHandler(decoder);
         created.pipeline()
-                .addLast(new ReceivedBytesHandler())
-                .addLast(CODEC, new HttpClientCodec())
-                .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES), new ReplyHandler());
-        AnswerEndCheck.around(created, CODEC);
+                .addLast(new ReceivedBytesHandler(replies), new HttpRequestEncoder())
+                .addLast(DECODER, decoder)
+                .addLast(new MergedHeadHandler(headCheck), new HttpObjectAggregator(MAX_REPLY_BYTES), replies);
+        replies.ends = AnswerEndCheck.around(created, DECODER);
     }
 
     /** Request in progress; its timeout includes the time to connect. */
@@ -203,42 +223,85 @@
         }
     }
 
-    /** Records the bytes received, before they are decoded, to reset the idle timeout of the call. */
+    /** Takes the bytes received, before they are decoded: those of a response, or those that belong to no call. */
     private static final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
+        private final ReplyHandler replies;
+
+        private ReceivedBytesHandler(ReplyHandler replies) {
+            this.replies = replies;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object bytes) {
-            Call waiting = context.pipeline().get(ReplyHandler.class).call;
-            if (waiting != null && bytes instanceof ByteBuf buffer) {
-                waiting.recordReceived(buffer.readableBytes());
+            Call waiting = replies.call;
+            int count = bytes instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
+            if (waiting == null) {
+                ReferenceCountUtil.release(bytes);
+                closeAfterStrayBytes(context.channel(), count);
+                return;
             }
+            waiting.recordReceived(count);
             context.fireChannelRead(bytes);
         }
     }
 
-    /** Completes the call that is using the connection. */
+    private static void closeAfterStrayBytes(Channel channel, int count) {
+        LOGGER.warn("stray_bytes service={} bytes={}", channel.remoteAddress(), count);
+        channel.close();
+    }
+
+    /** Completes the call that is using the connection, once all bytes that have arrived are read. */
     private final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final AnswerDecoder decoder;
+        private @Nullable AnswerEndCheck ends;
         private @Nullable Call call;
+        private @Nullable Runnable completion;
+
+        private ReplyHandler(AnswerDecoder decoder) {
+            this.decoder = decoder;
+        }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            Call completed = call;
+            Call answered = call;
             call = null;
-            if (completed == null || response.decoderResult().isFailure()) {
+            if (answered == null) {
                 context.close();
-                if (completed != null) {
-                    completed.fail("malformed or unexpected HTTP response");
-                }
                 return;
             }
-            completed.cancelTimer();
-            if (HttpUtil.isKeepAlive(response)) {
-                idle.addFirst(context.channel());
-            } else {
+            if (response.decoderResult().isFailure()) {
+                answered.fail(
+                        "malformed HTTP response: " + response.decoderResult().cause());
+                return;
+            }
+            answered.cancelTimer();
+            if (decoder.undecodedBytes() > 0) {
+                closeAfterStrayBytes(context.channel(), decoder.undecodedBytes());
+            } else if (!HttpUtil.isKeepAlive(response)) {
                 context.close();
             }
             HttpReply completeReply = new HttpReply(
                     response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
-            completed.reply.complete(completeReply);
+            completion = () -> answered.reply.complete(completeReply);
+        }
+
+        /** The next call, which may be sent at once, must not take bytes for its response that arrived before it. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            complete(context.channel());
+            context.fireChannelReadComplete();
+        }
+
+        private void complete(Channel channel) {
+            Runnable completing = completion;
+            if (completing == null) {
+                return;
+            }
+            completion = null;
+            if (channel.isActive() && !Objects.requireNonNull(ends).endReceived()) {
+                idle.addFirst(channel);
+            }
+            completing.run();
         }
 
         @Override
@@ -248,6 +311,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            complete(context.channel());
             idle.remove(context.channel());
             Call interrupted = call;
             call = null;
--- a/net/src/test/java/org/streamring/net/http/HttpCallerTest.java
+++ b/net/src/test/java/org/streamring/net/http/HttpCallerTest.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -145,7 +146,9 @@
     private CompletableFuture<HttpReply> call(byte[] body, long idleTimeoutMillis)
             throws InterruptedException, ExecutionException {
         HttpCaller caller = new HttpCaller(
-                loops.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), serverSocket.getLocalPort()));
+                loops.next(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), serverSocket.getLocalPort()),
+                List.of());
         return CompletableFuture.supplyAsync(
                         () -> caller.call(HttpMethod.GET, "/", body, idleTimeoutMillis), loops.next())
                 .get();
