Read no answer of the platform's services from two

What was seen: a call of the platform's services, whose connections are kept, took the status line of one answer with the body of another, also where a part of the first had arrived on the idle connection.

Cause: AsyncHttpClient's decoder reads on until an empty line, as those of the other clients do.

Change: AnswerChecks adds the check for merged heads, and that for the proper end of an answer without a length, to the connections of an AsyncHttpClient. A rejected answer is a failed call (PlatformException, as for a broken connection), whose callers read again what was written.

An answer that ends at any byte, or by a reset, failed its call before as well. A whole second answer that arrives after the next call was written is not told apart: these answers name no call.

--- a/net/src/main/java/org/streamring/platform/http/PlatformHttpClient.java
+++ b/net/src/main/java/org/streamring/platform/http/PlatformHttpClient.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncHttpClient;
@@ -13,6 +14,7 @@
 import org.asynchttpclient.Response;
 import org.streamring.kernel.table.PlatformException;
 import org.streamring.kernel.table.RowText;
+import org.streamring.net.http.AnswerChecks;
 
 /** Blocking HTTP client of the platform. Never retries a call. */
 final class PlatformHttpClient {
@@ -35,6 +37,7 @@
                 .setReadTimeout(NO_TIMEOUT)
                 .setMaxRequestRetry(0)
                 .setIoThreadsCount(1)
+                .setHttpAdditionalChannelInitializer(AnswerChecks.withSingleHeaders(List.of()))
                 .setThreadPoolName("platform"));
     }
 
