Refuse callers' heads that hold another request, or a header twice

What was seen: a caller's head that breaks off inside a header value and is continued by the head of the next request (X-A: fooPOST /b HTTP/1.1) was served as one request, with the target of the first and the identifier and body of the second. A header that a request has once could stand twice: the entry decided by the first, the server may by the last.

Cause: the decoder of callers' heads reads on until an empty line, as that of answers does.

Change: RequestCodec, which both kinds of entries use, marks such a head as failed. It is refused with 400, the connection is closed, and neither it nor what follows is passed on. Requests that can't be read were refused without a line in the log; they are logged as request_refused with their reason now.

A head that breaks off inside its method is a request with an unknown method, and a second one inside a body is that body; neither can be told.

--- a/direct/src/main/java/org/streamring/direct/DirectEntry.java
+++ b/direct/src/main/java/org/streamring/direct/DirectEntry.java
@@ -219,7 +219,7 @@
                 memory,
                 clock,
                 gracefulStop::stopping,
-                platform.headers().requestId(),
+                platform.headers(),
                 incompleteAnswers);
     }
 
--- a/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerConnection.java
@@ -361,6 +361,7 @@
         }
 
         private void writeRefusal(UnreadableRequest refused) {
+            sink.refused(requestId, refused.status().code(), refused.reason(), refused.text());
             writeFull(refused.status().code(), refused.headers(), refused.body());
         }
 
--- a/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
+++ b/direct/src/main/java/org/streamring/direct/caller/CallerServer.java
@@ -13,9 +13,11 @@
 import java.util.function.Supplier;
 import org.streamring.direct.memory.BodyMemory;
 import org.streamring.model.route.CallerLimits;
+import org.streamring.net.http.MergedRequestCheck;
 import org.streamring.net.http.RequestCodec;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.ListeningSocket;
+import org.streamring.platform.node.ForwardingHeaders;
 
 /** Server socket for callers. Confined to the event loop, except for the constructor. */
 public final class CallerServer {
@@ -27,13 +29,14 @@
     private final LongSupplier clock;
     private final BodyMemory memory;
     private final String requestIdHeader;
+    private final MergedRequestCheck headCheck;
     private final ListeningSocket listeningSocket;
 
     /**
      * Opens the server socket.
      *
      * @param memory memory for the bodies of requests
-     * @param requestIdHeader name of the header in which callers identify their requests
+     * @param headers names of the headers that callers send
      */
     public CallerServer(
             EventLoopGroup loops,
@@ -43,13 +46,14 @@
             BodyMemory memory,
             LongSupplier clock,
             BooleanSupplier stopping,
-            String requestIdHeader,
+            ForwardingHeaders headers,
             IncompleteAnswer.Listener incompleteAnswers)
             throws PeerException {
         this.limits = limits;
         this.clock = clock;
         this.memory = memory;
-        this.requestIdHeader = requestIdHeader;
+        this.requestIdHeader = headers.requestId();
+        this.headCheck = new MergedRequestCheck(headers.singleInRequests());
         this.listeningSocket = new ListeningSocket(
                 loops,
                 address,
@@ -111,6 +115,7 @@
                         connection.arriving().beforeDecoder(),
                         new RequestCodec(
                                 connection.arriving(),
+                                headCheck,
                                 Math.max(MAX_LINE_BYTES, maxHeaderBytes),
                                 maxHeaderBytes,
                                 CHUNK_BYTES),
--- a/direct/src/main/java/org/streamring/direct/caller/RequestSink.java
+++ b/direct/src/main/java/org/streamring/direct/caller/RequestSink.java
@@ -5,6 +5,14 @@
     /** Starts to serve a request, whose answer is sent through the writer. */
     ActiveRequest serve(CallerRequest request, AnswerWriter writer);
 
+    /**
+     * Called when a request was refused before it could be served, because it can't be read or has not arrived whole.
+     *
+     * @param requestId identifier that the caller gave; empty if there is none
+     * @param reason short name of the cause
+     */
+    void refused(String requestId, int status, String reason, String detail);
+
     /**
      * Attempts of a request so far.
      *
--- a/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
+++ b/direct/src/main/java/org/streamring/direct/request/RequestRouter.java
@@ -67,6 +67,27 @@
         return start(arrival, service, Optional.empty());
     }
 
+    @Override
+    public void refused(String requestId, int status, String reason, String detail) {
+        services.log()
+                .line(
+                        "request_refused",
+                        "request",
+                        requestId,
+                        "status",
+                        status,
+                        "reason",
+                        reason,
+                        "detail",
+                        detail,
+                        "config",
+                        versionInForce());
+    }
+
+    private long versionInForce() {
+        return services.routes().get().map(RouteTable::version).orElse(-1L);
+    }
+
     /** Whether tokens that a prepaid account has to cover are declared, but can't be read. */
     private boolean hasUnreadableTokens(CallerRequest request, Optional<PrepaidAccount> account) {
         String declared = request.headers().get(services.names().tokens());
@@ -140,7 +161,7 @@
                         "reason",
                         answer.reason(),
                         "config",
-                        services.routes().get().map(RouteTable::version).orElse(-1L));
+                        versionInForce());
         services.metrics().requestEnded(answer.reason(), 0, services.clock().getAsLong() - request.arrivedMillis());
         answer.write(writer, services.names(), id);
         return ALREADY_ANSWERED;
--- a/direct/src/test/java/org/streamring/direct/caller/CallerServerTestBase.java
+++ b/direct/src/test/java/org/streamring/direct/caller/CallerServerTestBase.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.streamring.direct.TestHeaders;
 import org.streamring.direct.log.DecisionLog;
 import org.streamring.direct.memory.BodyMemory;
 import org.streamring.direct.metrics.EntryMetrics;
@@ -35,6 +36,7 @@
     final List<CallerRequest> served = new CopyOnWriteArrayList<>();
     final List<AnswerWriter> waiting = new CopyOnWriteArrayList<>();
     final List<IncompleteAnswer> incomplete = new CopyOnWriteArrayList<>();
+    final List<String> refused = new CopyOnWriteArrayList<>();
     private NioEventLoopGroup loops;
     private EventLoop loop;
     private DecisionLog log;
@@ -52,6 +54,7 @@
         served.clear();
         waiting.clear();
         incomplete.clear();
+        refused.clear();
         stopping = false;
         answerAtOnce = true;
         answerBytes = 2;
@@ -64,12 +67,12 @@
         server = new CallerServer(
                 loops,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                this::serve,
+                new Sink(),
                 () -> new CallerLimits(16_384, maxBodyBytes, headerTimeout, idleTimeout),
                 new BodyMemory(loop, CallerServerTestBase::nowMillis, memoryLimits(), new EntryMetrics(), log),
                 CallerServerTestBase::nowMillis,
                 () -> stopping,
-                "X-Request-Id",
+                TestHeaders.NAMES,
                 incomplete::add);
         caller = new Socket(InetAddress.getLoopbackAddress(), server.port());
         caller.setTcpNoDelay(true);
@@ -92,6 +95,18 @@
         return new MemoryLimits(100_000_000);
     }
 
+    private final class Sink implements RequestSink {
+        @Override
+        public ActiveRequest serve(CallerRequest request, AnswerWriter writer) {
+            return CallerServerTestBase.this.serve(request, writer);
+        }
+
+        @Override
+        public void refused(String requestId, int status, String reason, String detail) {
+            refused.add(requestId + " " + status + " " + reason);
+        }
+    }
+
     private RequestSink.ActiveRequest serve(CallerRequest request, AnswerWriter writer) {
         served.add(request);
         if (answerAtOnce) {
@@ -127,7 +142,7 @@
     }
 
     static String request(int bodyBytes) {
-        return "POST /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+        return "POST /a HTTP/1.1\r\nHost: h.example\r\nid: r\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
     }
 
     void send(String text) throws IOException {
--- a/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallHandler.java
@@ -31,6 +31,7 @@
 import org.streamring.net.generated.Wire.Header;
 import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.ContinueExpectedEvent;
+import org.streamring.net.http.MergedRequestException;
 import org.streamring.net.http.UnsupportedExpectationException;
 import org.streamring.net.process.ArrivedBytes;
 
@@ -151,7 +152,10 @@
             return;
         }
         if (!readable) {
-            answer.refuse(refusalOf(request.decoderResult().cause()));
+            Refusal refusal = refusalOf(request.decoderResult().cause());
+            LOGGER.info(
+                    "request_refused request={} reason={} detail={}", requestId, refusal.reason(), refusal.message());
+            answer.refuse(refusal);
             return;
         }
         if (stopping.getAsBoolean() && pending.isEmpty() && !arriving.begun()) {
@@ -175,6 +179,9 @@
         if (cause instanceof TooLongFrameException) {
             return Refusal.of(RefusalReason.HEADERS_TOO_LARGE, "the request line or headers are too large");
         }
+        if (cause instanceof MergedRequestException) {
+            return Refusal.of(RefusalReason.BAD_REQUEST, cause.getMessage());
+        }
         return Refusal.of(RefusalReason.BAD_REQUEST, "the request is not valid HTTP");
     }
 
--- a/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/streamring/entry/caller/CallerServer.java
@@ -13,6 +13,7 @@
 import org.streamring.model.request.Refusal;
 import org.streamring.net.http.ArrivingRequest;
 import org.streamring.net.http.BodyAggregator;
+import org.streamring.net.http.MergedRequestCheck;
 import org.streamring.net.http.RequestCodec;
 import org.streamring.net.peer.PeerException;
 import org.streamring.net.process.ListeningSocket;
@@ -22,6 +23,8 @@
     private static final int MAX_LINE_BYTES = 8192;
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
+    private static final MergedRequestCheck HEAD_CHECK = new MergedRequestCheck(
+            List.of(CallHeaders.IDEMPOTENCY_KEY, CallHeaders.DEADLINE_MILLIS, CallHeaders.NOT_REPEATABLE));
 
     private final UnwrittenAnswers unwritten = new UnwrittenAnswers();
     /** Open connections, whose handlers are confined to their event loops. */
@@ -54,7 +57,7 @@
                             new ReadTimeoutHandler(readTimeout),
                             timeoutHandler,
                             arriving.beforeDecoder(),
-                            new RequestCodec(arriving, MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                            new RequestCodec(arriving, HEAD_CHECK, MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                             new BodyAggregator(maxBodyBytes),
                             new CallHandler(receiver, timeoutHandler, arriving, () -> closed, unwritten));
         });
--- a/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
+++ b/entry/src/test/java/org/streamring/entry/caller/CallerServerTest.java
@@ -25,6 +25,7 @@
 
 /** Tests the answers to malformed and slow requests, which are sent as raw bytes. */
 public class CallerServerTest {
+    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
     private static final int MAX_BODY = 1024;
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
@@ -59,6 +60,7 @@
     /** Sends bytes and returns everything that is received until the server closes the connection. */
     private String answerTo(String sent) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
             socket.getOutputStream().write(sent.getBytes(US_ASCII));
             socket.getOutputStream().flush();
             return new String(socket.getInputStream().readAllBytes(), US_ASCII);
@@ -73,6 +75,11 @@
             {"a chunk size that is no number", CHUNKED + "zz\r\nabc\r\n0\r\n\r\n", 400},
             {"a negative length", HEAD + "Content-Length: -5\r\n\r\n", 400},
             {"two lengths", HEAD + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+            {"a call inside another", HEAD + "X-A: fooPOST /b HTTP/1.1\r\nContent-Length: 1\r\n\r\na", 400},
+            {"two hosts", HEAD + "host: x\r\nContent-Length: 0\r\n\r\n", 400},
+            {"two keys", HEAD + "Authorization: Bearer a\r\nauthorization: Bearer a\r\n\r\n", 400},
+            {"two idempotency keys", HEAD + "Idempotency-Key: a\r\nIdempotency-Key: a\r\n\r\n", 400},
+            {"two deadlines", HEAD + "Streamring-Deadline-Ms: 9\r\nStreamring-Deadline-Ms: 9\r\n\r\n", 400},
             {"chunks above the limit", CHUNKED + "800\r\n" + "x".repeat(0x800) + "\r\n0\r\n\r\n", 413},
             {"a length above the limit", HEAD + "Content-Length: 999999\r\n\r\n", 413},
             {"an expectation that is not supported", HEAD + "Expect: x\r\nContent-Length: 0\r\n\r\n", 417},
@@ -138,6 +145,7 @@
     public void aCallerThatSendsOnAfterItsRefusalIsNotReset(String name, String sent, int status) throws Exception {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
             socket.setTcpNoDelay(true);
+            socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
             socket.getOutputStream().write(sent.getBytes(US_ASCII));
             for (int i = 0; i < 5; i++) {
                 Thread.sleep(50);
--- a/net/src/main/java/org/streamring/net/http/RequestCodec.java
+++ b/net/src/main/java/org/streamring/net/http/RequestCodec.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -16,16 +17,23 @@
 
 /**
  * Decodes the requests of a caller and encodes their answers. Unlike the codec of the library, it tells an
- * {@link ArrivingRequest} at which byte each request ends.
+ * {@link ArrivingRequest} at which byte each request ends, and marks heads that were read from two requests as failed.
  */
 public final class RequestCodec extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
     private final ArrivingRequest arriving;
+    private final MergedRequestCheck headCheck;
     /** Methods of the requests without an answer; an answer to HEAD has no body. */
     private final Queue<HttpMethod> methods = new ArrayDeque<>();
 
     /** Creates the codec of a new connection. */
-    public RequestCodec(ArrivingRequest arriving, int maxLineBytes, int maxHeaderBytes, int maxChunkBytes) {
+    public RequestCodec(
+            ArrivingRequest arriving,
+            MergedRequestCheck headCheck,
+            int maxLineBytes,
+            int maxHeaderBytes,
+            int maxChunkBytes) {
         this.arriving = arriving;
+        this.headCheck = headCheck;
         init(new Decoder(maxLineBytes, maxHeaderBytes, maxChunkBytes), new Encoder());
     }
 
@@ -41,6 +49,7 @@
             super.decode(context, buffer, out);
             for (Object decoded : out.subList(before, out.size())) {
                 if (decoded instanceof HttpRequest request) {
+                    rejectIfMerged(request);
                     methods.add(request.method());
                     arriving.headDecoded(request);
                 }
@@ -51,6 +60,15 @@
         }
     }
 
+    private void rejectIfMerged(HttpRequest request) {
+        if (request.decoderResult().isSuccess()) {
+            headCheck
+                    .defectOf(request)
+                    .ifPresent(defect ->
+                            request.setDecoderResult(DecoderResult.failure(new MergedRequestException(defect))));
+        }
+    }
+
     private final class Encoder extends HttpResponseEncoder {
         @Override
         protected boolean isContentAlwaysEmpty(HttpResponse response) {
--- a/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
+++ b/net/src/main/java/org/streamring/platform/node/ForwardingHeaders.java
@@ -1,5 +1,6 @@
 package org.streamring.platform.node;
 
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -41,4 +42,9 @@
     public ForwardingHeaders {
         reserved = Set.copyOf(reserved);
     }
+
+    /** Returns the names of the headers that a request has at most once. */
+    public List<String> singleInRequests() {
+        return List.of(requestId, deadline, tokens, promptParts, lengthHint, lastEventId);
+    }
 }
