--- a/net/src/main/java/org/streamring/net/http/AnswerChecks.java
+++ b/net/src/main/java/org/streamring/net/http/AnswerChecks.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import org.asynchttpclient.netty.channel.ChannelManager;
 
-/** Checks for the connections of an AsyncHttpClient, which would pass on answers that are not whole or made of two. */
+/** Checks for the connections of an AsyncHttpClient, which would pass on answers that were read from two. */
 public final class AnswerChecks {
     private AnswerChecks() {}
 
@@ -16,9 +16,7 @@
      */
     public static Consumer<Channel> withSingleHeaders(List<String> singleHeaders) {
         MergedHeadCheck headCheck = new MergedHeadCheck(singleHeaders);
-        return created -> {
-            created.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new MergedHeadHandler(headCheck));
-            AnswerEndCheck.around(created, ChannelManager.HTTP_CLIENT_CODEC);
-        };
+        return created ->
+                created.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new MergedHeadHandler(headCheck));
     }
 }
