--- a/sidecar/src/main/java/org/streamring/sidecar/backend/BackendCall.java
+++ b/sidecar/src/main/java/org/streamring/sidecar/backend/BackendCall.java
@@ -90,6 +90,12 @@
 
     @Override
     public synchronized State onHeadersReceived(HttpHeaders headers) {
+        Optional<String> otherId = Optional.ofNullable(headers.get(BackendClient.REQUEST_ID))
+                .filter(id -> !id.equals(submit.getAttempt()));
+        if (otherId.isPresent()) {
+            rejectAnswerTo(otherId.get());
+            return State.ABORT;
+        }
         streaming = submit.getModel()
                 && status == OK
                 && headers.get("Content-Type", "").startsWith("text/event-stream");
@@ -104,6 +110,13 @@
         return nextState();
     }
 
+    /** The status of an answer to another request says nothing about the usage of this one. */
+    private void rejectAnswerTo(String otherId) {
+        status = 0;
+        abort = true;
+        fail("the answer is that to " + otherId);
+    }
+
     @Override
     public synchronized State onBodyPartReceived(HttpResponseBodyPart part) {
         byte[] bytes = part.getBodyPartBytes();
@@ -170,6 +183,7 @@
             return;
         }
         ended = true;
+        LOGGER.warn("answer_broken attempt={} reason={}", submit.getAttempt(), reason);
         listener.failed(capAtReservation(finalUsage().orElse(estimatedUsage())), reason);
     }
 
