Reject bodies that hold the head of a second answer

What callers saw: a success whose body ends with the head and a part of a second answer.

Cause: an answer broke off in its body, its server answered the same request once more on the connection, and the decoder read the second answer as the missing part, or as the rest of an answer without a length.

Change: SecondAnswerCheck examines each byte of a body once, before it is passed on. A status line followed by header lines, of which one carries the identifier of this very request, is a second answer; the attempt ends as MERGED and is logged and counted as a merged head. A head that begins in the body is followed into the bytes that arrived with its end. A body that only mentions a status line is sound. No event that contains the head reaches the caller.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -26,6 +26,7 @@
 import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.http.Body;
 import org.streamring.net.http.BodyWriter;
+import org.streamring.net.http.SecondAnswerCheck;
 
 /**
  * A connection to a backend server that carries one request at a time.
@@ -55,6 +56,7 @@
     private @Nullable BodyWriter unwritten;
     private @Nullable AnswerEndCheck ends;
     private @Nullable AnswerDecoder decoder;
+    private @Nullable SecondAnswerCheck secondAnswer;
     /** Identifier of the last request that was sent; empty before the first one. */
     private String lastRequestId = "";
 
@@ -314,6 +316,8 @@
             return;
         }
         headSeen = true;
+        secondAnswer = new SecondAnswerCheck(
+                requestIdHeader, Objects.requireNonNull(request).id());
         pool.recordAnswer(urgency(), startedMillis);
         reusable = HttpUtil.isKeepAlive(response);
         answerHasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
@@ -340,13 +344,31 @@
             byte[] data = new byte[bytes.readableBytes()];
             bytes.readBytes(data);
             volume.passedOn(data.length);
+            if (Objects.requireNonNull(secondAnswer).add(data)) {
+                failMerged("the body contains the head of a second answer");
+                return;
+            }
             current().onData(data);
         }
         if (last && listener != null) {
+            end();
+        }
+    }
+
+    private void end() {
+        if (Objects.requireNonNull(secondAnswer)
+                .goesOnIn(Objects.requireNonNull(decoder).undecoded())) {
+            failMerged("the body ends inside the head of a second answer");
+        } else {
             finish();
         }
     }
 
+    private void failMerged(String detail) {
+        pool.defects().onMergedHead(lastRequestId, detail);
+        fail(AttemptFailure.MERGED, detail);
+    }
+
     private void finish() {
         AttemptListener finished = current();
         int undecoded = Objects.requireNonNull(decoder).undecodedBytes();
--- a/net/src/main/java/org/streamring/net/http/AnswerDecoder.java
+++ b/net/src/main/java/org/streamring/net/http/AnswerDecoder.java
@@ -1,8 +1,9 @@
 package org.streamring.net.http;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
-/** Decodes answers, and tells how many bytes arrived behind the answer that was decoded last. */
+/** Decodes answers, and tells which bytes arrived behind the answer that was decoded last. */
 public final class AnswerDecoder extends HttpResponseDecoder {
     /**
      * Creates the decoder of a new connection.
@@ -18,4 +19,9 @@
     public int undecodedBytes() {
         return actualReadableBytes();
     }
+
+    /** Returns a copy of the bytes that were received and not decoded yet. */
+    public byte[] undecoded() {
+        return ByteBufUtil.getBytes(internalBuffer());
+    }
 }
