Don't take the end of a server's process for the end of an answer

What callers saw: status 200 with half a body, and streams that end as complete ahead of their last event.

Cause: an answer with neither length nor chunks ends with its connection. When the process of a server exits, its connections end in the same way, and whether it has exited was asked only after an attempt that broke.

Change: the end of such an answer waits until ProcessExitCheck has told whether the process has exited (ConnectionEndCheck); events are passed on as they come. If it has, the answer is broken, unless the server had announced that it leaves, by a notice or its row, or is no longer listed (PlannedEnds, taken out of CrashSuspectGuard, which judges crashes by the same). Answers with 204 or 304, and those that say that the request is not run, do not wait.

Failed on the code before, in ConnectionEndedAnswersTest: #anAnswerIsNotCompleteIfItsServerExitsUnexpectedly: "got Optional[half a bo]", and a stream that ended as complete #aStreamWhoseServerExitsBetweenEventsGoesOnElsewhere: only the first event arrived They pass now. The last answers of a server that leaves, by a notice or by its row, and answers of servers that close only their connection are whole as before.

--- a/direct/src/main/java/org/streamring/direct/backend/AnswerHead.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AnswerHead.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.OptionalLong;
 
 /**
@@ -31,7 +32,10 @@
      * ends. The process of a server that crashes ends its connections in the same way.
      */
     public boolean endsWithConnection() {
-        return !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        boolean hasBody =
+                status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+        return hasBody
+                && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
                 && !headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
     }
 }
--- a/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
+++ b/direct/src/main/java/org/streamring/direct/backend/AttemptFailure.java
@@ -19,6 +19,11 @@
     UNIDENTIFIED,
     /** More bytes arrived than belong to an answer. */
     ENDLESS,
+    /**
+     * The process of the backend server exited, which ended the connection. The answer has neither a length nor chunks,
+     * so it may be a part.
+     */
+    EXITED,
     /** The attempt failed after the request was sent, so the backend server may have run the request. */
     BROKEN
 }
--- a/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
+++ b/direct/src/main/java/org/streamring/direct/request/AttemptRun.java
@@ -1,10 +1,8 @@
 package org.streamring.direct.request;
 
-import io.netty.util.concurrent.Future;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -30,8 +28,6 @@
      * another replica after this time may still be answered in time.
      */
     private static final long SILENCE_TIMEOUT_MILLIS = 1_000;
-    /** Shorter than the half second after which a replica should no longer work for a caller that left. */
-    private static final long MAX_DRAIN_MILLIS = 250;
 
     private final RequestServices services;
     private final RequestPlan plan;
@@ -51,9 +47,7 @@
     private int eventsDelivered;
     private boolean streaming;
     private boolean written;
-    private boolean draining;
-    private int drainedEvents;
-    private @Nullable Future<?> drainTimer;
+    private final AttemptDrain drain;
     private boolean finished;
     /** Whether the answer is kept after the attempt, together with its memory. */
     private boolean answerKept;
@@ -81,6 +75,7 @@
         this.sendListener = owner;
         this.silentMark = new SilentMark(state);
         this.body = new AnswerBody(new AnswerMemory(services.memory(), plan.id(), this::pauseForMemory));
+        this.drain = new AttemptDrain(services.loop());
         this.silenceCheck = new SilenceCheck(services.loop(), this::silence, this::silenceChecked);
     }
 
@@ -177,8 +172,7 @@
     void cancelAndDrain() {
         owner.attemptSent();
         release();
-        draining = true;
-        drainTimer = services.loop().schedule(this::drainTimedOut, MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+        drain.begin(this::drainTimedOut);
         if (silent != null) {
             drainTimedOut();
             return;
@@ -192,15 +186,14 @@
     }
 
     private void endDraining(boolean toItsEnd) {
-        if (!draining) {
+        if (!drain.isRunning()) {
             return;
         }
-        draining = false;
-        Objects.requireNonNull(drainTimer).cancel(false);
+        drain.stop();
         AnswerHead answered = head;
         boolean countable = streaming || answered == null || answered.status() >= FIRST_NON_SUCCESS_STATUS;
         int incompleteEvents = relay.endsBetweenEvents() ? 0 : 1;
-        owner.attemptDrained(drainedEvents + incompleteEvents, toItsEnd && countable);
+        owner.attemptDrained(drain.events() + incompleteEvents, toItsEnd && countable);
     }
 
     private Silence silence() {
@@ -289,7 +282,7 @@
         streaming = relay.isStreamed(answerHead) && sealed(answerHead);
         if (streaming) {
             relay.streamStarted(answerHead);
-        } else if (!draining && !body.expect(answerHead)) {
+        } else if (!drain.isRunning() && !body.expect(answerHead)) {
             endUnread("answer_too_large");
         }
     }
@@ -297,7 +290,7 @@
     /** Ends the attempt without reading the rest of the answer. */
     private void endUnread(String reason) {
         Objects.requireNonNull(attempt).cancel();
-        if (draining) {
+        if (drain.isRunning()) {
             endDraining(false);
         } else {
             endBroken(reason);
@@ -308,7 +301,7 @@
     public void onData(byte[] data) {
         state.heard();
         services.link().addBytes(Traffic.ANSWERS, data.length, services.clock().getAsLong());
-        if (draining) {
+        if (drain.isRunning()) {
             skip(data);
             return;
         }
@@ -330,7 +323,7 @@
     }
 
     private void skip(byte[] data) {
-        drainedEvents += streaming ? relay.skipData(data) : 0;
+        drain.add(streaming ? relay.skipData(data) : 0);
         if (relay.partialBytes() > AnswerMemory.MAX_EVENT_BYTES) {
             endUnread("event_without_end");
         }
@@ -338,17 +331,40 @@
 
     @Override
     public void onEnd() {
-        if (draining) {
+        if (drain.isRunning()) {
             endDraining(true);
             return;
         }
         AnswerHead answeredHead = Objects.requireNonNull(head);
+        ConnectionEndCheck check = services.fleet().connectionEndCheck(instance);
+        if (!isNotRun(answeredHead) && check.isNeededFor(answeredHead)) {
+            check.run(this::processChecked);
+        } else {
+            endWhole(answeredHead);
+        }
+    }
+
+    private void processChecked(boolean exited) {
+        if (drain.isRunning()) {
+            endDraining(!exited);
+        } else if (!finished && exited) {
+            onFailure(AttemptFailure.EXITED, "the process exited, and nothing else shows the end of the answer");
+        } else if (!finished) {
+            endWhole(Objects.requireNonNull(head));
+        }
+    }
+
+    private boolean isNotRun(AnswerHead answeredHead) {
+        return answeredHead.headers().contains(services.names().notRun()) || answeredHead.status() == 421;
+    }
+
+    private void endWhole(AnswerHead answeredHead) {
         if (streaming) {
             endStream();
             return;
         }
         BufferedAnswer answer = body.whole(answeredHead);
-        if (answeredHead.headers().contains(services.names().notRun()) || answeredHead.status() == 421) {
+        if (isNotRun(answeredHead)) {
             endNotRun(answeredHead);
             return;
         }
@@ -412,7 +428,7 @@
 
     @Override
     public void onFailure(AttemptFailure failure, String reason) {
-        if (draining) {
+        if (drain.isRunning()) {
             endDraining(failure == AttemptFailure.CLOSED);
             return;
         }
--- a/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
+++ b/direct/src/main/java/org/streamring/direct/request/BackendFleet.java
@@ -53,6 +53,7 @@
 
     private final EventLoop loop;
     private final BackendRegistry registry;
+    private final PlannedEnds plannedEnds;
     private final BackendAvailability availability;
     private final PlacementTable placement;
     private final PermitCoordinator permits;
@@ -110,6 +111,7 @@
         this.coldMargin = coldMargin;
         this.defects = defects;
         this.registry = registry;
+        this.plannedEnds = new PlannedEnds(registry);
         this.availability = availability;
         this.permits = permits;
         this.limits = permits.limits();
@@ -291,6 +293,11 @@
                         defects.apply(instance.id())));
     }
 
+    /** Returns the check of answers of a replica that end with their connection. */
+    ConnectionEndCheck connectionEndCheck(BackendInstance instance) {
+        return new ConnectionEndCheck(pool(instance), plannedEnds, instance);
+    }
+
     private void answered(String incarnation, int status, BackendNotice notice, LimitWord limit, long sentMillis) {
         long now = clock.getAsLong();
         availability.answered(incarnation, REJECTION_STATUSES.contains(status), notice, now);
--- a/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
+++ b/direct/src/main/java/org/streamring/direct/request/CrashSuspectGuard.java
@@ -39,6 +39,7 @@
     private final SuspectTable table;
     private final SuspectExchange exchange;
     private final BackendRegistry registry;
+    private final PlannedEnds plannedEnds;
     private final LongSupplier clock;
     private final EntryMetrics metrics;
     private final DecisionLog log;
@@ -68,6 +69,7 @@
         this.table = table;
         this.exchange = exchange;
         this.registry = registry;
+        this.plannedEnds = new PlannedEnds(registry);
         this.clock = clock;
         this.metrics = metrics;
         this.log = log;
@@ -156,10 +158,7 @@
 
     /** Whether a server may have crashed: one that is shutting down or is no longer listed ends for another reason. */
     private boolean mayHaveCrashed(BackendInstance instance) {
-        boolean listed = registry.find(instance.id())
-                .filter(known -> !registry.isShuttingDown(known))
-                .isPresent();
-        return listed && !registry.isShuttingDown(instance);
+        return !plannedEnds.isExpected(instance);
     }
 
     private boolean isReplaced(BackendInstance instance) {
