Find more second answers: without an identifier, in trailers, behind a skipped answer; and let proxies' addresses pass

The code of a status line is followed by a space or the end. - A second answer without an identifier inside a body was not found. A header line with a signature counts too. - The trailers of an answer could be the head of a second one. - An answer to another request that breaks off in its body swallowed the awaited answer, and its request waited for its deadline. The attempt breaks at once.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.backend;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -315,13 +317,12 @@
         }
         skipping = request != null && id.isPresent() && !id.get().equals(request.id());
         pool.reportNotices(response, skipping ? 0 : startedMillis);
+        secondAnswer = pool.secondAnswerCheck(Objects.requireNonNull(request).id());
         if (skipping) {
             reportStray(StrayBytes.Place.BEFORE_ANSWER, 0, id.get());
             return;
         }
         headSeen = true;
-        secondAnswer = new SecondAnswerCheck(
-                requestIdHeader, Objects.requireNonNull(request).id());
         pool.recordAnswer(urgency(), startedMillis);
         reusable = HttpUtil.isKeepAlive(response);
         answerHasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
@@ -344,8 +345,8 @@
                     "the body: " + content.decoderResult().cause());
             return;
         }
-        boolean last = content instanceof LastHttpContent;
         if (skipping) {
+            skip(content.content());
             return;
         }
         if (!headSeen || listener == null) {
@@ -362,13 +363,27 @@
             }
             current().onData(data);
         }
-        if (last && listener != null) {
-            end();
+        if (content instanceof LastHttpContent end && listener != null) {
+            end(end.trailingHeaders());
         }
     }
 
-    private void end() {
-        if (Objects.requireNonNull(secondAnswer)
+    /** Skips a part of an answer to another request, which may have broken off before the answer that is awaited. */
+    private void skip(ByteBuf bytes) {
+        if (listener != null && bytes.isReadable() && secondAnswerIn(bytes)) {
+            failMerged("an answer to another request contains the head of the answer");
+        }
+    }
+
+    private boolean secondAnswerIn(ByteBuf bytes) {
+        return secondAnswer != null && secondAnswer.add(ByteBufUtil.getBytes(bytes));
+    }
+
+    private void end(HttpHeaders trailers) {
+        Optional<String> defect = pool.headCheck().defectOf(trailers);
+        if (defect.isPresent()) {
+            failMerged("in the trailers: " + defect.get());
+        } else if (Objects.requireNonNull(secondAnswer)
                 .goesOnIn(Objects.requireNonNull(decoder).undecoded())) {
             failMerged("the body ends inside the head of a second answer");
         } else {
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -22,6 +22,7 @@
 import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
 import org.streamring.net.http.MergedHeadCheck;
+import org.streamring.net.http.SecondAnswerCheck;
 import org.streamring.net.process.TcpClient;
 import org.streamring.platform.node.ForwardingHeaders;
 
@@ -43,6 +44,7 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final String requestIdHeader;
+    private final String signatureHeader;
     private final LongSupplier clock;
     private final LongConsumer onConnecting;
     private final NoticeReader notices;
@@ -78,6 +80,7 @@
         this.loop = loop;
         this.address = address;
         this.requestIdHeader = headers.requestId();
+        this.signatureHeader = headers.signature();
         this.clock = clock;
         this.onConnecting = onConnecting;
         this.notices = new NoticeReader(headers.leaving());
@@ -269,6 +272,11 @@
         noticeListener.onAnswerHead(status, notices.read(status, headers), limits.read(headers), sentMillis);
     }
 
+    /** Returns the check of the body of one answer. */
+    SecondAnswerCheck secondAnswerCheck(String requestId) {
+        return new SecondAnswerCheck(requestIdHeader, requestId, signatureHeader);
+    }
+
     MergedHeadCheck headCheck() {
         return headCheck;
     }
--- a/direct/src/test/java/org/streamring/direct/backend/StrayBytesTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/StrayBytesTest.java
@@ -1,6 +1,7 @@
 package org.streamring.direct.backend;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -106,6 +107,17 @@
         theNextRequestIsAnsweredOverANewConnection();
     }
 
+    /** Guards against a request that waits for its deadline, as its answer is skipped with the one before. */
+    @Test
+    public void anAnswerThatFollowsAnIncompleteOneToAnotherRequestBreaksTheAttempt() throws Exception {
+        CompletableFuture<Integer> first = send("r-1");
+        try (Socket connection = accept()) {
+            write(connection, "HTTP/1.1 200 OK\r\nid: r-0\r\nContent-Length: 5000\r\n\r\npart" + answer("r-1"));
+            assertThatThrownBy(() -> first.get(5, TimeUnit.SECONDS)).hasMessageContaining("MERGED");
+        }
+        theNextRequestIsAnsweredOverANewConnection();
+    }
+
     private void theNextRequestIsAnsweredOverANewConnection() throws Exception {
         CompletableFuture<Integer> next = send("r-2");
         try (Socket connection = accept()) {
--- a/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
+++ b/net/src/main/java/org/streamring/net/http/MergedHeadCheck.java
@@ -18,7 +18,7 @@
 public final class MergedHeadCheck {
     private static final String PROTOCOL = "HTTP/";
     /** The status line of RFC 9112, section 4. Neither a reason phrase nor a header value contains one. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+ +\\d{3}(?!\\d)");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+ +\\d{3}(?= |$)");
 
     private final List<CharSequence> single = new ArrayList<>(
             List.of(HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.CONTENT_TYPE, HttpHeaderNames.RETRY_AFTER));
@@ -40,6 +40,14 @@
                 .or(() -> repeatedHeader(response.headers()));
     }
 
+    /** Returns what shows that the trailers of an answer go on in the head of another one; empty if nothing does. */
+    public Optional<String> defectOf(HttpHeaders trailers) {
+        return statusLineInHeader(trailers).or(() -> single.stream()
+                .filter(trailers::contains)
+                .findFirst()
+                .map(name -> "the header " + name + " stands in the trailers"));
+    }
+
     private static Optional<String> statusLineInHeader(HttpHeaders headers) {
         for (Map.Entry<String, String> header : headers) {
             Optional<String> inValue = statusLineIn(header.getValue());
--- a/net/src/main/java/org/streamring/net/http/SecondAnswerCheck.java
+++ b/net/src/main/java/org/streamring/net/http/SecondAnswerCheck.java
@@ -8,7 +8,7 @@
  * server answers once more on the connection, the decoder reads the second answer as the rest of the body.
  *
  * <p>A body may mention a status line. One that is followed by header lines, of which one carries the identifier of the
- * request, is the beginning of an answer. Each byte is examined once. Confined to one thread.
+ * request or a signature, is the beginning of an answer. Each byte is examined once. Confined to one thread.
  */
 public final class SecondAnswerCheck {
     private static final int MAX_HEAD_BYTES = 65_536;
@@ -17,6 +17,7 @@
 
     private final String idHeader;
     private final String id;
+    private final String signatureHeader;
     private final int maxLineBytes;
     private final StatusLineMatcher statusLine = new StatusLineMatcher();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(0);
@@ -30,11 +31,13 @@
      *
      * @param idHeader name of the header that carries the identifier
      * @param id identifier of the request
+     * @param signatureHeader name of the header that carries the signature of an answer
      */
-    public SecondAnswerCheck(String idHeader, String id) {
+    public SecondAnswerCheck(String idHeader, String id, String signatureHeader) {
         this.idHeader = idHeader;
         this.id = id;
-        this.maxLineBytes = idHeader.length() + id.length() + OTHER_LINE_BYTES;
+        this.signatureHeader = signatureHeader;
+        this.maxLineBytes = idHeader.length() + id.length() + signatureHeader.length() + OTHER_LINE_BYTES;
     }
 
     /** Adds the next part of the body; returns whether the body contains the head of a second answer. */
@@ -96,11 +99,16 @@
     private void readHeader(String text) {
         int colon = text.indexOf(':');
         found |= colon > 0
-                && text.substring(0, colon).trim().equalsIgnoreCase(idHeader)
-                && text.substring(colon + 1).trim().equals(id);
+                && isOfAnswer(
+                        text.substring(0, colon).trim(),
+                        text.substring(colon + 1).trim());
         inHead = colon > 0 || isFolded(text);
     }
 
+    private boolean isOfAnswer(String name, String value) {
+        return name.equalsIgnoreCase(signatureHeader) || (name.equalsIgnoreCase(idHeader) && value.equals(id));
+    }
+
     private static boolean isFolded(String text) {
         return text.startsWith(" ") || text.startsWith("\t");
     }
