Never send an identifier twice over one connection

What callers could see: a late second answer to the first attempt of a request, or to another caller's request with the same identifier, as the answer to the one in progress.

Change: BackendPool.takeIdle passes over connections that have carried the identifier (CarriedRequests); a connection is closed after 500 requests, which bounds its memory.

RepeatedIdentifierTest failed in 4 of 4 on the code before: the identifier went over the connection that had carried it. It passes now. SilentServerTest had one identifier for all its requests, so that its idle connections could no longer be used; two of its tests failed. The idle connections have carried another identifier now; what it checks is the same. MergedBodiesTest fails at once if its connection is closed, where it would have read without end.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -52,14 +52,11 @@
     private boolean paused;
     private boolean draining;
     private boolean strayReceived;
-    private int requests;
     private @Nullable BodyWriter unwritten;
     private @Nullable AnswerEndCheck ends;
     private @Nullable AnswerDecoder decoder;
     private @Nullable SecondAnswerCheck secondAnswer;
-    /** Identifier of the last request that was sent; empty before the first one. */
-    private String lastRequestId = "";
-
+    private final CarriedRequests carried = new CarriedRequests();
     private final AnswerVolume volume = new AnswerVolume();
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
@@ -92,6 +89,11 @@
         return keepAliveMillis;
     }
 
+    /** Whether this request may be sent: none with its identifier was sent before. */
+    boolean admits(String id) {
+        return carried.admits(id);
+    }
+
     boolean busy() {
         return listener != null;
     }
@@ -113,7 +115,7 @@
 
     /** Returns whether an earlier request was sent on this connection. */
     boolean reused() {
-        return requests > 1;
+        return carried.count() > 1;
     }
 
     /** Returns the urgency of the request in progress; 0 is the most urgent. */
@@ -133,8 +135,7 @@
         headSeen = false;
         skipping = false;
         startedMillis = nowMillis;
-        requests++;
-        lastRequestId = next.id();
+        carried.add(next.id());
         volume.requestSent();
         if (next.body().length <= BodyWriter.PIECE_BYTES) {
             unwritten = null;
@@ -284,7 +285,7 @@
 
     private Optional<String> mergedHead(HttpResponse response) {
         Optional<String> defect = pool.headCheck().defectOf(response);
-        defect.ifPresent(each -> pool.defects().onMergedHead(lastRequestId, each));
+        defect.ifPresent(each -> pool.defects().onMergedHead(carried.last(), each));
         return defect;
     }
 
@@ -365,7 +366,7 @@
     }
 
     private void failMerged(String detail) {
-        pool.defects().onMergedHead(lastRequestId, detail);
+        pool.defects().onMergedHead(carried.last(), detail);
         fail(AttemptFailure.MERGED, detail);
     }
 
@@ -381,7 +382,7 @@
         pauseReading(false);
         boolean written = requestWritten();
         unwritten = null;
-        if (reusable && answerHasLength && !draining && written && !strayReceived) {
+        if (mayBeUsedAgain() && written) {
             pool.returnIdle(this);
         } else {
             close();
@@ -389,9 +390,13 @@
         finished.onEnd();
     }
 
+    private boolean mayBeUsedAgain() {
+        return reusable && answerHasLength && !draining && !strayReceived && !carried.isFull();
+    }
+
     private void reportStray(StrayBytes.Place place, long bytes, String answerId) {
         strayReceived = true;
-        pool.defects().onStrayBytes(new StrayBytes(place, bytes, lastRequestId, answerId));
+        pool.defects().onStrayBytes(new StrayBytes(place, bytes, carried.last(), answerId));
     }
 
     private void fail(String reason) {
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -12,6 +12,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -99,7 +100,8 @@
      */
     public BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
-        BackendConnection ready = takeIdle(request.recentlyUsedOnly() ? MAX_FRESH_IDLE_MILLIS : Long.MAX_VALUE);
+        BackendConnection ready =
+                takeIdle(request.id(), request.recentlyUsedOnly() ? MAX_FRESH_IDLE_MILLIS : Long.MAX_VALUE);
         if (ready == null) {
             connect(attempt, opened -> send(opened, request, mayBeSent, attempt));
         } else {
@@ -117,7 +119,7 @@
      */
     public BackendAttempt beginReplacing(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
-        BackendConnection ready = takeIdle(MAX_REPLACEMENT_IDLE_MILLIS);
+        BackendConnection ready = takeIdle(request.id(), MAX_REPLACEMENT_IDLE_MILLIS);
         if (ready == null) {
             connectReplacing(request, mayBeSent, attempt);
         } else {
@@ -285,16 +287,16 @@
         open.remove(connection);
     }
 
-    private @Nullable BackendConnection takeIdle(long maxIdleMillis) {
+    /** Takes the connection that was used last of those on which no request with this identifier was sent. */
+    private @Nullable BackendConnection takeIdle(String requestId, long maxIdleMillis) {
         closeExpiredIdle();
-        BackendConnection first = idle.peekFirst();
-        if (first == null) {
-            return null;
-        }
-        if (clock.getAsLong() - first.lastUseMillis() > maxIdleMillis) {
-            return null;
-        }
-        return idle.pollFirst();
+        long now = clock.getAsLong();
+        Optional<BackendConnection> taken = idle.stream()
+                .filter(each -> now - each.lastUseMillis() <= maxIdleMillis)
+                .filter(each -> each.admits(requestId))
+                .findFirst();
+        taken.ifPresent(idle::remove);
+        return taken.orElse(null);
     }
 
     private void connect(BackendAttempt attempt, Consumer<BackendConnection> onOpened) {
