Find an exited process though a connection to it is not read

What callers saw: half a body as a whole, if another caller of the same server read slowly; and crashes were not counted.

Cause: the end of a connection is not noticed while its reading is paused. It counted as open, and so as proof that the process still runs.

Change: ProcessExitCheck ignores connections that are not read.

ProcessExitCheckTest#anExitIsFoundThoughAConnectionIsNotReadAsItsCallerIsSlow failed on the code before, and passes.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -221,6 +221,10 @@
         }
     }
 
+    boolean isPaused() {
+        return paused;
+    }
+
     void pauseReading(boolean pause) {
         if (paused && !pause) {
             lastReadMillis = pool.nowMillis();
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
@@ -88,7 +89,7 @@
         this.defects = defects;
         this.lastActivityMillis = clock.getAsLong();
         this.lastDataMillis = lastActivityMillis;
-        this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> open);
+        this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, this::readConnections);
         this.exitWatch = new ProcessExitWatch(loop, address, CONNECT_TIMEOUT_MILLIS, exitCheck);
     }
 
@@ -201,6 +202,11 @@
         exitCheck.run(listener);
     }
 
+    /** Returns the open connections whose end would be noticed: it is not while reading is paused. */
+    private Set<BackendConnection> readConnections() {
+        return open.stream().filter(each -> !each.isPaused()).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Watches for the given time whether the process of the server exits, and passes on the result once. */
     public void watchProcessExit(long millis, Consumer<Boolean> then) {
         exitWatch.run(millis, then);
