Await no body behind an answer to HEAD, and take no other protocol for an answer

What callers saw: no answer to HEAD until the attempt was given up, if the head has a length or chunks; the same after a 101, whose bytes are not HTTP.

Cause: the decoder of answers did not know the method of the request and awaited a body, as which it would have read the next answer. Behind a 101 it decodes nothing more.

Change: AnswerDecoder is told the method of each request; a 101 ends the attempt as UNREADABLE.

--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -137,6 +138,7 @@
         startedMillis = nowMillis;
         carried.add(next.id());
         volume.requestSent();
+        Objects.requireNonNull(decoder).requestSent(next.method());
         if (next.body().length <= BodyWriter.PIECE_BYTES) {
             unwritten = null;
             open.writeAndFlush(withHeaders(
@@ -305,6 +307,10 @@
             fail(AttemptFailure.MERGED, merged.get());
             return;
         }
+        if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            fail(AttemptFailure.UNREADABLE, "the head: another protocol is used from here on");
+            return;
+        }
         if (response.status().code() < 200) {
             skipping = true;
             return;
@@ -325,7 +331,9 @@
                 requestIdHeader, Objects.requireNonNull(request).id());
         pool.recordAnswer(urgency(), startedMillis);
         reusable = HttpUtil.isKeepAlive(response);
-        answerHasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        answerHasLength = Objects.requireNonNull(decoder).answersHead()
+                || HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response);
         keepAliveMillis = KeepAlive.idleMillis(response.headers().get("Keep-Alive"));
         current().onHead(new AnswerHead(response.status().code(), response.headers()));
     }
