--- a/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -57,14 +58,11 @@
     private boolean paused;
     private boolean draining;
     private boolean strayReceived;
-    private int requests;
     private @Nullable BodyWriter unwritten;
     private @Nullable AnswerEndCheck ends;
     private @Nullable AnswerDecoder decoder;
     private @Nullable SecondAnswerCheck secondAnswer;
-    /** Identifier of the last request that was sent; empty before the first one. */
-    private String lastRequestId = "";
-
+    private final CarriedRequests carried = new CarriedRequests();
     private final AnswerVolume volume = new AnswerVolume();
 
     BackendConnection(BackendPool pool, String requestIdHeader) {
@@ -97,6 +95,11 @@
         return keepAliveMillis;
     }
 
+    /** Whether this request may be sent: none with its identifier was sent before. */
+    boolean admits(String id) {
+        return carried.admits(id);
+    }
+
     boolean busy() {
         return listener != null;
     }
@@ -118,7 +121,7 @@
 
     /** Returns whether an earlier request was sent on this connection. */
     boolean reused() {
-        return requests > 1;
+        return carried.count() > 1;
     }
 
     /** Returns the urgency of the request in progress; 0 is the most urgent. */
@@ -138,9 +141,9 @@
         headSeen = false;
         skipping = false;
         startedMillis = nowMillis;
-        requests++;
-        lastRequestId = next.id();
+        carried.add(next.id());
         volume.requestSent();
+        Objects.requireNonNull(decoder).requestSent(next.method());
         if (next.body().length <= BodyWriter.PIECE_BYTES) {
             unwritten = null;
             open.writeAndFlush(withHeaders(
@@ -225,6 +228,10 @@
         }
     }
 
+    boolean isPaused() {
+        return paused;
+    }
+
     void pauseReading(boolean pause) {
         if (paused && !pause) {
             lastReadMillis = pool.nowMillis();
@@ -290,7 +297,7 @@
 
     private Optional<String> mergedHead(HttpResponse response) {
         Optional<String> defect = pool.headCheck().defectOf(response);
-        defect.ifPresent(each -> pool.defects().onMergedHead(lastRequestId, each));
+        defect.ifPresent(each -> pool.defects().onMergedHead(carried.last(), each));
         return defect;
     }
 
@@ -306,6 +313,10 @@
             fail(AttemptFailure.MERGED, merged.get());
             return;
         }
+        if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            fail(AttemptFailure.UNREADABLE, "the head: another protocol is used from here on");
+            return;
+        }
         if (response.status().code() < 200) {
             skipping = true;
             return;
@@ -325,7 +336,9 @@
         headSeen = true;
         pool.recordAnswer(urgency(), startedMillis);
         reusable = HttpUtil.isKeepAlive(response);
-        answerHasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        answerHasLength = Objects.requireNonNull(decoder).answersHead()
+                || HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response);
         keepAliveMillis = KeepAlive.idleMillis(response.headers().get("Keep-Alive"));
         current().onHead(new AnswerHead(response.status().code(), response.headers()));
     }
@@ -392,7 +405,7 @@
     }
 
     private void failMerged(String detail) {
-        pool.defects().onMergedHead(lastRequestId, detail);
+        pool.defects().onMergedHead(carried.last(), detail);
         fail(AttemptFailure.MERGED, detail);
     }
 
@@ -408,7 +421,7 @@
         pauseReading(false);
         boolean written = requestWritten();
         unwritten = null;
-        if (reusable && answerHasLength && !draining && written && !strayReceived) {
+        if (mayBeUsedAgain() && written) {
             pool.returnIdle(this);
         } else {
             close();
@@ -416,9 +429,13 @@
         finished.onEnd();
     }
 
+    private boolean mayBeUsedAgain() {
+        return reusable && answerHasLength && !draining && !strayReceived && !carried.isFull();
+    }
+
     private void reportStray(StrayBytes.Place place, long bytes, String answerId) {
         strayReceived = true;
-        pool.defects().onStrayBytes(new StrayBytes(place, bytes, lastRequestId, answerId));
+        pool.defects().onStrayBytes(new StrayBytes(place, bytes, carried.last(), answerId));
     }
 
     private void fail(String reason) {
--- a/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
+++ b/direct/src/main/java/org/streamring/direct/backend/BackendPool.java
@@ -12,12 +12,14 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.streamring.net.http.AnswerDecoder;
 import org.streamring.net.http.AnswerEndCheck;
@@ -90,7 +92,7 @@
         this.defects = defects;
         this.lastActivityMillis = clock.getAsLong();
         this.lastDataMillis = lastActivityMillis;
-        this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, () -> open);
+        this.exitCheck = new ProcessExitCheck(loop, address, CONNECT_TIMEOUT_MILLIS, this::readConnections);
         this.exitWatch = new ProcessExitWatch(loop, address, CONNECT_TIMEOUT_MILLIS, exitCheck);
     }
 
@@ -103,7 +105,7 @@
     public BackendAttempt begin(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
         BackendConnection ready =
-                takeIdle(request, request.recentlyUsedOnly() ? MAX_FRESH_IDLE_MILLIS : Long.MAX_VALUE);
+                takeIdle(request.id(), request.recentlyUsedOnly() ? MAX_FRESH_IDLE_MILLIS : Long.MAX_VALUE);
         if (ready == null) {
             connect(attempt, opened -> send(opened, request, mayBeSent, attempt));
         } else {
@@ -121,7 +123,7 @@
      */
     public BackendAttempt beginReplacing(BackendRequest request, BooleanSupplier mayBeSent, AttemptListener listener) {
         BackendAttempt attempt = new BackendAttempt(listener);
-        BackendConnection ready = takeIdle(request, MAX_REPLACEMENT_IDLE_MILLIS);
+        BackendConnection ready = takeIdle(request.id(), MAX_REPLACEMENT_IDLE_MILLIS);
         if (ready == null) {
             connectReplacing(request, mayBeSent, attempt);
         } else {
@@ -203,6 +205,11 @@
         exitCheck.run(listener);
     }
 
+    /** Returns the open connections whose end would be noticed: it is not while reading is paused. */
+    private Set<BackendConnection> readConnections() {
+        return open.stream().filter(each -> !each.isPaused()).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Watches for the given time whether the process of the server exits, and passes on the result once. */
     public void watchProcessExit(long millis, Consumer<Boolean> then) {
         exitWatch.run(millis, then);
@@ -294,20 +301,20 @@
         open.remove(connection);
     }
 
-    private @Nullable BackendConnection takeIdle(BackendRequest request, long maxIdleMillis) {
+    /** Takes the connection that was used last of those on which no request with this identifier was sent. */
+    private @Nullable BackendConnection takeIdle(String requestId, long maxIdleMillis) {
         closeExpiredIdle();
-        if (request.id().isEmpty()) {
+        if (requestId.isEmpty()) {
             // Only on a connection of its own can it be told from answers to other requests.
             return null;
         }
-        BackendConnection first = idle.peekFirst();
-        if (first == null) {
-            return null;
-        }
-        if (clock.getAsLong() - first.lastUseMillis() > maxIdleMillis) {
-            return null;
-        }
-        return idle.pollFirst();
+        long now = clock.getAsLong();
+        Optional<BackendConnection> taken = idle.stream()
+                .filter(each -> now - each.lastUseMillis() <= maxIdleMillis)
+                .filter(each -> each.admits(requestId))
+                .findFirst();
+        taken.ifPresent(idle::remove);
+        return taken.orElse(null);
     }
 
     private void connect(BackendAttempt attempt, Consumer<BackendConnection> onOpened) {
