--- a/direct/src/test/java/org/streamring/direct/backend/StrayBytesTest.java
+++ b/direct/src/test/java/org/streamring/direct/backend/StrayBytesTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -142,6 +143,9 @@
         int lineEnds = 0;
         while (lineEnds < 4) {
             int next = in.read();
+            if (next < 0) {
+                throw new EOFException("closed before the end of the head");
+            }
             lineEnds = next == '\r' || next == '\n' ? lineEnds + 1 : 0;
         }
         return connection;
