--- a/direct/src/test/java/org/streamring/direct/request/SilenceCheckTest.java
+++ b/direct/src/test/java/org/streamring/direct/request/SilenceCheckTest.java
@@ -36,8 +36,8 @@
  * else, for instance by a long message on another connection.
  */
 public class SilenceCheckTest {
-    private static final BackendRequest REQUEST =
-            new BackendRequest("r-1", HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0, false);
+    private static final BackendRequest REQUEST = request("r-1");
+    private static final BackendRequest REQUEST_BEFORE = request("r-0");
     private static final String HEAD = "HTTP/1.1 200 OK\r\nid: r-1\r\nContent-Length: 5\r\n\r\n";
     private static final long SILENCE_MILLIS = 1_000;
     private static final long HELD_UP_MILLIS = 1_500;
@@ -68,7 +68,7 @@
     public void bytesThatLieUnreadWhileTheEventLoopIsHeldUpAreNoSilence() throws Exception {
         Listener streamed = new Listener(0);
         try (Socket stream = beginOnReusedConnection(streamed);
-                Socket other = begin(pool(otherServer), new Listener(HELD_UP_MILLIS), otherServer)) {
+                Socket other = begin(pool(otherServer), REQUEST, new Listener(HELD_UP_MILLIS), otherServer)) {
             write(stream, HEAD + "1");
             streamed.data.get(5, TimeUnit.SECONDS);
             write(other, HEAD + "1");
@@ -110,8 +110,8 @@
     private Socket beginOnReusedConnection(Listener listener) throws Exception {
         BackendPool pool = pool(server);
         Listener before = new Listener(0);
-        Socket socket = begin(pool, before, server);
-        write(socket, HEAD + "12345");
+        Socket socket = begin(pool, REQUEST_BEFORE, before, server);
+        write(socket, HEAD.replace("r-1", "r-0") + "12345");
         before.end.get(5, TimeUnit.SECONDS);
         EventLoop loop = loops.next();
         BackendAttempt attempt =
@@ -129,8 +129,13 @@
         }
     }
 
-    private Socket begin(BackendPool pool, Listener listener, ServerSocket target) throws Exception {
-        loops.next().submit(() -> pool.begin(REQUEST, () -> true, listener)).get();
+    private static BackendRequest request(String id) {
+        return new BackendRequest(id, HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0, false);
+    }
+
+    private Socket begin(BackendPool pool, BackendRequest request, Listener listener, ServerSocket target)
+            throws Exception {
+        loops.next().submit(() -> pool.begin(request, () -> true, listener)).get();
         return target.accept();
     }
 
