--- /dev/null
+++ b/review/standins-2/src/reviewtwo/Replica.java
@@ -0,0 +1,280 @@
+package reviewtwo;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Stand-in for a replica, a process of its own. Arguments: identifier, address, port, software version, framing
+ * (chunked or unframed). Commands come on the standard input: "leave" makes all later answers say that it is leaving, "cold MS" makes it cold for that time.
+ * What it does is written to the standard output: RUN id first last, EVENT id number, END id.
+ *
+ * <p>The body of a request to a stream is "events=N gap=MS"; that of a plain request "bytes=N work=MS".
+ */
+public final class Replica {
+    private final String id;
+    private final String version;
+    private final boolean framed;
+    private volatile boolean leaving;
+    private volatile long coldUntilMillis;
+    private volatile String limit = "";
+    /** Request that was answered last. */
+    private volatile String previous = "none";
+    private final PrintStream log = System.out;
+
+    private Replica(String id, String version, boolean framed) {
+        this.id = id;
+        this.version = version;
+        this.framed = framed;
+    }
+
+    /** Runs until the process is killed or its standard input ends. */
+    public static void main(String[] arguments) throws IOException {
+        Replica replica = new Replica(arguments[0], arguments[3], arguments[4].equals("chunked"));
+        ServerSocket server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(new InetSocketAddress(arguments[1], Integer.parseInt(arguments[2])), 500);
+        Thread accepting = new Thread(() -> replica.accept(server));
+        accepting.setDaemon(true);
+        accepting.start();
+        replica.line("LISTENING " + server.getLocalPort());
+        BufferedReader commands = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String command = commands.readLine(); command != null; command = commands.readLine()) {
+            if (command.equals("leave")) {
+                replica.leaving = true;
+                replica.line("LEAVING");
+            }
+            if (command.startsWith("limit ")) {
+                replica.limit = command.substring(6);
+                replica.line("LIMIT " + replica.limit);
+            }
+            if (command.startsWith("cold ")) {
+                replica.coldUntilMillis = System.currentTimeMillis() + Long.parseLong(command.substring(5));
+                replica.line("COLD " + command.substring(5));
+            }
+        }
+    }
+
+    private synchronized void line(String text) {
+        log.println(System.currentTimeMillis() + " " + text);
+        log.flush();
+    }
+
+    private void accept(ServerSocket server) {
+        while (true) {
+            try {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                Thread thread = new Thread(() -> serve(socket));
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            OutputStream out = socket.getOutputStream();
+            boolean goesOn = true;
+            while (goesOn) {
+                Map<String, String> headers = new TreeMap<>();
+                String first = readHead(in, headers);
+                if (first == null) {
+                    return;
+                }
+                int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+                String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+                goesOn = first.startsWith("GET /health ") ? health(out) : answer(headers, body, out);
+                out.flush();
+            }
+        } catch (IOException | InterruptedException e) {
+            // The other side has closed the connection.
+        }
+    }
+
+    private boolean health(OutputStream out) throws IOException {
+        long coldMillis = Math.max(0, coldUntilMillis - System.currentTimeMillis());
+        String cold = coldMillis > 0 ? "X-Cold-Ms: " + coldMillis + "\r\n" : "";
+        write(out, "HTTP/1.1 " + (leaving ? 503 : 200) + " X\r\nX-Instance-Id: " + id + "\r\n" + cold
+                + "Content-Length: 0\r\n\r\n");
+        return true;
+    }
+
+    private static String readHead(InputStream in, Map<String, String> headers) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        int matched = 0;
+        while (matched < 4) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+            matched = next == (matched % 2 == 0 ? '\r' : '\n') ? matched + 1 : 0;
+        }
+        String[] lines = head.toString(StandardCharsets.UTF_8).split("\r\n");
+        for (int i = 1; i < lines.length; i++) {
+            int colon = lines[i].indexOf(':');
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+                    lines[i].substring(colon + 1).trim());
+        }
+        return lines[0];
+    }
+
+    private static String header(Map<String, String> headers, String key) {
+        return headers.getOrDefault(Names.of(key).toLowerCase(Locale.ROOT), "");
+    }
+
+    private boolean answer(Map<String, String> headers, String body, OutputStream out)
+            throws IOException, InterruptedException {
+        String request = header(headers, "requestid");
+        String expected = header(headers, "instance");
+        if (!expected.isEmpty() && !expected.equals(id)) {
+            line("MISDIRECTED " + request);
+            write(out, head(request, 421, Names.of("notrun") + ": 1\r\nContent-Length: 0\r\n"));
+            return true;
+        }
+        if (body.startsWith("stutter=")) {
+            return stutter(request, body, out);
+        }
+        if (body.startsWith("endless=")) {
+            endless(request, number(body, "endless="), out);
+        }
+        return body.startsWith("events=") ? stream(request, headers, body, out) : plain(request, body, out);
+    }
+
+    private boolean stream(String request, Map<String, String> headers, String body, OutputStream out)
+            throws IOException, InterruptedException {
+        if (body.contains("crash=")) {
+            line("RUN " + request + " 1 1 crashing");
+            Thread.sleep(number(body, "crash="));
+            line("CRASH " + request);
+            Runtime.getRuntime().halt(3);
+        }
+        int events = number(body, "events=");
+        int gap = number(body, "gap=");
+        int from = Integer.parseInt(headers.getOrDefault("last-event-id", "0")) + 1;
+        line("RUN " + request + " " + from + " " + events);
+        String framing = framed ? "Transfer-Encoding: chunked\r\n" : "Connection: close\r\n";
+        write(out, head(request, 200, "Content-Type: text/event-stream\r\n" + framing));
+        for (int event = from; event <= events; event++) {
+            Thread.sleep(gap);
+            String text = "id: " + event + "\ndata: event " + event + " of " + request + " by " + version + "\n\n";
+            write(out, framed ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text);
+            line("EVENT " + request + " " + event);
+        }
+        if (framed) {
+            write(out, "0\r\n\r\n");
+        }
+        line("END " + request);
+        return framed;
+    }
+
+    /**
+     * Answers a request twice: with the head and a part of the body of a success, and a little later with a whole failure
+     * that names no request, or an earlier one. The kinds: length (the first answer has a length, and breaks off), unframed (it has none, and
+     * is whole), events (a stream without a length, which breaks off within its second event).
+     */
+    private boolean stutter(String request, String body, OutputStream out) throws IOException, InterruptedException {
+        line("RUN " + request + " 1 1");
+        String kind = body.substring(8, body.indexOf(' '));
+        String data = "answer to " + request + " ";
+        String text = data + "x".repeat(300);
+        String earlier = previous;
+        String named = body.contains("named=1") && !earlier.equals("none") ? Names.of("requestid") + ": " + earlier + "\r\n" : "";
+        String failure = "HTTP/1.1 500 Internal Server Error\r\n" + named
+                + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nerror\n";
+        switch (kind) {
+            case "length" -> write(
+                    out,
+                    head(request, 200, "Content-Length: " + text.length() + "\r\n")
+                            + text.substring(0, text.length() - number(body, "missing=")));
+            case "unframed" -> write(out, head(request, 200, "Connection: close\r\n") + text);
+            default -> write(
+                    out,
+                    head(request, 200, "Content-Type: text/event-stream\r\nConnection: close\r\n")
+                            + "id: 1\ndata: event 1 of " + request + "\n\nid: 2\ndata: event 2 of");
+        }
+        Thread.sleep(number(body, "late="));
+        write(out, failure);
+        previous = request;
+        line("STUTTERED " + request + (named.isEmpty() ? "" : ", second answer to " + earlier));
+        return kind.equals("length");
+    }
+
+    private void endless(String request, int kind, OutputStream out) throws IOException {
+        String sealed = Names.of("seal") + ": " + id + "." + request + "\r\n";
+        String named = "HTTP/1.1 200 X\r\n" + Names.of("requestid") + ": " + request + "\r\n" + sealed;
+        String sse = "Content-Type: text/event-stream\r\n";
+        String start = switch (kind) {
+            case 1, 7, 8 -> "";
+            case 2 -> named;
+            case 3 -> named + "\r\n";
+            case 4 -> named + "Transfer-Encoding: chunked\r\n\r\n";
+            case 5, 6 -> named + sse + "\r\n";
+            case 9 -> named + "Transfer-Encoding: chunked\r\n\r\n5;a=";
+            case 10 -> named + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+            case 11 -> named.replace(request, "other") + "\r\n";
+            case 12 -> named + "Content-Length: 10000000000\r\n\r\n";
+            default -> named + "Content-Length: 5\r\n\r\nhello";
+        };
+        String on = switch (kind) {
+            case 2, 10 -> "X-Note: nnnnnnnnnnnnnnnnnnnnnnnnnnnnnn\r\n";
+            case 4 -> "10\r\n0123456789abcdef\r\n";
+            case 6 -> "id: 1\ndata: x\n\n";
+            case 7 -> "HTTP/1.1 100 Continue\r\n\r\n";
+            case 8 -> "\r\n";
+            default -> "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+        };
+        write(out, start);
+        byte[] bytes = on.repeat(500).getBytes(StandardCharsets.UTF_8);
+        while (true) {
+            out.write(bytes);
+        }
+    }
+
+    private boolean plain(String request, String body, OutputStream out) throws IOException, InterruptedException {
+        previous = request;
+        line("RUN " + request + " 1 1" + (System.currentTimeMillis() < coldUntilMillis ? " cold" : ""));
+        Thread.sleep(number(body, "work="));
+        String text = "x".repeat(number(body, "bytes="));
+        write(out, head(request, 200, "Content-Length: " + text.length() + "\r\n") + text);
+        line("END " + request);
+        return true;
+    }
+
+    private static int number(String body, String name) {
+        int start = body.indexOf(name) + name.length();
+        int end = start;
+        while (end < body.length() && Character.isDigit(body.charAt(end))) {
+            end++;
+        }
+        return Integer.parseInt(body.substring(start, end));
+    }
+
+    private String head(String request, int status, String others) {
+        return "HTTP/1.1 " + status + " X\r\n" + Names.of("requestid") + ": " + request + "\r\n" + others
+                + (status == 200 ? Names.of("seal") + ": " + id + "." + request + "\r\n" : "")
+                + (limit.isEmpty() ? "" : Names.of("limit") + ": " + limit + "\r\n")
+                + (leaving ? Names.of("leaving") + ": 1\r\n" : "") + "\r\n";
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+}
