--- a/review/standins-2/src/reviewtwo/DrillAfterKill.java
+++ b/review/standins-2/src/reviewtwo/DrillAfterKill.java
@@ -24,7 +24,7 @@
     /** Arguments: root of the repository, folder of the case. */
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        boolean kill = setting("KILL", 1) == 1;
+        int killed = (int) setting("KILL", ENTRIES);
         long prepaid = setting("PREPAID", 200_000);
         long age = setting("AGE", 4_000);
         long gap = setting("GAP", 50);
@@ -84,19 +84,15 @@
             record.add((System.currentTimeMillis() - start) + " ms: used by now " + tokens(replicas) + "; row: "
                     + fleet.store.value("streamring-prepaid", "hule930"));
             if (trouble) {
-                if (kill) {
-                    for (Fleet.Entry entry : entries) {
-                        entry.process.destroyForcibly();
-                    }
+                for (Fleet.Entry entry : entries.subList(0, killed)) {
+                    entry.process.destroyForcibly();
                 }
                 fleet.store.failStatus = 503;
                 Thread.sleep(500);
                 fleet.store.restore(copy);
                 fleet.store.failStatus = 0;
-                if (kill) {
-                    for (Fleet.Entry entry : entries) {
-                        entry.launch();
-                    }
+                for (Fleet.Entry entry : entries.subList(0, killed)) {
+                    entry.launch();
                 }
             }
             Thread.sleep(25_000);
--- a/review/standins-2/src/reviewtwo/Replica.java
+++ b/review/standins-2/src/reviewtwo/Replica.java
@@ -187,7 +187,8 @@
     /**
      * Answers a request twice: with the head and a part of the body of a success, and a little later with a whole failure
      * that names no request, or an earlier one. The kinds: length (the first answer has a length, and breaks off), unframed (it has none, and
-     * is whole), events (a stream without a length, which breaks off within its second event).
+     * is whole), events (a stream without a length, which breaks off within its second event), and headcut (the first answer
+     * breaks off in its head, and there is no second one).
      */
     private boolean stutter(String request, String body, OutputStream out) throws IOException, InterruptedException {
         line("RUN " + request + " 1 1");
@@ -203,6 +204,12 @@
                     out,
                     head(request, 200, "Content-Length: " + text.length() + "\r\n")
                             + text.substring(0, text.length() - number(body, "missing=")));
+            case "headcut" -> {
+                String whole = head(request, 200, "Content-Type: text/plain\r\n");
+                write(out, whole.substring(0, whole.length() - number(body, "missing=")));
+                line("BROKEN OFF " + request);
+                return false;
+            }
             case "unframed" -> write(out, head(request, 200, "Connection: close\r\n") + text);
             default -> write(
                     out,
--- a/review/standins-2/src/reviewtwo/Stutter.java
+++ b/review/standins-2/src/reviewtwo/Stutter.java
@@ -47,7 +47,7 @@
                 String path = stream ? "/once/x" : i % 2 == 0 ? "/status/x" : "/receipt/x";
                 String id = "call" + i;
                 String named = spoiled / kinds.length % 2 == 1 ? " named=1" : "";
-                String body = spoil ? "stutter=" + kind + " missing=20 late=20" + named : "bytes=300 work=5";
+                String body = spoil ? "stutter=" + kind + " missing=" + System.getenv().getOrDefault("MISSING", "20") + " late=20" + named : "bytes=300 work=5";
                 spoiled += spoil ? 1 : 0;
                 sent.put(id, path + " " + body);
                 Thread client = new Thread(() -> answers.put(
@@ -76,7 +76,7 @@
                         ? whole.equals(answer.body)
                         : answer.body.equals("x".repeat(300));
                 boolean success = answer.status == 200 && answer.complete;
-                boolean wrong = success && (answer.body.contains("HTTP/1.1 500") || !sent.get(id).contains("events") && !expected);
+                boolean wrong = success && sent.get(id).contains("headcut") || success && (answer.body.contains("HTTP/1.1 500") || !sent.get(id).contains("events") && !expected);
                 wrong |= answer.status == 200 && answer.body.contains("HTTP/1.1 500");
                 foreign += wrong ? 1 : 0;
                 right += success && !wrong ? 1 : 0;
