--- a/review/standins-2/src/reviewtwo/Replica.java
+++ b/review/standins-2/src/reviewtwo/Replica.java
@@ -17,7 +17,7 @@
 
 /**
  * Stand-in for a replica, a process of its own. Arguments: identifier, address, port, software version, framing
- * (chunked or unframed). Commands come on the standard input: "leave" makes all later answers say that it is leaving, "cold MS" makes it cold for that time.
+ * (chunked or unframed). Commands come on the standard input: "leave" makes all later answers say that it is leaving, "stutter N" spoils one answer in N, "cold MS" makes it cold for that time.
  * What it does is written to the standard output: RUN id first last, EVENT id number, END id.
  *
  * <p>The body of a request to a stream is "events=N gap=MS"; that of a plain request "bytes=N work=MS".
@@ -29,6 +29,9 @@
     private volatile boolean leaving;
     private volatile long coldUntilMillis;
     private volatile String limit = "";
+    /** One in so many answers is spoiled; 0 for none. */
+    private volatile int spoilOneIn;
+    private int answers;
     /** Request that was answered last. */
     private volatile String previous = "none";
     private final PrintStream log = System.out;
@@ -59,6 +62,10 @@
                 replica.limit = command.substring(6);
                 replica.line("LIMIT " + replica.limit);
             }
+            if (command.startsWith("stutter ")) {
+                replica.spoilOneIn = Integer.parseInt(command.substring(8));
+                replica.line("STUTTERS, one in " + replica.spoilOneIn);
+            }
             if (command.startsWith("cold ")) {
                 replica.coldUntilMillis = System.currentTimeMillis() + Long.parseLong(command.substring(5));
                 replica.line("COLD " + command.substring(5));
@@ -148,8 +155,9 @@
             write(out, head(request, 421, Names.of("notrun") + ": 1\r\nContent-Length: 0\r\n"));
             return true;
         }
-        if (body.startsWith("stutter=")) {
-            return stutter(request, body, out);
+        int spoiled = spoiled();
+        if (spoiled > 0) {
+            return stutter(request, body, spoiled, out);
         }
         if (body.startsWith("endless=")) {
             endless(request, number(body, "endless="), out);
@@ -173,54 +181,69 @@
         write(out, head(request, 200, "Content-Type: text/event-stream\r\n" + framing));
         for (int event = from; event <= events; event++) {
             Thread.sleep(gap);
-            String text = "id: " + event + "\ndata: event " + event + " of " + request + " by " + version + "\n\n";
+            String text = event(event, request);
             write(out, framed ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text);
             line("EVENT " + request + " " + event);
         }
         if (framed) {
             write(out, "0\r\n\r\n");
         }
+        previous = request;
         line("END " + request);
         return framed;
     }
 
+    /** Counts an answer; returns the number of spoiled ones so far if it is one of them, or else 0. */
+    private synchronized int spoiled() {
+        answers++;
+        return spoilOneIn > 0 && answers % spoilOneIn == 0 ? answers / spoilOneIn : 0;
+    }
+
     /**
-     * Answers a request twice: with the head and a part of the body of a success, and a little later with a whole failure
-     * that names no request, or an earlier one. The kinds: length (the first answer has a length, and breaks off), unframed (it has none, and
-     * is whole), events (a stream without a length, which breaks off within its second event), and headcut (the first answer
-     * breaks off in its head, and there is no second one).
+     * Answers a request twice: with the head and a part of the body of a success, and 20 ms later with a whole failure.
+     * The first answer is a stream without a length, which breaks off within its second event, or one with a length that
+     * lacks its last 20 bytes, or one without a length that is whole. Each second failure that can do so names the request
+     * before, the others none.
      */
-    private boolean stutter(String request, String body, OutputStream out) throws IOException, InterruptedException {
+    private boolean stutter(String request, String body, int number, OutputStream out)
+            throws IOException, InterruptedException {
         line("RUN " + request + " 1 1");
-        String kind = body.substring(8, body.indexOf(' '));
-        String data = "answer to " + request + " ";
-        String text = data + "x".repeat(300);
+        boolean stream = body.startsWith("events=");
+        boolean length = !stream && number % 2 == 1;
         String earlier = previous;
-        String named = body.contains("named=1") && !earlier.equals("none") ? Names.of("requestid") + ": " + earlier + "\r\n" : "";
-        String failure = "HTTP/1.1 500 Internal Server Error\r\n" + named
-                + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nerror\n";
-        switch (kind) {
-            case "length" -> write(
+        boolean naming = (stream ? number % 2 : number / 2 % 2) == 0 && !earlier.equals("none");
+        String named = naming ? Names.of("requestid") + ": " + earlier + "\r\n" : "";
+        String text = stream ? "" : text(request, body);
+        if (stream) {
+            write(
                     out,
-                    head(request, 200, "Content-Length: " + text.length() + "\r\n")
-                            + text.substring(0, text.length() - number(body, "missing=")));
-            case "headcut" -> {
-                String whole = head(request, 200, "Content-Type: text/plain\r\n");
-                write(out, whole.substring(0, whole.length() - number(body, "missing=")));
-                line("BROKEN OFF " + request);
-                return false;
-            }
-            case "unframed" -> write(out, head(request, 200, "Connection: close\r\n") + text);
-            default -> write(
+                    head(request, 200, "Content-Type: text/event-stream\r\nConnection: close\r\n") + event(1, request)
+                            + event(2, request).substring(0, 20));
+        } else if (length) {
+            write(
                     out,
-                    head(request, 200, "Content-Type: text/event-stream\r\nConnection: close\r\n")
-                            + "id: 1\ndata: event 1 of " + request + "\n\nid: 2\ndata: event 2 of");
+                    head(request, 200, "Content-Length: " + text.length() + "\r\n")
+                            + text.substring(0, text.length() - 20));
+        } else {
+            write(out, head(request, 200, "Connection: close\r\n") + text);
         }
-        Thread.sleep(number(body, "late="));
-        write(out, failure);
+        Thread.sleep(20);
+        write(
+                out,
+                "HTTP/1.1 500 Internal Server Error\r\n" + named
+                        + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nerror\n");
         previous = request;
-        line("STUTTERED " + request + (named.isEmpty() ? "" : ", second answer to " + earlier));
-        return kind.equals("length");
+        line("STUTTERED " + request + (stream ? " events" : length ? " length" : " unframed")
+                + (naming ? ", second answer to " + earlier : ", second answer to none"));
+        return length;
+    }
+
+    private static String text(String request, String body) {
+        return "answer to " + request + " " + "x".repeat(number(body, "bytes="));
+    }
+
+    private String event(int number, String request) {
+        return "id: " + number + "\ndata: event " + number + " of " + request + " by " + version + "\n\n";
     }
 
     private void endless(String request, int kind, OutputStream out) throws IOException {
@@ -258,7 +281,7 @@
         previous = request;
         line("RUN " + request + " 1 1" + (System.currentTimeMillis() < coldUntilMillis ? " cold" : ""));
         Thread.sleep(number(body, "work="));
-        String text = "x".repeat(number(body, "bytes="));
+        String text = text(request, body);
         write(out, head(request, 200, "Content-Length: " + text.length() + "\r\n") + text);
         line("END " + request);
         return true;
--- a/review/standins-2/src/reviewtwo/SpotStreams.java
+++ b/review/standins-2/src/reviewtwo/SpotStreams.java
@@ -9,7 +9,8 @@
 
 /** Streams without a length or chunks, at a replica that is gone two seconds after it has said that it leaves. */
 public final class SpotStreams {
-    private static final int STREAMS = 24;
+    private static final int STREAMS = 56;
+    private static final int REPLICAS = 7;
     private static final int EVENTS = 70;
 
     private SpotStreams() {}
@@ -24,12 +25,14 @@
         try (Fleet fleet = new Fleet(Path.of(arguments[0]))) {
             fleet.store.put("op", "config", Config.text());
             long now = System.currentTimeMillis();
-            Fleet.Server leaver = fleet.server("i-leaver", "llm", "v1", framing);
-            Fleet.Server stayer = fleet.server("i-stayer", "llm", "v1", framing);
-            leaver.launch();
-            stayer.launch();
-            leaver.list(true, now);
-            stayer.list(true, now);
+            List<Fleet.Server> replicas = new ArrayList<>();
+            for (int i = 0; i < REPLICAS; i++) {
+                Fleet.Server replica = fleet.server("i-" + i, "llm", "v1", framing);
+                replica.launch();
+                replica.list(true, now);
+                replicas.add(replica);
+            }
+            Fleet.Server leaver = replicas.get(0);
             Fleet.Entry entry = fleet.entry(1);
             entry.launch();
             entry.awaitReady(20_000);
@@ -82,8 +85,8 @@
             record.add("");
             record.add("what the leaving replica did:");
             record.addAll(leaver.log);
-            record.add("what the other replica did:");
-            stayer.log.stream().filter(line -> !line.contains("EVENT")).forEach(record::add);
+            record.add("what the other replicas did:");
+            replicas.stream().skip(1).flatMap(replica -> replica.log.stream()).filter(line -> !line.contains("EVENT")).forEach(record::add);
         }
         record.add(0, "streams " + STREAMS + ", whole " + succeeded + ", ended as complete ahead of their last event "
                 + violations);
